--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+LINT = go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+
+.PHONY: build demo test check fmt bench
+
+build:
+	go build -o bin/ ./cmd/...
+
+demo:
+	go run ./cmd/cowslipstream demo
+
+test:
+	go test -race -timeout 20m ./...
+
+check:
+	@unformatted="$$(gofmt -l .)"; if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
+	go vet ./...
+	$(LINT) run ./...
+
+fmt:
+	gofmt -w .
+
+bench:
+	go run ./cmd/csbench
