--- /dev/null
+++ b/csraft/message.go
@@ -0,0 +1,171 @@
+package csraft
+
+import (
+	"errors"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"cowslipstream.example/cowslipstream/csmodel"
+)
+
+// MessageKind tells what a Message asks or answers.
+type MessageKind uint8
+
+// Kinds of messages.
+const (
+	MessageAppend        MessageKind = iota + 1 // leader: entries after Index, or a heartbeat without entries
+	MessageAppendReply                          // Index is the match, or the hint where Reject is set
+	MessagePreVote                              // asks whether a vote would be granted
+	MessagePreVoteReply                         // answers MessagePreVote
+	MessageVote                                 // asks for a vote
+	MessageVoteReply                            // answers MessageVote
+	MessageTimeoutNow                           // leader: campaign without waiting
+	MessageJoin                                 // a node without membership asks for the state of the group
+	MessageJoinReply                            // answers MessageJoin
+	MessageFetch                                // learner: asks any peer for committed entries after Index
+	MessageFetchReply                           // committed entries after Index
+	MessageSnapshotOffer                        // the entries asked for are compacted into the snapshot at Index
+	MessageSnapshotFetch                        // asks for the snapshot bytes from Offset
+	MessageSnapshotChunk                        // snapshot bytes from Offset
+	MessagePropose                              // proposals forwarded to the leader
+	MessageResult                               // outcome of one proposal, to the proposer
+	MessageRead                                 // asks the leader for an index to read at
+	MessageReadReply                            // answers MessageRead
+)
+
+// ErrMessage reports bytes that are not an encoded message.
+var ErrMessage = errors.New("csraft: invalid message")
+
+// Proposal asks the leader to append one entry. It holds a machine command or a membership change.
+type Proposal struct {
+	_      struct{}   `cbor:",toarray"`
+	ID     ProposalID //
+	Data   []byte
+	Change *Change
+}
+
+// Change is a change of one member. Remove takes the member out; otherwise it is added or its role is set.
+type Change struct {
+	_      struct{} `cbor:",toarray"`
+	Member Member
+	Remove bool
+}
+
+// Message is sent between the members of a group. Fields that a kind does not use are zero and take no bytes.
+type Message struct {
+	Kind        MessageKind         `cbor:"1,keyasint"`
+	From        csmodel.NodeID      `cbor:"2,keyasint"`
+	Incarnation csmodel.Incarnation `cbor:"3,keyasint"` // of the sender
+	Term        csmodel.Term        `cbor:"4,keyasint,omitempty"`
+	Index       csmodel.Index       `cbor:"5,keyasint,omitempty"`
+	LogTerm     csmodel.Term        `cbor:"6,keyasint,omitempty"` // term of the entry at Index
+	Commit      csmodel.Index       `cbor:"7,keyasint,omitempty"`
+	Round       uint64              `cbor:"8,keyasint,omitempty"` // echoed by replies; the lease counts from its send time
+	Reject      bool                `cbor:"9,keyasint,omitempty"`
+	Formed      bool                `cbor:"10,keyasint,omitempty"` // the sender has a log
+	Transfer    bool                `cbor:"11,keyasint,omitempty"` // the leader has asked for this election
+	Leader      csmodel.NodeID      `cbor:"12,keyasint,omitempty"`
+	Known       csmodel.Incarnation `cbor:"13,keyasint,omitempty"` // newest incarnation of the receiver that the sender knows
+	Entries     []Entry             `cbor:"-"`
+	Offset      uint64              `cbor:"14,keyasint,omitempty"`
+	Total       uint64              `cbor:"15,keyasint,omitempty"`
+	Data        []byte              `cbor:"16,keyasint,omitempty"`
+	Members     *Membership         `cbor:"17,keyasint,omitempty"`
+	At          int64               `cbor:"18,keyasint,omitempty"` // of the last entry in a snapshot, Unix nanoseconds
+	Proposals   []Proposal          `cbor:"19,keyasint,omitempty"`
+}
+
+// wireEntry is the compact form of an Entry: no field keys, and the index follows from the position.
+type wireEntry struct {
+	_        struct{} `cbor:",toarray"`
+	Term     csmodel.Term
+	Kind     EntryKind
+	At       int64
+	Node     csmodel.NodeID
+	Life     csmodel.Incarnation
+	Sequence uint64
+	Data     []byte
+}
+
+type wireMessage struct {
+	Message
+	First   csmodel.Index `cbor:"20,keyasint,omitempty"`
+	Entries []wireEntry   `cbor:"21,keyasint,omitempty"`
+}
+
+// EncodeMessage returns the CBOR encoding of a message.
+func EncodeMessage(m Message) ([]byte, error) {
+	w := wireMessage{Message: m}
+	if len(m.Entries) > 0 {
+		w.First = m.Entries[0].Index
+		w.Entries = toWire(m.Entries)
+	}
+	return cbor.Marshal(w)
+}
+
+// DecodeMessage returns the message of an encoding.
+func DecodeMessage(b []byte) (Message, error) {
+	var w wireMessage
+	if err := cbor.Unmarshal(b, &w); err != nil {
+		return Message{}, errors.Join(ErrMessage, err)
+	}
+	m := w.Message
+	m.Entries = fromWire(w.First, w.Entries)
+	return m, nil
+}
+
+// EncodeEntries returns the CBOR encoding of consecutive entries.
+func EncodeEntries(entries []Entry) ([]byte, error) {
+	if len(entries) == 0 {
+		return nil, nil
+	}
+	return cbor.Marshal(wireMessage{First: entries[0].Index, Entries: toWire(entries)}.block())
+}
+
+// DecodeEntries returns the entries of an encoding.
+func DecodeEntries(b []byte) ([]Entry, error) {
+	if len(b) == 0 {
+		return nil, nil
+	}
+	var k wireBlock
+	if err := cbor.Unmarshal(b, &k); err != nil {
+		return nil, errors.Join(ErrMessage, err)
+	}
+	return fromWire(k.First, k.Entries), nil
+}
+
+type wireBlock struct {
+	_       struct{} `cbor:",toarray"`
+	First   csmodel.Index
+	Entries []wireEntry
+}
+
+func (w wireMessage) block() wireBlock { return wireBlock{First: w.First, Entries: w.Entries} }
+
+func toWire(entries []Entry) []wireEntry {
+	out := make([]wireEntry, len(entries))
+	for i, e := range entries {
+		out[i] = wireEntry{
+			Term: e.Term, Kind: e.Kind, At: e.At.UnixNano(),
+			Node: e.Proposal.Node, Life: e.Proposal.Incarnation, Sequence: e.Proposal.Sequence,
+			Data: e.Data,
+		}
+	}
+	return out
+}
+
+func fromWire(first csmodel.Index, entries []wireEntry) []Entry {
+	if len(entries) == 0 {
+		return nil
+	}
+	out := make([]Entry, len(entries))
+	for i, w := range entries {
+		out[i] = Entry{
+			Term: w.Term, Index: first + csmodel.Index(i), Kind: w.Kind, At: time.Unix(0, w.At).UTC(),
+			Proposal: ProposalID{Node: w.Node, Incarnation: w.Life, Sequence: w.Sequence},
+			Data:     w.Data,
+		}
+	}
+	return out
+}
