Add the API of the fleet machine and planner

Cause: callers of csfleet are written in parallel and need its types first. Conclusion: callers can compile against the package.

--- /dev/null
+++ b/csfleet/plan.go
@@ -0,0 +1,157 @@
+package csfleet
+
+import (
+	"time"
+
+	"cowslipstream.example/cowslipstream/csconfig"
+	"cowslipstream.example/cowslipstream/csmodel"
+)
+
+// Observation is what a home node last reported about a VM.
+type Observation struct {
+	VM          csmodel.VMID
+	Incarnation csmodel.Incarnation
+	Heard       time.Time
+	// Zone, Rack, Pool, CPU and Memory are what the target announced. Pool is the pool it is prepared for.
+	Zone   csmodel.AvailabilityZone
+	Rack   csmodel.Rack
+	Pool   csmodel.PoolID
+	CPU    csmodel.MilliCPU
+	Memory csmodel.Bytes
+	// Fence is the fence of the instruction that the home node follows for this VM.
+	Fence csmodel.Fence
+	// Drained confirms that under Fence the VM has no attempt, no slot lease and no task.
+	Drained  bool
+	Attempts int
+}
+
+// Zone tells whether the leader currently reaches an availability zone.
+type Zone struct {
+	Name      csmodel.AvailabilityZone
+	Reachable bool
+}
+
+// Observations are the inputs of a tick from outside the group.
+type Observations struct {
+	VMs   []Observation
+	Zones []Zone
+	// Replaced lists lost VMs that the platform has replaced. The planner removes them.
+	Replaced []Replacement
+}
+
+// Replacement names a VM that is gone and the one that takes its place.
+type Replacement struct {
+	Old csmodel.VMID
+	New csmodel.VMID
+}
+
+// Wanted is a number of VMs that the capacity policy wants to move from one pool to another. Moves between the two pools
+// that are already under way are counted against it.
+type Wanted struct {
+	From, To csmodel.PoolID
+	Count    int
+	// Permanent changes the home pool of the VMs.
+	Permanent bool
+}
+
+// Instruction is what a home node must do with a VM. The set is sealed. Instructions are repeated on each tick until the
+// observations confirm them, so they are idempotent; a home node ignores one with a fence lower than it has seen.
+type Instruction interface{ instruction() }
+
+// Drain asks to send no new work to the VM and to report when it is drained. Its tasks are to be checkpointed.
+type Drain struct {
+	VM    csmodel.VMID
+	Fence csmodel.Fence
+}
+
+// Prepare asks the target to prepare for a pool and to announce for it.
+type Prepare struct {
+	VM    csmodel.VMID
+	Fence csmodel.Fence
+	Pool  csmodel.PoolID
+}
+
+// Reboot asks the platform to reboot the VM.
+type Reboot struct {
+	VM          csmodel.VMID
+	Fence       csmodel.Fence
+	Incarnation csmodel.Incarnation // of the target before the reboot
+}
+
+// Serve asks to give work of the pool to the VM.
+type Serve struct {
+	VM    csmodel.VMID
+	Fence csmodel.Fence
+	Pool  csmodel.PoolID
+}
+
+func (Drain) instruction()   {}
+func (Prepare) instruction() {}
+func (Reboot) instruction()  {}
+func (Serve) instruction()   {}
+
+// Plan is the output of a tick.
+type Plan struct {
+	Commands     []Command
+	Instructions []Instruction
+	Waves        []WaveProgress
+}
+
+// Block tells why a wave does not reboot a VM now.
+type Block string
+
+// Blocks of waves.
+const (
+	BlockPaused   Block = "paused"
+	BlockBudget   Block = "budget"
+	BlockParallel Block = "parallel"
+	BlockRack     Block = "rack" // another rack or zone of the pool is in maintenance
+	BlockTasks    Block = "tasks"
+	BlockZone     Block = "zone"  // the availability zone is unreachable
+	BlockState    Block = "state" // lost, or in another step
+	BlockLent     Block = "lent"
+)
+
+// Blocker is a reason for which VMs wait, their number and the first of them.
+type Blocker struct {
+	Block Block
+	Count int
+	First csmodel.VMID
+}
+
+// WaveProgress is the readable state of a wave.
+type WaveProgress struct {
+	Wave
+	// Total, Done and Active count the VMs of the wave, those maintained in this pass and those in maintenance.
+	Total, Done, Active int
+	// End is the end of the pass's period. It is zero for a single pass.
+	End      time.Time
+	Blockers []Blocker
+}
+
+// PlannerOptions configure a Planner. Zero fields get defaults.
+type PlannerOptions struct {
+	// Lease is the target lease: a VM that was not heard for this long is lost. Default 3 s.
+	Lease time.Duration
+	// DrainLimit is how long a drain may take before the step is undone. Default 10 min.
+	DrainLimit time.Duration
+}
+
+// Planner decides what the leader proposes. It can be replaced by a new one at any time. Create one with NewPlanner.
+type Planner struct{ options PlannerOptions }
+
+// NewPlanner returns a planner that observes for one target lease before it reports a VM as lost.
+func NewPlanner(o PlannerOptions) *Planner { return &Planner{options: o} }
+
+// Plan decides for the current state. The configuration is the active one of the node, at the given revision; region
+// selects its pools.
+func (p *Planner) Plan(_ *Machine, _ Active, _ Observations, _ []Wanted, _ time.Time) Plan {
+	return Plan{}
+}
+
+// Active is the active configuration of a node.
+type Active struct {
+	Region        csmodel.Region
+	Revision      csmodel.Revision
+	Configuration csconfig.Configuration
+}
--- /dev/null
+++ b/csfleet/vm.go
@@ -0,0 +1,56 @@
+package csfleet
+
+import (
+	"time"
+
+	"cowslipstream.example/cowslipstream/csmodel"
+)
+
+// State is the state of a VM.
+type State uint8
+
+// States of VMs.
+const (
+	Serving   State = iota + 1
+	Draining        // a move or reboot has started; waiting for Drained
+	Handover        // drained for a move; waiting for HandOver or Admit
+	Rebooting       // drained for a reboot
+	Lost            // not heard of
+)
+
+// Step is the voluntary step that a VM is in.
+type Step uint8
+
+// Voluntary steps.
+const (
+	StepNone Step = iota
+	StepMove
+	StepReboot
+)
+
+// VM is the replicated record of a VM.
+type VM struct {
+	ID csmodel.VMID `cbor:"1,keyasint"`
+	// Home is the pool whose budget the VM counts against. Pool is the one pool that it belongs to.
+	Home  csmodel.PoolID           `cbor:"2,keyasint"`
+	Pool  csmodel.PoolID           `cbor:"3,keyasint"`
+	Zone  csmodel.AvailabilityZone `cbor:"4,keyasint"`
+	Rack  csmodel.Rack             `cbor:"5,keyasint"`
+	Fence csmodel.Fence            `cbor:"6,keyasint"`
+	State State                    `cbor:"7,keyasint"`
+	Step  Step                     `cbor:"8,keyasint,omitempty"`
+	// To is the destination of a move, Permanent whether the home changes at admission, and Handed whether the pool has
+	// been changed.
+	To          csmodel.PoolID      `cbor:"9,keyasint,omitempty"`
+	Permanent   bool                `cbor:"10,keyasint,omitempty"`
+	Handed      bool                `cbor:"11,keyasint,omitempty"`
+	Incarnation csmodel.Incarnation `cbor:"12,keyasint"`
+	CPU         csmodel.MilliCPU    `cbor:"13,keyasint,omitempty"`
+	Memory      csmodel.Bytes       `cbor:"14,keyasint,omitempty"`
+	// Maintained is the end of the last reboot. Since is the time of the last change of state.
+	Maintained time.Time `cbor:"15,keyasint,omitzero"`
+	Since      time.Time `cbor:"16,keyasint,omitzero"`
+}
+
+// Lent tells whether the VM belongs to another pool than its home.
+func (v VM) Lent() bool { return v.Pool != v.Home }
