--- a/cstarget/announcement.go
+++ b/cstarget/announcement.go
@@ -24,9 +24,9 @@
 	Cores       csmodel.MilliCPU         `json:"cores"`
 	Memory      csmodel.Bytes            `json:"memory"`
 	Leaving     bool                     `json:"leaving,omitempty"`
-	// Home is the node that the target sent its previous announcement to in this incarnation, whether or not a response
-	// arrived. It is empty in the first announcement. It comes from AnnounceReply.Node.
-	Home csmodel.NodeID `json:"home,omitempty"`
+	// Moved is true from the first announcement to another entry node than before, in this incarnation, until that node
+	// has replied.
+	Moved bool `json:"moved,omitempty"`
 	// Running is the number of attempts in flight.
 	Running int          `json:"running,omitempty"`
 	Tasks   []TaskReport `json:"tasks,omitempty"`
--- a/cstarget/holder.go
+++ b/cstarget/holder.go
@@ -1,12 +1,24 @@
 package cstarget
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"cowslipstream.example/cowslipstream/csmodel"
 )
 
-// HolderConfig configures the holder of slots. Zero fields take defaults.
+const (
+	renewInterval = 500 * time.Millisecond // between requests to a home node
+	// shortInterval replaces renewInterval while the grant is below the demand.
+	shortInterval = 200 * time.Millisecond
+	// dispatchMargin ends a lease earlier for its holder, so that an attempt reaches the target before the slot is
+	// granted to another node.
+	dispatchMargin = 50 * time.Millisecond
+	maxUnanswered  = 8 // requests to a home node whose send time is kept
+)
+
+// HolderConfig configures the holder of slots.
 type HolderConfig struct {
 	Node        csmodel.NodeID
 	Incarnation csmodel.Incarnation
@@ -19,31 +31,294 @@
 	Request SlotRequest
 }
 
+type sentRequest struct {
+	sequence uint64
+	at       time.Time
+}
+
+// homeState is what the holder knows about one home node.
+type homeState struct {
+	pools     []csmodel.PoolSummary
+	sent      []sentRequest // unanswered, oldest first
+	sequence  uint64
+	applied   uint64
+	demand    []PoolDemand // last sent
+	next      time.Time
+	leases    []csmodel.SlotLease // in the order of target ids
+	unmet     bool                // the last grant was below the demand
+	confirmed bool                // nothing to confirm at once
+}
+
 // Holder keeps the slots that home nodes granted to a node.
-type Holder struct{}
+type Holder struct {
+	config HolderConfig
+	homes  map[csmodel.NodeID]*homeState
+	demand map[csmodel.PoolID]csmodel.SlotDemand
+	uses   map[csmodel.VMID]TargetUse
+	homeOf map[csmodel.VMID]csmodel.NodeID
+}
 
 // NewHolder returns a holder without slots.
-func NewHolder(c HolderConfig) *Holder { return &Holder{} }
+func NewHolder(c HolderConfig) *Holder {
+	return &Holder{
+		config: c,
+		homes:  map[csmodel.NodeID]*homeState{},
+		demand: map[csmodel.PoolID]csmodel.SlotDemand{},
+		uses:   map[csmodel.VMID]TargetUse{},
+		homeOf: map[csmodel.VMID]csmodel.NodeID{},
+	}
+}
 
 // Summaries replaces what is known about the targets of a home node. The holder sends requests to home nodes that have
 // targets of a demanded pool.
-func (h *Holder) Summaries(now time.Time, home csmodel.NodeID, pools []csmodel.PoolSummary) {}
+func (h *Holder) Summaries(home csmodel.NodeID, pools []csmodel.PoolSummary) {
+	h.home(home).pools = pools
+}
 
 // Demand replaces the demand for slots of a pool.
-func (h *Holder) Demand(now time.Time, d csmodel.SlotDemand) {}
+func (h *Holder) Demand(d csmodel.SlotDemand) { h.demand[d.Pool] = d }
 
-// Uses adds the attempts in flight and outcomes that the next requests report.
-func (h *Holder) Uses(uses []TargetUse) {}
+// Uses replaces the attempts in flight on each target and adds outcomes for the next requests.
+func (h *Holder) Uses(uses []TargetUse) {
+	for vm, u := range h.uses {
+		u.Busy = 0
+		h.uses[vm] = u
+	}
+	for _, u := range uses {
+		if old := h.uses[u.Target]; old.Incarnation == u.Incarnation {
+			u.Good += old.Good
+			u.Bad += old.Bad
+		}
+		h.uses[u.Target] = u
+	}
+}
+
+// Requests returns the requests to send now: one to each home node that holds targets of a demanded pool or of the own
+// availability zone and whose renewal is due or whose demand grew.
+func (h *Holder) Requests(now time.Time) []AddressedRequest {
+	var requests []AddressedRequest
+	for _, id := range csmodel.SortedKeys(h.homes) {
+		home := h.homes[id]
+		demand, near := h.demandOf(home)
+		held := slices.ContainsFunc(home.leases, func(l csmodel.SlotLease) bool { return now.Before(l.Until) })
+		if !near && !held && len(demand) == 0 {
+			continue
+		}
+		if now.Before(home.next) && !grew(home.demand, demand) && home.confirmed {
+			continue
+		}
+		requests = append(requests, AddressedRequest{Home: id, Request: h.request(now, id, home, demand)})
+	}
+	return requests
+}
+
+func (h *Holder) request(now time.Time, id csmodel.NodeID, home *homeState, demand []PoolDemand) SlotRequest {
+	home.sequence++
+	home.sent = append(home.sent, sentRequest{sequence: home.sequence, at: now})
+	if len(home.sent) > maxUnanswered {
+		home.sent = slices.Delete(home.sent, 0, 1)
+	}
+	home.demand = demand
+	home.confirmed = true
+	home.next = now.Add(renewInterval)
+	if home.unmet {
+		home.next = now.Add(shortInterval)
+	}
+	return SlotRequest{
+		Node:        h.config.Node,
+		Incarnation: h.config.Incarnation,
+		Sequence:    home.sequence,
+		Applied:     home.applied,
+		Demand:      demand,
+		Uses:        h.takeUses(id),
+	}
+}
 
-// Requests returns the requests to send now: one to each home node that holds targets of a demanded pool and whose
-// renewal is due or whose demand grew.
-func (h *Holder) Requests(now time.Time) []AddressedRequest { return nil }
+// takeUses returns the uses of the targets of a home node and resets their outcome counts.
+func (h *Holder) takeUses(id csmodel.NodeID) []TargetUse {
+	var uses []TargetUse
+	for _, vm := range csmodel.SortedKeys(h.uses) {
+		if h.homeOf[vm] != id {
+			continue
+		}
+		u := h.uses[vm]
+		uses = append(uses, u)
+		u.Good = 0
+		u.Bad = 0
+		h.uses[vm] = u
+		if u.Busy == 0 {
+			delete(h.uses, vm)
+		}
+	}
+	return uses
+}
 
-// Granted applies a grant and tells whether the leases changed. A late or duplicated grant is ignored.
-func (h *Holder) Granted(now time.Time, g SlotGrant) bool { return false }
+// demandOf returns the part of the demand that goes to a home node, in proportion to its slots, and whether the node has
+// targets in the own availability zone.
+func (h *Holder) demandOf(home *homeState) ([]PoolDemand, bool) {
+	var demand []PoolDemand
+	near := false
+	for _, s := range home.pools {
+		local := s.Zone == h.config.Zone
+		near = near || local
+		wanted := h.demand[s.Pool].Remote
+		if local {
+			wanted = h.demand[s.Pool].Local
+		}
+		all := h.slots(s.Pool, local)
+		if wanted <= 0 || all <= 0 || s.Slots <= 0 {
+			continue
+		}
+		part := (wanted*s.Slots + all - 1) / all
+		i, found := slices.BinarySearchFunc(demand, s.Pool, func(d PoolDemand, p csmodel.PoolID) int {
+			return cmp.Compare(d.Pool, p)
+		})
+		if found {
+			demand[i].Slots += part
+			continue
+		}
+		demand = slices.Insert(demand, i, PoolDemand{Pool: s.Pool, Slots: part})
+	}
+	return demand, near
+}
+
+// slots returns the slots of a pool on all home nodes, in the own availability zone or in the others.
+func (h *Holder) slots(pool csmodel.PoolID, local bool) int {
+	total := 0
+	for _, home := range h.homes {
+		for _, s := range home.pools {
+			if s.Pool == pool && (s.Zone == h.config.Zone) == local {
+				total += s.Slots
+			}
+		}
+	}
+	return total
+}
+
+// grew tells whether a demand exceeds the one that was sent last.
+func grew(sent, demand []PoolDemand) bool {
+	for _, d := range demand {
+		known := slices.ContainsFunc(sent, func(s PoolDemand) bool { return s.Pool == d.Pool && s.Slots >= d.Slots })
+		if !known {
+			return true
+		}
+	}
+	return false
+}
+
+// Granted applies a grant and tells whether it was applied. A late, duplicated or unrequested grant is ignored. Leases
+// are counted from the time the request was sent, so the holder's end is never later than the home node's.
+func (h *Holder) Granted(g SlotGrant) bool {
+	home, known := h.homes[g.Home]
+	if !known || g.Lease <= 0 || g.Sequence <= home.applied {
+		return false
+	}
+	i := slices.IndexFunc(home.sent, func(s sentRequest) bool { return s.sequence == g.Sequence })
+	if i < 0 {
+		return false
+	}
+	sent := home.sent[i].at
+	home.sent = slices.Delete(home.sent, 0, i+1)
+	home.applied = g.Sequence
+	before := home.leases
+	home.leases = make([]csmodel.SlotLease, 0, len(g.Targets))
+	for _, t := range g.Targets {
+		lease := t.Lease
+		if lease == 0 {
+			lease = g.Lease
+		}
+		home.leases = append(home.leases, csmodel.SlotLease{
+			Target:      t.Target,
+			Incarnation: t.Incarnation,
+			Address:     t.Address,
+			Pool:        t.Pool,
+			Zone:        t.Zone,
+			Home:        g.Home,
+			Slots:       t.Slots,
+			Connections: t.Connections,
+			Probe:       t.Probe,
+			Until:       sent.Add(lease - dispatchMargin),
+		})
+		h.homeOf[t.Target] = g.Home
+	}
+	slices.SortFunc(home.leases, byTarget)
+	home.confirmed = !reduced(before, home.leases)
+	home.unmet = h.unmet(home)
+	h.forget()
+	return true
+}
+
+// unmet tells whether the leases of a home node are below the demand that was sent to it.
+func (h *Holder) unmet(home *homeState) bool {
+	for _, d := range home.demand {
+		granted := 0
+		for _, l := range home.leases {
+			if l.Pool == d.Pool {
+				granted += l.Slots
+			}
+		}
+		if granted < d.Slots {
+			return true
+		}
+	}
+	return false
+}
+
+// forget drops the home node of targets that have neither a lease nor an unreported use.
+func (h *Holder) forget() {
+	for vm, id := range h.homeOf {
+		_, used := h.uses[vm]
+		leased := slices.ContainsFunc(h.homes[id].leases, func(l csmodel.SlotLease) bool { return l.Target == vm })
+		if !used && !leased {
+			delete(h.homeOf, vm)
+		}
+	}
+}
+
+// reduced tells whether any target has fewer slots than before. The home node counts them until the next request.
+func reduced(before, after []csmodel.SlotLease) bool {
+	for _, b := range before {
+		i, found := slices.BinarySearchFunc(after, b, byTarget)
+		if !found || after[i].Slots < b.Slots {
+			return true
+		}
+	}
+	return false
+}
+
+func byTarget(a, b csmodel.SlotLease) int { return cmp.Compare(a.Target, b.Target) }
 
 // MayStart tells whether an attempt may start now on a target where the node already runs the given number.
-func (h *Holder) MayStart(now time.Time, vm csmodel.VMID, running int) bool { return false }
+func (h *Holder) MayStart(now time.Time, vm csmodel.VMID, running int) bool {
+	for _, l := range h.Leases(now) {
+		if l.Target == vm {
+			return running < l.Slots
+		}
+	}
+	return false
+}
 
 // Leases returns the unexpired leases in the order of target ids.
-func (h *Holder) Leases(now time.Time) []csmodel.SlotLease { return nil }
+func (h *Holder) Leases(now time.Time) []csmodel.SlotLease {
+	var leases []csmodel.SlotLease
+	for _, id := range csmodel.SortedKeys(h.homes) {
+		for _, l := range h.homes[id].leases {
+			if now.Before(l.Until) {
+				leases = append(leases, l)
+			}
+		}
+	}
+	slices.SortStableFunc(leases, func(a, b csmodel.SlotLease) int {
+		return cmp.Or(byTarget(a, b), cmp.Compare(b.Incarnation, a.Incarnation), b.Until.Compare(a.Until))
+	})
+	return slices.CompactFunc(leases, func(a, b csmodel.SlotLease) bool { return a.Target == b.Target })
+}
+
+func (h *Holder) home(id csmodel.NodeID) *homeState {
+	home, ok := h.homes[id]
+	if !ok {
+		home = &homeState{confirmed: true}
+		h.homes[id] = home
+	}
+	return home
+}
