--- a/cslink/options.go
+++ b/cslink/options.go
@@ -36,7 +36,7 @@
 	ErrChannel     = errors.New("channel does not exist")
 	ErrSecret      = errors.New("peer does not prove knowledge of the cluster secret")
 	ErrWrongNode   = errors.New("connection is meant for another node")
-	ErrStale       = errors.New("peer has a newer incarnation")
+	ErrStale       = errors.New("incarnation is older than one already seen")
 	ErrProtocol    = errors.New("peer violates the link protocol")
 )
 
