--- a/csyaml/decode.go
+++ b/csyaml/decode.go
@@ -10,9 +10,6 @@
 	"github.com/goccy/go-yaml/ast"
 )
 
-// maxFaults ends decoding, since a wrong file can have a fault on each line.
-const maxFaults = 50
-
 // Decode reads a document into the struct that out points to. Fields are named by their yaml tags. The error is of type
 // Faults and lists all faults. Values of the hidden fields appear in no fault.
 func Decode(file string, data []byte, out any, hidden ...string) (*Document, error) {
@@ -31,9 +28,7 @@
 }
 
 func (d *decoder) report(p position, kind Kind, path, reason, fix string) {
-	if len(d.faults) < maxFaults {
-		d.faults = append(d.faults, d.at(p, Fault{Kind: kind, Path: path, Reason: reason, Fix: fix}))
-	}
+	d.faults.add(d.at(p, Fault{Kind: kind, Path: path, Reason: reason, Fix: fix}))
 }
 
 // unmarshaler is implemented by types with their own text form. It is the interface that YAML libraries share.
--- a/csyaml/fault.go
+++ b/csyaml/fault.go
@@ -115,9 +115,18 @@
 	return strings.Join(lines, "\n")
 }
 
-// Add appends a fault.
+// Add appends a fault, unless the list is full.
 func (fs *Faults) Add(kind Kind, path, reason, fix string) {
-	*fs = append(*fs, Fault{Kind: kind, Path: path, Reason: reason, Fix: fix})
+	fs.add(Fault{Kind: kind, Path: path, Reason: reason, Fix: fix})
+}
+
+// maxFaults bounds the report, since a wrong file can have a fault on each line.
+const maxFaults = 200
+
+func (fs *Faults) add(f Fault) {
+	if len(*fs) < maxFaults {
+		*fs = append(*fs, f)
+	}
 }
 
 // Err returns nil where there are no faults.
--- a/csyaml/parse.go
+++ b/csyaml/parse.go
@@ -10,17 +10,10 @@
 	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/lexer"
 	"github.com/goccy/go-yaml/parser"
-	"github.com/goccy/go-yaml/token"
 )
 
-const (
-	// MaxSize is the largest document in bytes.
-	MaxSize = 1 << 20
-	// MaxDepth is the deepest nesting. Configurations and settings need 4 levels.
-	MaxDepth = 16
-	// maxColumn is the last column where a list entry outside of brackets may start.
-	maxColumn = 64
-)
+// MaxSize is the largest document in bytes.
+const MaxSize = 1 << 20
 
 // parse returns the root node of the only document in a file.
 func (d *decoder) parse(data []byte) ast.Node {
@@ -76,39 +69,6 @@
 	return position{line: 1, column: 1}
 }
 
-// checkTokens refuses features that the files do not need, and nesting that would make the parser recurse deeply.
-func (d *decoder) checkTokens(tokens token.Tokens) bool {
-	depth := 0
-	for _, tk := range tokens {
-		at := position{line: tk.Position.Line, column: tk.Position.Column}
-		switch tk.Type {
-		case token.SequenceStartType, token.MappingStartType:
-			depth++
-		case token.SequenceEndType, token.MappingEndType:
-			depth--
-		case token.AnchorType, token.AliasType, token.MergeKeyType:
-			d.report(at, Syntax, "", "anchors, aliases and merge keys are not supported", "write the value out")
-			return false
-		case token.TagType, token.DirectiveType:
-			d.report(at, Syntax, "", "tags and directives are not supported", "remove "+tk.Value)
-			return false
-		case token.MappingKeyType:
-			d.report(at, Syntax, "", "keys that start with ? are not supported", "write key: value")
-			return false
-		case token.SequenceEntryType:
-			if depth == 0 && at.column > maxColumn {
-				depth = MaxDepth + 1
-			}
-		}
-		if depth > MaxDepth {
-			d.report(at, Limit, "", "the values are nested too deeply",
-				fmt.Sprintf("use at most %d levels", MaxDepth))
-			return false
-		}
-	}
-	return true
-}
-
 func (d *decoder) syntax(err error) {
 	at := position{line: 1, column: 1}
 	reason := "invalid YAML"
