--- a/cstask/action.go
+++ b/cstask/action.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"cowslipstream.example/cowslipstream/csconfig"
 	"cowslipstream.example/cowslipstream/csmodel"
 )
 
@@ -40,11 +39,12 @@
 // Propose asks to propose a command to the region's group.
 type Propose struct{ Command Command }
 
-// Throttle asks the VM to slow the task down.
+// Throttle asks the VM to slow the task down, or to end that when Off is set.
 type Throttle struct {
 	VM    csmodel.VMID
 	Task  csmodel.TaskID
 	Fence csmodel.Fence
+	Off   bool
 }
 
 // TakeCheckpoint asks the VM to checkpoint the task, stop it and propose Checkpoint with Release, so that it moves.
@@ -67,13 +67,3 @@
 func (Throttle) action()       {}
 func (TakeCheckpoint) action() {}
 func (Stop) action()           {}
-
-// Scheduler decides where tasks run. It lives on the leader and can be replaced by a new one at any time. Create one
-// with NewScheduler.
-type Scheduler struct{}
-
-// NewScheduler returns a scheduler without observations.
-func NewScheduler() *Scheduler { return &Scheduler{} }
-
-// Configure sets the jobs of the active configuration, which name the pool of each job.
-func (s *Scheduler) Configure([]csconfig.Job) {}
--- /dev/null
+++ b/cstask/finish.go
@@ -0,0 +1,141 @@
+package cstask
+
+import (
+	"time"
+
+	"cowslipstream.example/cowslipstream/csmodel"
+)
+
+func (c Finish) apply(t *Table, at time.Time) Result {
+	r, ok := t.tasks[c.ID]
+	if !ok {
+		return t.repeatedFinish(c)
+	}
+	switch {
+	case r.fence != c.Fence:
+		return r.result(Stale)
+	case r.state != StateLeased:
+		return r.result(Refused)
+	case len(c.Result) > MaxBlob:
+		return r.result(Invalid)
+	}
+	t.feed.add(outcome{vm: r.run.vm, id: r.job.id, ok: true})
+	t.learn(r.job, c.Used)
+	t.end(r, StateFinished, at, c.Result)
+	return Result{Status: OK, State: StateFinished, Fence: c.Fence}
+}
+
+// repeatedFinish accepts the resent finish of the attempt that finished the task.
+func (t *Table) repeatedFinish(c Finish) Result {
+	result := t.missing(c.ID)
+	if result.State == StateFinished && result.Fence == c.Fence {
+		result.Status = Repeated
+	}
+	return result
+}
+
+func (c Fail) apply(t *Table, at time.Time) Result {
+	r, ok := t.tasks[c.ID]
+	switch {
+	case !ok:
+		return t.missing(c.ID)
+	case r.fence != c.Fence:
+		return r.result(Stale)
+	case r.state != StateLeased:
+		return r.result(Refused)
+	}
+	r.run.message = c.Message[:min(len(c.Message), MaxMessage)]
+	r.run.peak.raise(c.Used)
+	vm := r.run.vm
+	if !c.Overrun {
+		t.feed.add(outcome{vm: vm, id: r.job.id})
+	}
+	t.count(r, vm, func(a *run) {
+		if c.Final {
+			a.finals++
+		}
+		if c.Overrun {
+			a.overruns++
+		}
+	})
+	if r.run.finals >= finalVotes {
+		t.end(r, StateFailed, at, nil)
+		return Result{Status: OK, State: StateFailed, Fence: c.Fence}
+	}
+	t.returnOrSetAside(r)
+	return r.result(OK)
+}
+
+// finalVotes is the number of different VMs that must report a final failure. One faulty VM reports every task as failed.
+const finalVotes = 2
+
+func (c Cancel) apply(t *Table, at time.Time) Result {
+	if r, ok := t.tasks[c.ID]; ok {
+		fence := r.fence
+		t.end(r, StateCancelled, at, nil)
+		return Result{Status: OK, State: StateCancelled, Fence: fence}
+	}
+	result := t.missing(c.ID)
+	if result.State == StateCancelled {
+		result.Status = Repeated
+	}
+	return result
+}
+
+func (c CancelBatch) apply(t *Table, at time.Time) Result {
+	if len(c.IDs) > MaxBatch {
+		return Result{Status: Invalid}
+	}
+	count := 0
+	for _, id := range c.IDs {
+		if (Cancel{ID: id}).apply(t, at).Status == OK {
+			count++
+		}
+	}
+	return Result{Status: OK, Count: count}
+}
+
+func (c SetAside) apply(t *Table, _ time.Time) Result {
+	r, ok := t.tasks[c.ID]
+	switch {
+	case !ok:
+		return t.missing(c.ID)
+	case r.state == StateSetAside && r.fence == c.Fence+1:
+		return r.result(Repeated)
+	case r.fence != c.Fence:
+		return r.result(Stale)
+	case r.state != StateWaiting:
+		return r.result(Refused)
+	}
+	t.setAside(r, c.Reason)
+	return r.result(OK)
+}
+
+func (c Retry) apply(t *Table, _ time.Time) Result {
+	r, ok := t.tasks[c.ID]
+	switch {
+	case !ok:
+		return t.missing(c.ID)
+	case r.state == StateWaiting && r.fence == c.Fence+1:
+		return r.result(Repeated)
+	case r.fence != c.Fence:
+		return r.result(Stale)
+	case r.state != StateSetAside:
+		return r.result(Refused)
+	}
+	if r.run != nil {
+		r.run.workers = nil
+		r.run.finals, r.run.overruns, r.run.failures = 0, 0, 0
+	}
+	t.requeue(r)
+	return r.result(OK)
+}
+
+// Estimate returns the expected usage of a job's tasks, if at least MinSamples runs have finished.
+func (t *Table) Estimate(id csmodel.JobID) (Usage, bool) {
+	j, ok := t.jobs[id]
+	if !ok || j.sizes == nil {
+		return Usage{}, false
+	}
+	return j.sizes.estimate()
+}
--- a/cstask/result.go
+++ b/cstask/result.go
@@ -11,17 +11,17 @@
 
 // Statuses of results.
 const (
-	Invalid   Status = iota // the command is malformed or exceeds a size limit
-	OK                      // the command changed the table
-	Repeated                // the command had been applied before; nothing changed
-	Conflict                // another submission has the same id
-	TooOld                  // the deadline is older than the retention
-	TooFar                  // the deadline is further ahead than the horizon
-	TooMany                 // the team has too many unfinished tasks
-	Full                    // the table holds too many tasks or bytes
-	NotFound                // no such task
-	Stale                   // an old fence, sequence or revision
-	Refused                 // the task is in a state that does not allow the command
+	Invalid  Status = iota // the command is malformed or exceeds a size limit
+	OK                     // the command changed the table
+	Repeated               // the command had been applied before; nothing changed
+	Conflict               // another submission has the same id
+	TooOld                 // the deadline is older than the retention
+	TooFar                 // the deadline is further ahead than the horizon
+	TooMany                // the team has too many unfinished tasks
+	Full                   // the table holds too many tasks or bytes
+	NotFound               // no such task
+	Stale                  // an old fence, sequence or revision
+	Refused                // the task is in a state that does not allow the command
 )
 
 // Accepted tells whether the effect of the command is in the table.
--- /dev/null
+++ b/cstask/submit.go
@@ -0,0 +1,87 @@
+package cstask
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+func (c Submit) apply(t *Table, at time.Time) Result {
+	if !c.valid() {
+		return Result{Status: Invalid}
+	}
+	digest := c.digest()
+	if r, ok := t.tasks[c.ID]; ok {
+		return repeat(digest == r.digest, r.accepted, r.result(Conflict))
+	}
+	if e, ok := t.history.records[c.ID]; ok {
+		return repeat(digest == e.digest, e.accepted, Result{Status: Conflict, State: e.state, Fence: e.fence})
+	}
+	t.history.forget(t.now, t.limits)
+	if s := t.admissible(c, at); s != OK {
+		return Result{Status: s}
+	}
+	r := t.add(c, digest, at)
+	return Result{Status: OK, State: r.state, Fence: r.fence, Accepted: fromNanos(r.accepted)}
+}
+
+func repeat(same bool, accepted int64, r Result) Result {
+	if same {
+		r.Status = Repeated
+		r.Accepted = fromNanos(accepted)
+	}
+	return r
+}
+
+func (c Submit) valid() bool {
+	names := len(c.ID) > 0 && len(c.ID) <= MaxName && len(c.Job) > 0 && len(c.Job) <= MaxName && len(c.Team) <= MaxName
+	sizes := c.CPU >= 0 && c.Memory >= 0 && c.Runtime >= 0 && len(c.Payload) <= MaxBlob
+	return names && sizes && !c.Deadline.IsZero()
+}
+
+func (t *Table) admissible(c Submit, at time.Time) Status {
+	switch {
+	case !c.Deadline.After(at.Add(-t.limits.Retention)):
+		return TooOld
+	case c.Deadline.After(at.Add(t.limits.Horizon)):
+		return TooFar
+	case nanos(c.Deadline) <= t.history.floor:
+		return TooOld
+	case len(t.tasks) >= t.limits.Tasks || t.bytes+len(c.Payload) > t.limits.Bytes:
+		return Full
+	}
+	if tm, ok := t.teams[c.Team]; ok && tm.limit > 0 && tm.unfinished >= tm.limit {
+		return TooMany
+	}
+	return OK
+}
+
+func (t *Table) add(c Submit, digest uint64, at time.Time) *record {
+	r := &record{
+		id: c.ID, job: t.job(c.Job), team: t.team(c.Team), cpu: c.CPU, memory: c.Memory, runtime: c.Runtime,
+		deadline: nanos(c.Deadline), accepted: nanos(at), digest: digest, payload: c.Payload, fence: 1,
+	}
+	r.job.unfinished++
+	r.team.unfinished++
+	t.bytes += len(c.Payload)
+	t.tasks[c.ID] = r
+	t.wait(r)
+	return r
+}
+
+// digest identifies the contents of a submission, so that another submission under the same id is noticed.
+func (c Submit) digest() uint64 {
+	buffer := make([]byte, 0, 256)
+	for _, s := range []string{string(c.Job), string(c.Team)} {
+		buffer = binary.AppendUvarint(buffer, uint64(len(s)))
+		buffer = append(buffer, s...)
+	}
+	for _, n := range []int64{int64(c.CPU), int64(c.Memory), int64(c.Runtime), nanos(c.Deadline)} {
+		buffer = binary.AppendVarint(buffer, n)
+	}
+	d := xxhash.New()
+	_, _ = d.Write(buffer)
+	_, _ = d.Write(c.Payload)
+	return d.Sum64()
+}
