--- a/cstarget/holder.go
+++ b/cstarget/holder.go
@@ -11,7 +11,8 @@
 const (
 	renewInterval = 500 * time.Millisecond // between requests to a home node
 	// shortInterval replaces renewInterval while the grant is below the demand.
-	shortInterval = 200 * time.Millisecond
+	shortInterval  = 200 * time.Millisecond
+	growthInterval = 20 * time.Millisecond // between requests because of higher demand
 	// dispatchMargin ends a lease earlier for its holder, so that an attempt reaches the target before the slot is
 	// granted to another node.
 	dispatchMargin = 50 * time.Millisecond
@@ -43,6 +44,7 @@
 	sequence  uint64
 	applied   uint64
 	demand    []PoolDemand // last sent
+	last      time.Time    // of the last request
 	next      time.Time
 	leases    []csmodel.SlotLease // in the order of target ids
 	unmet     bool                // the last grant was below the demand
@@ -85,6 +87,9 @@
 		h.uses[vm] = u
 	}
 	for _, u := range uses {
+		if _, known := h.homeOf[u.Target]; !known {
+			continue
+		}
 		if old := h.uses[u.Target]; old.Incarnation == u.Incarnation {
 			u.Good += old.Good
 			u.Bad += old.Bad
@@ -104,7 +109,8 @@
 		if !near && !held && len(demand) == 0 {
 			continue
 		}
-		if now.Before(home.next) && !grew(home.demand, demand) && home.confirmed {
+		urgent := !home.confirmed || grew(home.demand, demand) && !now.Before(home.last.Add(growthInterval))
+		if now.Before(home.next) && !urgent {
 			continue
 		}
 		requests = append(requests, AddressedRequest{Home: id, Request: h.request(now, id, home, demand)})
@@ -120,6 +126,7 @@
 	}
 	home.demand = demand
 	home.confirmed = true
+	home.last = now
 	home.next = now.Add(renewInterval)
 	if home.unmet {
 		home.next = now.Add(shortInterval)
