--- /dev/null
+++ b/csclient/exchange.go
@@ -0,0 +1,120 @@
+package csclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"cowslipstream.example/cowslipstream/csapi"
+)
+
+// message is one HTTP request of the client.
+type message struct {
+	method string
+	path   string
+	header http.Header
+	body   []byte
+}
+
+// reply is a complete response.
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// sendError is the failure of an exchange. sent is false where no byte of the request can have reached the node.
+type sendError struct {
+	sent  bool
+	cause error
+}
+
+func (e *sendError) Error() string { return e.cause.Error() }
+
+func (e *sendError) Unwrap() error { return e.cause }
+
+// exchange sends a message to one node and reads the complete response.
+func (c *Client) exchange(ctx context.Context, address string, m message) (reply, error) {
+	r, err := http.NewRequestWithContext(ctx, m.method, "http://"+address+m.path, bytes.NewReader(m.body))
+	if err != nil {
+		return reply{}, &sendError{cause: err}
+	}
+	r.Header = m.header.Clone()
+	if r.Header == nil {
+		r.Header = http.Header{}
+	}
+	// Without GetBody the transport does not resend a body on its own. Resending is decided by outcome.
+	r.GetBody = nil
+	response, err := c.http.Do(r)
+	if err != nil {
+		return reply{}, &sendError{sent: !isDialError(err), cause: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponse+1))
+	if err == nil && len(body) > maxResponse {
+		err = errTooLarge
+	}
+	if err != nil {
+		return reply{}, &sendError{sent: true, cause: err}
+	}
+	return reply{status: response.StatusCode, header: response.Header, body: body}, nil
+}
+
+// maxResponse bounds every response. Status and dump of a full-size installation are larger than an answer.
+const maxResponse = 16 << 20
+
+func isDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// problem returns the problem in the body of an error response.
+func (r reply) problem() csapi.Problem {
+	var p csapi.Problem
+	if r.header.Get(csapi.TypeHeader) == csapi.ProblemType && json.Unmarshal(r.body, &p) == nil {
+		p.Status = r.status
+		return p
+	}
+	return csapi.NewProblem(r.status, "", "")
+}
+
+// retryAfter returns the delay of the Retry-After header, which is a number of seconds or a date.
+func (r reply) retryAfter(now time.Time) time.Duration {
+	text := r.header.Get(csapi.RetryHeader)
+	if seconds, err := strconv.Atoi(text); err == nil {
+		return max(0, time.Duration(seconds)*time.Second)
+	}
+	if at, err := http.ParseTime(text); err == nil {
+		return max(0, at.Sub(now))
+	}
+	return 0
+}
+
+func (c *Client) notRun(r reply) *NotRunError {
+	return &NotRunError{RetryAfter: r.retryAfter(c.options.Clock.Now()), Cause: r.problem()}
+}
+
+// verify checks that the body of an answer is complete and unchanged.
+func verify(r reply) error {
+	length, err := strconv.Atoi(r.header.Get("Content-Length"))
+	if err != nil || length != len(r.body) {
+		return errNoLength
+	}
+	if length > csapi.MaxBody {
+		return errTooLarge
+	}
+	matches, supported := csapi.CheckDigest(r.header.Get(csapi.DigestHeader), r.body)
+	if !supported {
+		return errNoDigest
+	}
+	if !matches {
+		return errDigest
+	}
+	return nil
+}
--- a/csconfig/validate.go
+++ b/csconfig/validate.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math"
-	"regexp"
 	"time"
 
 	"cowslipstream.example/cowslipstream/csmodel"
@@ -23,9 +22,6 @@
 // checked.
 const MaintenanceTime = 5 * time.Minute
 
-// namePattern keeps names usable in URL paths, headers, file names and logs without quoting.
-var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]{0,61}[a-z0-9])?$`)
-
 // Validate returns nil or all faults of the configuration as csyaml.Faults with path, reason and fix.
 func (c Configuration) Validate() error {
 	return c.check().faults.Err()
@@ -70,7 +66,7 @@
 	for i, e := range entries {
 		n := name(e)
 		path := fmt.Sprintf("%s[%d].name", list, i)
-		if !checkName(v, path, n) {
+		if !csyaml.CheckName(&v.faults, path, n) {
 			continue
 		}
 		if k, ok := first[n]; ok {
@@ -82,21 +78,8 @@
 	}
 }
 
-func checkName[N ~string](v *validator, path string, name N) bool {
-	if name == "" {
-		v.faults.Add(csyaml.Missing, path, "the name is missing", "add a name")
-		return false
-	}
-	if !namePattern.MatchString(string(name)) {
-		v.faults.Add(csyaml.Range, path, fmt.Sprintf("%q is not a valid name", string(name)),
-			"use up to 63 lower-case letters, digits, dots, hyphens and underscores; start and end with a letter or digit")
-		return false
-	}
-	return true
-}
-
 func (v *validator) checkPool(p Pool, path string) {
-	checkName(v, path+".region", p.Region)
+	csyaml.CheckName(&v.faults, path+".region", p.Region)
 	v.checkRange(path+".size", "size", p.Size, 0, maxSize)
 	v.checkRange(path+".budget", "budget", p.Budget, 0, maxSize)
 	if p.Budget > p.Size && p.Size >= 0 {
@@ -110,7 +93,7 @@
 	seen := csmodel.NewSet[csmodel.AvailabilityZone]()
 	for i, zone := range p.Zones {
 		at := fmt.Sprintf("%s.zones[%d]", path, i)
-		if checkName(v, at, zone) && seen.Has(zone) {
+		if csyaml.CheckName(&v.faults, at, zone) && seen.Has(zone) {
 			v.faults.Add(csyaml.Duplicate, at, fmt.Sprintf("availability zone %s is listed twice", zone), "remove one")
 		}
 		seen.Add(zone)
