--- /dev/null
+++ b/csfleet/codec.go
@@ -0,0 +1,195 @@
+package csfleet
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"cowslipstream.example/cowslipstream/cstask"
+)
+
+// ErrEncoding reports a command, result or snapshot that cannot be decoded.
+var ErrEncoding = errors.New("csfleet: invalid encoding")
+
+// commandKind is the first byte of an encoded command. Values are part of the log format and are never reused.
+type commandKind uint8
+
+const (
+	kindRegisterVM commandKind = iota + 1
+	kindConfigure
+	kindStartMove
+	kindDrained
+	kindHandOver
+	kindAdmit
+	kindUndoMove
+	kindStartReboot
+	kindFinishReboot
+	kindReportLost
+	kindReportBack
+	kindReportZone
+	kindRemoveVM
+	kindStartWave
+	kindPauseWave
+	kindResumeWave
+	kindTasks
+)
+
+func (RegisterVM) kind() commandKind   { return kindRegisterVM }
+func (Configure) kind() commandKind    { return kindConfigure }
+func (StartMove) kind() commandKind    { return kindStartMove }
+func (Drained) kind() commandKind      { return kindDrained }
+func (HandOver) kind() commandKind     { return kindHandOver }
+func (Admit) kind() commandKind        { return kindAdmit }
+func (UndoMove) kind() commandKind     { return kindUndoMove }
+func (StartReboot) kind() commandKind  { return kindStartReboot }
+func (FinishReboot) kind() commandKind { return kindFinishReboot }
+func (ReportLost) kind() commandKind   { return kindReportLost }
+func (ReportBack) kind() commandKind   { return kindReportBack }
+func (ReportZone) kind() commandKind   { return kindReportZone }
+func (RemoveVM) kind() commandKind     { return kindRemoveVM }
+func (StartWave) kind() commandKind    { return kindStartWave }
+func (PauseWave) kind() commandKind    { return kindPauseWave }
+func (ResumeWave) kind() commandKind   { return kindResumeWave }
+func (Tasks) kind() commandKind        { return kindTasks }
+
+var (
+	encoder = newEncoder()
+	decoder = newDecoder()
+)
+
+func newEncoder() cbor.EncMode {
+	m, err := cbor.EncOptions{Sort: cbor.SortCanonical, Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+func newDecoder() cbor.DecMode {
+	m, err := cbor.DecOptions{}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+// encodedTasks is the encoded form of Tasks.
+type encodedTasks struct {
+	Commands [][]byte `cbor:"1,keyasint"`
+}
+
+// Encode returns the kind byte of a command followed by its CBOR form.
+func Encode(c Command) ([]byte, error) {
+	var body any = c
+	if t, ok := c.(Tasks); ok {
+		e, err := t.encode()
+		if err != nil {
+			return nil, err
+		}
+		body = e
+	}
+	data, err := encoder.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	return append([]byte{byte(c.kind())}, data...), nil
+}
+
+func (c Tasks) encode() (encodedTasks, error) {
+	e := encodedTasks{Commands: make([][]byte, 0, len(c.Commands))}
+	for _, t := range c.Commands {
+		data, err := cstask.Encode(t)
+		if err != nil {
+			return encodedTasks{}, err
+		}
+		e.Commands = append(e.Commands, data)
+	}
+	return e, nil
+}
+
+// Decode parses an encoded command.
+func Decode(data []byte) (Command, error) {
+	if len(data) == 0 {
+		return nil, ErrEncoding
+	}
+	body := data[1:]
+	switch commandKind(data[0]) {
+	case kindRegisterVM:
+		return decode[RegisterVM](body)
+	case kindConfigure:
+		return decode[Configure](body)
+	case kindStartMove:
+		return decode[StartMove](body)
+	case kindDrained:
+		return decode[Drained](body)
+	case kindHandOver:
+		return decode[HandOver](body)
+	case kindAdmit:
+		return decode[Admit](body)
+	case kindUndoMove:
+		return decode[UndoMove](body)
+	case kindStartReboot:
+		return decode[StartReboot](body)
+	case kindFinishReboot:
+		return decode[FinishReboot](body)
+	case kindReportLost:
+		return decode[ReportLost](body)
+	case kindReportBack:
+		return decode[ReportBack](body)
+	case kindReportZone:
+		return decode[ReportZone](body)
+	case kindRemoveVM:
+		return decode[RemoveVM](body)
+	case kindStartWave:
+		return decode[StartWave](body)
+	case kindPauseWave:
+		return decode[PauseWave](body)
+	case kindResumeWave:
+		return decode[ResumeWave](body)
+	case kindTasks:
+		return decodeTasks(body)
+	}
+	return nil, fmt.Errorf("%w: unknown command kind %d", ErrEncoding, data[0])
+}
+
+func decode[C Command](body []byte) (Command, error) {
+	var c C
+	if err := decoder.Unmarshal(body, &c); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrEncoding, err)
+	}
+	return c, nil
+}
+
+func decodeTasks(body []byte) (Command, error) {
+	var e encodedTasks
+	if err := decoder.Unmarshal(body, &e); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrEncoding, err)
+	}
+	c := Tasks{Commands: make([]cstask.Command, 0, len(e.Commands))}
+	for _, data := range e.Commands {
+		t, err := cstask.Decode(data)
+		if err != nil {
+			return nil, err
+		}
+		c.Commands = append(c.Commands, t)
+	}
+	return c, nil
+}
+
+func encodeResult(r Result) []byte {
+	data, err := encoder.Marshal(r)
+	if err != nil {
+		return nil // unreachable: a Result holds only integers and times within four-digit years
+	}
+	return data
+}
+
+// DecodeResult parses the response of Machine.Apply.
+func DecodeResult(data []byte) (Result, error) {
+	var r Result
+	if err := decoder.Unmarshal(data, &r); err != nil {
+		return Result{}, fmt.Errorf("%w: %w", ErrEncoding, err)
+	}
+	return r, nil
+}
--- a/csfleet/command.go
+++ b/csfleet/command.go
@@ -61,6 +61,8 @@
 type Admit struct {
 	VM    csmodel.VMID  `cbor:"1,keyasint"`
 	Fence csmodel.Fence `cbor:"2,keyasint"`
+	// Incarnation is the one that the target announced with. Preparing for a pool may restart the executor.
+	Incarnation csmodel.Incarnation `cbor:"3,keyasint,omitempty"`
 }
 
 // UndoMove returns a VM to service in its old pool before the handover of a move, or before the end of the drain for a
--- a/csfleet/escrow.go
+++ b/csfleet/escrow.go
@@ -11,4 +11,6 @@
 }
 
 // CompareBudgets runs the same waves with whole budgets and with escrow, each with and without zone cuts.
-func CompareBudgets(uint64) []Comparison { return nil }
+func CompareBudgets(_ uint64) []Comparison { return nil }
+
+type escrow struct{ whole }
--- a/csfleet/plan.go
+++ b/csfleet/plan.go
@@ -129,26 +129,6 @@
 	Blockers []Blocker
 }
 
-// PlannerOptions configure a Planner. Zero fields get defaults.
-type PlannerOptions struct {
-	// Lease is the target lease: a VM that was not heard for this long is lost. Default 3 s.
-	Lease time.Duration
-	// DrainLimit is how long a drain may take before the step is undone. Default 10 min.
-	DrainLimit time.Duration
-}
-
-// Planner decides what the leader proposes. It can be replaced by a new one at any time. Create one with NewPlanner.
-type Planner struct{ options PlannerOptions }
-
-// NewPlanner returns a planner that observes for one target lease before it reports a VM as lost.
-func NewPlanner(o PlannerOptions) *Planner { return &Planner{options: o} }
-
-// Plan decides for the current state. The configuration is the active one of the node, at the given revision; region
-// selects its pools.
-func (p *Planner) Plan(_ *Machine, _ Active, _ Observations, _ []Wanted, _ time.Time) Plan {
-	return Plan{}
-}
-
 // Active is the active configuration of a node.
 type Active struct {
 	Region        csmodel.Region
--- a/csfleet/vm.go
+++ b/csfleet/vm.go
@@ -39,8 +39,9 @@
 	Fence csmodel.Fence            `cbor:"6,keyasint"`
 	State State                    `cbor:"7,keyasint"`
 	Step  Step                     `cbor:"8,keyasint,omitempty"`
-	// To is the destination of a move, Permanent whether the home changes at admission, and Handed whether the pool has
+	// From and To are the pools of a move, Permanent whether the home changes at admission, and Handed whether the pool has
 	// been changed.
+	From        csmodel.PoolID      `cbor:"17,keyasint,omitempty"`
 	To          csmodel.PoolID      `cbor:"9,keyasint,omitempty"`
 	Permanent   bool                `cbor:"10,keyasint,omitempty"`
 	Handed      bool                `cbor:"11,keyasint,omitempty"`
@@ -54,3 +55,29 @@
 
 // Lent tells whether the VM belongs to another pool than its home.
 func (v VM) Lent() bool { return v.Pool != v.Home }
+
+// InMove tells whether a move of the VM is under way.
+func (v VM) InMove() bool { return v.Step == StepMove && v.State != Lost }
+
+// InReboot tells whether the VM is drained for a reboot or rebooting.
+func (v VM) InReboot() bool { return v.Step == StepReboot && v.State != Lost }
+
+// undoable tells whether the voluntary step can still be taken back.
+func (v VM) undoable() bool {
+	return v.State == Draining || v.State == Handover && !v.Handed
+}
+
+// serve ends any step and puts the VM into service.
+func (v *VM) serve() {
+	if v.Handed && v.Permanent {
+		v.Home = v.Pool
+	}
+	v.State = Serving
+	v.clearStep()
+}
+
+func (v *VM) clearStep() {
+	v.Step = StepNone
+	v.From, v.To = "", ""
+	v.Permanent, v.Handed = false, false
+}
--- a/cstask/table.go
+++ b/cstask/table.go
@@ -140,6 +140,23 @@
 	return 0
 }
 
+// checkpointAge is how old a checkpoint may be for an interruption to be cheap.
+const checkpointAge = 10 * time.Minute
+
+// Interruptible tells whether the tasks of a VM can be interrupted now: each has a recent checkpoint, or enough time to
+// start over before its deadline, or a deadline that has already passed.
+func (t *Table) Interruptible(vm csmodel.VMID, now time.Time) bool {
+	h, ok := t.holders[vm]
+	if !ok {
+		return true
+	}
+	n := nanos(now)
+	return !slices.ContainsFunc(h.records, func(r *record) bool {
+		fresh := r.run.checkpointAt > 0 && n-r.run.checkpointAt <= int64(checkpointAge)
+		return !fresh && t.latestStart(r) < n && r.deadline >= n
+	})
+}
+
 // Counts is the number of tasks by state, and the stored payload, checkpoint and result bytes.
 type Counts struct{ Waiting, Leased, SetAside, Ended, Bytes int }
 
