--- /dev/null
+++ b/csnode/deferred.go
@@ -0,0 +1,302 @@
+package csnode
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"cowslipstream.example/cowslipstream/csfleet"
+	"cowslipstream.example/cowslipstream/csmodel"
+	"cowslipstream.example/cowslipstream/cstarget"
+	"cowslipstream.example/cowslipstream/cstask"
+)
+
+const (
+	// startRetry is the time after which a start that the target does not report is sent again.
+	startRetry = 3 * time.Second
+	// proposeLimit bounds a proposal that is repeated at the next report.
+	proposeLimit = 4 * time.Second
+	// targetGrace is the silence after which a target gets no new starts.
+	targetGrace = 3 * time.Second
+	// checkpointInterval is the shortest time between two recorded checkpoints of a running task.
+	checkpointInterval = 5 * time.Second
+)
+
+// deferredActor starts leased tasks on the targets of this home node and proposes what the targets report.
+type deferredActor struct {
+	n       *Node
+	client  *http.Client
+	targets map[csmodel.VMID]*taskTarget
+	busy    map[attemptKey]bool // proposals and calls in flight
+	overrun map[attemptKey]bool // tasks stopped because they overran
+}
+
+type taskTarget struct {
+	machine  Machine
+	sequence uint64
+	heard    time.Time
+	reports  map[attemptKey]cstarget.TaskReport
+	started  map[attemptKey]time.Time
+	saved    map[attemptKey]time.Time
+}
+
+type attemptKey struct {
+	task  csmodel.TaskID
+	fence csmodel.Fence
+}
+
+type (
+	taskReports struct {
+		machine  Machine
+		sequence uint64
+		reports  []cstarget.TaskReport
+	}
+	targetGone struct{ vm csmodel.VMID }
+	orders     struct{ orders []order }
+	settled    struct {
+		key attemptKey
+		vm  csmodel.VMID
+		// ended acknowledges the report to the target.
+		ended bool
+	}
+)
+
+func newDeferredActor(n *Node) *deferredActor {
+	return &deferredActor{
+		n:       n,
+		client:  &http.Client{Timeout: platformTimeout},
+		targets: map[csmodel.VMID]*taskTarget{},
+		busy:    map[attemptKey]bool{},
+		overrun: map[attemptKey]bool{},
+	}
+}
+
+// Receive handles a message.
+func (a *deferredActor) Receive(c actor.Context) {
+	now := a.n.clock.Now()
+	switch m := c.Message().(type) {
+	case taskReports:
+		a.reported(now, m)
+	case targetGone:
+		delete(a.targets, m.vm)
+	case orders:
+		for _, o := range m.orders {
+			a.obey(o)
+		}
+	case settled:
+		a.settle(m)
+	case replicaChanged, tick:
+		a.startLeased(now)
+	}
+}
+
+func (a *deferredActor) reported(now time.Time, m taskReports) {
+	t, ok := a.targets[m.machine.VM]
+	if !ok || t.machine.Incarnation != m.machine.Incarnation {
+		t = &taskTarget{started: map[attemptKey]time.Time{}, saved: map[attemptKey]time.Time{}}
+		a.targets[m.machine.VM] = t
+	}
+	t.machine = m.machine
+	t.sequence = m.sequence
+	t.heard = now
+	t.reports = map[attemptKey]cstarget.TaskReport{}
+	for _, r := range m.reports {
+		key := attemptKey{r.ID, r.Fence}
+		t.reports[key] = r
+		a.propose(now, t, key, r)
+	}
+}
+
+// propose turns a report of a target into a command for the region's group.
+func (a *deferredActor) propose(now time.Time, t *taskTarget, key attemptKey, r cstarget.TaskReport) {
+	used := cstask.Usage{CPU: r.CPU, Memory: r.Memory}
+	if begun, ok := t.started[key]; ok {
+		used.Runtime = now.Sub(begun)
+	}
+	var command cstask.Command
+	switch r.State {
+	case cstarget.TaskFinished:
+		command = cstask.Finish{ID: r.ID, Fence: r.Fence, Result: r.Result, Used: used}
+	case cstarget.TaskFailed:
+		command = cstask.Fail{ID: r.ID, Fence: r.Fence, Message: string(r.Result), Used: used}
+	case cstarget.TaskStopped:
+		command = cstask.Checkpoint{
+			ID: r.ID, Fence: r.Fence, Sequence: t.sequence, Data: r.Checkpoint, Release: true, Used: used,
+		}
+		if a.overrun[key] {
+			command = cstask.Fail{ID: r.ID, Fence: r.Fence, Message: "overrun", Overrun: true, Used: used}
+		}
+	case cstarget.TaskRunning:
+		if len(r.Checkpoint) == 0 || now.Sub(t.saved[key]) < checkpointInterval {
+			return
+		}
+		t.saved[key] = now
+		command = cstask.Checkpoint{ID: r.ID, Fence: r.Fence, Sequence: t.sequence, Data: r.Checkpoint, Used: used}
+	default:
+		return
+	}
+	if a.busy[key] {
+		return
+	}
+	a.busy[key] = true
+	vm := t.machine.VM
+	ended := r.State != cstarget.TaskRunning
+	a.n.background(proposeLimit, func(ctx context.Context) {
+		_, err := a.n.proposeTasks(ctx, command)
+		a.n.send(a.n.tree.deferred, settled{key: key, vm: vm, ended: ended && err == nil})
+	})
+}
+
+// settle ends a proposal. The table decided in any case, so a stale report needs no repetition either.
+func (a *deferredActor) settle(m settled) {
+	delete(a.busy, m.key)
+	if !m.ended {
+		return
+	}
+	delete(a.overrun, m.key)
+	a.n.send(a.n.tree.targets, acknowledge{vm: m.vm, ack: cstarget.TaskAck{ID: m.key.task, Fence: m.key.fence}})
+}
+
+// startLeased starts the tasks that are leased to targets of this node and that these do not report.
+func (a *deferredActor) startLeased(now time.Time) {
+	a.n.viewFleet(func(m *csfleet.Machine) {
+		for _, id := range csmodel.SortedKeys(a.targets) {
+			t := a.targets[id]
+			if now.Sub(t.heard) > targetGrace {
+				continue
+			}
+			for _, task := range m.Tasks().Leased(id) {
+				a.start(now, t, task)
+			}
+		}
+	})
+}
+
+func (a *deferredActor) start(now time.Time, t *taskTarget, task cstask.Task) {
+	key := attemptKey{task.ID, task.Fence}
+	if _, known := t.reports[key]; known || now.Sub(t.started[key]) < startRetry || !now.Before(task.Expiry) {
+		return
+	}
+	t.started[key] = now
+	machine := t.machine
+	body := encodeStart(cstarget.Start{
+		Job: task.Job, Fence: task.Fence, Payload: task.Payload, Checkpoint: task.Checkpoint,
+	})
+	a.n.metrics.taskStarts.Inc()
+	a.n.background(platformTimeout, func(ctx context.Context) {
+		path := "/tasks/" + string(task.ID)
+		if err := postTarget(ctx, a.client, machine.Address, path, machine.Incarnation, body); err != nil {
+			a.n.log.Warn("task not started", zap.String("task", string(task.ID)), zap.String("vm", string(machine.VM)),
+				zap.Error(err))
+		}
+	})
+}
+
+func (a *deferredActor) obey(o order) {
+	t, ok := a.targets[o.VM]
+	if !ok {
+		return
+	}
+	key := attemptKey{o.Task, o.Fence}
+	machine := t.machine
+	path := ""
+	switch o.Action {
+	case orderReboot:
+		a.reboot(machine, o)
+		return
+	case orderThrottle:
+		path = "throttle"
+	case orderCheckpoint:
+		path = "checkpoint"
+	case orderStop:
+		path = "stop"
+		if o.Overrun {
+			a.overrun[key] = true
+		}
+	}
+	a.n.background(platformTimeout, func(ctx context.Context) {
+		path := fmt.Sprintf("/tasks/%s/%s?fence=%s", o.Task, path, strconv.FormatUint(uint64(o.Fence), 10))
+		if err := postTarget(ctx, a.client, machine.Address, path, machine.Incarnation, nil); err != nil {
+			a.n.log.Warn("task order failed", zap.String("task", string(o.Task)), zap.String("path", path), zap.Error(err))
+		}
+	})
+}
+
+func (a *deferredActor) reboot(machine Machine, o order) {
+	if machine.Incarnation > o.Incarnation {
+		return
+	}
+	key := attemptKey{csmodel.TaskID("reboot " + string(o.VM)), o.Fence}
+	if a.busy[key] {
+		return
+	}
+	a.busy[key] = true
+	a.n.background(platformTimeout, func(ctx context.Context) {
+		a.n.log.Info("reboot", zap.String("vm", string(o.VM)), zap.Uint64("fence", uint64(o.Fence)))
+		if err := a.n.platform.Reboot(ctx, machine); err != nil {
+			a.n.log.Warn("reboot failed", zap.String("vm", string(o.VM)), zap.Error(err))
+		}
+		a.n.send(a.n.tree.deferred, settled{key: key, vm: o.VM})
+	})
+}
+
+func encodeStart(s cstarget.Start) []byte {
+	body, err := json.Marshal(s)
+	if err != nil {
+		panic(err) // Start holds only strings, numbers and bytes
+	}
+	return body
+}
+
+// errTarget reports a target that refused a call.
+var errTarget = errors.New("csnode: target refused")
+
+func postTarget(
+	ctx context.Context, client *http.Client, address, path string, incarnation csmodel.Incarnation, body []byte,
+) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	r.Header.Set("Cowslip-Incarnation", strconv.FormatUint(uint64(incarnation), 10))
+	r.Header.Set("Content-Type", "application/json")
+	response, err := client.Do(r)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer discard(response)
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return trace.Wrap(errTarget, response.Status)
+	}
+	return nil
+}
+
+// proposeTasks replicates task commands and returns their results.
+func (n *Node) proposeTasks(ctx context.Context, commands ...cstask.Command) ([]cstask.Result, error) {
+	result, err := n.proposeFleet(ctx, csfleet.Tasks{Commands: commands})
+	if err != nil {
+		return nil, err
+	}
+	return result.Tasks, nil
+}
+
+func (n *Node) proposeFleet(ctx context.Context, c csfleet.Command) (csfleet.Result, error) {
+	data, err := csfleet.Encode(c)
+	if err != nil {
+		return csfleet.Result{}, trace.Wrap(err)
+	}
+	response, err := n.region.Propose(ctx, data)
+	if err != nil {
+		return csfleet.Result{}, err
+	}
+	return csfleet.DecodeResult(response)
+}
