Implement deltas between configurations

Cause: log entries and updates between nodes must not carry the whole configuration. Conclusion: a change costs bytes in proportion to what changed.

--- a/csconfig/delta.go
+++ b/csconfig/delta.go
@@ -1,7 +1,11 @@
 package csconfig
 
 import (
+	"bytes"
+	"cmp"
 	"errors"
+	"fmt"
+	"slices"
 
 	"cowslipstream.example/cowslipstream/csmodel"
 )
@@ -26,36 +30,131 @@
 	Waves Changes[csmodel.WaveID, Wave] `cbor:"4,keyasint,omitzero"`
 }
 
+func poolName(p Pool) csmodel.PoolID { return p.Name }
+func jobName(j Job) csmodel.JobID    { return j.Name }
+func teamName(t Team) csmodel.TeamID { return t.Name }
+func waveName(w Wave) csmodel.WaveID { return w.Name }
+
 // Diff returns the delta that turns old into new.
-func Diff(_, _ Configuration) Delta { return Delta{} }
+func Diff(old, new Configuration) Delta { //nolint:revive,predeclared // the pair of names is the clearest
+	return Delta{
+		Pools: diff(old.Pools, new.Pools, poolName),
+		Jobs:  diff(old.Jobs, new.Jobs, jobName),
+		Teams: diff(old.Teams, new.Teams, teamName),
+		Waves: diff(canonicalWaves(old.Waves), canonicalWaves(new.Waves), waveName),
+	}
+}
 
-// Apply returns the changed configuration in canonical form. The argument is not modified.
-func (d Delta) Apply(_ Configuration) (Configuration, error) {
-	return Configuration{}, errors.New("not implemented")
+func diff[K ~string, T any](old, changed []T, name func(T) K) Changes[K, T] {
+	before := index(old, name)
+	var c Changes[K, T]
+	for _, item := range sorted(changed, name) {
+		previous, ok := before[name(item)]
+		delete(before, name(item))
+		if !ok || !equal(previous, item) {
+			c.Set = append(c.Set, item)
+		}
+	}
+	if len(before) > 0 {
+		c.Removed = csmodel.SortedKeys(before)
+	}
+	return c
 }
 
-// Empty tells whether the delta changes nothing.
-func (d Delta) Empty() bool { return true }
+func index[K ~string, T any](items []T, name func(T) K) map[K]T {
+	m := make(map[K]T, len(items))
+	for _, item := range items {
+		m[name(item)] = item
+	}
+	return m
+}
 
-// Names lists what changed, such as "pool/spare" or "team/office (removed)".
-func (d Delta) Names() []string { return nil }
+// sorted returns a copy in ascending order of names.
+func sorted[K ~string, T any](items []T, name func(T) K) []T {
+	out := slices.Clone(items)
+	slices.SortStableFunc(out, func(a, b T) int { return cmp.Compare(name(a), name(b)) })
+	return out
+}
+
+// equal compares encoded forms, in which empty and missing lists are the same.
+func equal[T any](a, b T) bool {
+	x, errX := encoding.Marshal(a)
+	y, errY := encoding.Marshal(b)
+	return errX == nil && errY == nil && bytes.Equal(x, y)
+}
 
-// Encode returns the CBOR form.
-func (d Delta) Encode() ([]byte, error) { return nil, errors.New("not implemented") }
+// Apply returns the changed configuration in canonical form. The argument is not modified.
+func (d Delta) Apply(c Configuration) (Configuration, error) {
+	pools, err := apply(c.Pools, d.Pools, poolName)
+	if err != nil {
+		return Configuration{}, fmt.Errorf("pools: %w", err)
+	}
+	jobs, err := apply(c.Jobs, d.Jobs, jobName)
+	if err != nil {
+		return Configuration{}, fmt.Errorf("jobs: %w", err)
+	}
+	teams, err := apply(c.Teams, d.Teams, teamName)
+	if err != nil {
+		return Configuration{}, fmt.Errorf("teams: %w", err)
+	}
+	waves, err := apply(canonicalWaves(c.Waves), d.Waves, waveName)
+	if err != nil {
+		return Configuration{}, fmt.Errorf("waves: %w", err)
+	}
+	return Configuration{Pools: pools, Jobs: jobs, Teams: teams, Waves: canonicalWaves(waves)}, nil
+}
 
-// DecodeDelta reads the CBOR form.
-func DecodeDelta(_ []byte) (Delta, error) { return Delta{}, errors.New("not implemented") }
+func apply[K ~string, T any](items []T, c Changes[K, T], name func(T) K) ([]T, error) {
+	set := index(c.Set, name)
+	if len(set) != len(c.Set) {
+		return nil, fmt.Errorf("%w: a name is set twice", ErrDelta)
+	}
+	removed := csmodel.NewSet(c.Removed...)
+	out := make([]T, 0, len(items)+len(c.Set))
+	seen := make(csmodel.Set[K], len(items))
+	for _, item := range items {
+		k := name(item)
+		if seen.Has(k) {
+			return nil, fmt.Errorf("%w: %q is there twice", ErrDelta, k)
+		}
+		seen.Add(k)
+		if _, changed := set[k]; !changed && !removed.Has(k) {
+			out = append(out, item)
+		}
+	}
+	for _, k := range c.Removed {
+		if _, changed := set[k]; changed || !seen.Has(k) {
+			return nil, fmt.Errorf("%w: %q is removed but %s", ErrDelta, k, reason(changed))
+		}
+	}
+	return sorted(append(out, c.Set...), name), nil
+}
 
-// Canonical returns a copy with each list in ascending order of names and times in UTC.
-func (c Configuration) Canonical() Configuration { return c }
+func reason(changed bool) string {
+	if changed {
+		return "also set"
+	}
+	return "does not exist"
+}
 
-// Encode returns the CBOR form of the canonical configuration: equal configurations have equal forms.
-func (c Configuration) Encode() ([]byte, error) { return nil, errors.New("not implemented") }
+// Empty tells whether the delta changes nothing.
+func (d Delta) Empty() bool { return len(d.Names()) == 0 }
 
-// DecodeConfiguration reads the CBOR form.
-func DecodeConfiguration(_ []byte) (Configuration, error) {
-	return Configuration{}, errors.New("not implemented")
+// Names lists what changed, such as "pool/spare" or "team/office (removed)".
+func (d Delta) Names() []string {
+	var out []string
+	out = appendNames(out, "pool", d.Pools, poolName)
+	out = appendNames(out, "job", d.Jobs, jobName)
+	out = appendNames(out, "team", d.Teams, teamName)
+	return appendNames(out, "wave", d.Waves, waveName)
 }
 
-// Digest returns the xxhash64 of the CBOR form.
-func (c Configuration) Digest() (uint64, error) { return 0, errors.New("not implemented") }
+func appendNames[K ~string, T any](out []string, list string, c Changes[K, T], name func(T) K) []string {
+	for _, item := range c.Set {
+		out = append(out, list+"/"+string(name(item)))
+	}
+	for _, k := range c.Removed {
+		out = append(out, list+"/"+string(k)+" (removed)")
+	}
+	return out
+}
