--- a/csfleet/follow.go
+++ b/csfleet/follow.go
@@ -75,7 +75,7 @@
 	switch {
 	case ob.Incarnation > v.Incarnation:
 		t.propose(ReportBack{VM: v.ID, Fence: v.Fence, Incarnation: ob.Incarnation})
-	case ob.Fence != v.Fence:
+	case !ob.Heard.IsZero() && ob.Fence != v.Fence:
 		t.instruct(Serve{VM: v.ID, Fence: v.Fence, Pool: v.Pool})
 	}
 }
@@ -87,6 +87,7 @@
 	case ob.Drained && ob.Fence == v.Fence && t.m.tasks.Held(v.ID) == 0:
 		t.propose(Drained{VM: v.ID, Fence: v.Fence})
 	case t.now.Sub(v.Since) > t.options.DrainLimit:
+		t.retry[v.ID] = t.now.Add(t.options.DrainLimit)
 		t.propose(UndoMove{VM: v.ID, Fence: v.Fence})
 	default:
 		t.instruct(Drain{VM: v.ID, Fence: v.Fence})
--- a/csfleet/maintain.go
+++ b/csfleet/maintain.go
@@ -183,6 +183,8 @@
 		return BlockZone
 	case v.State != Serving || pending:
 		return BlockState
+	case !p.retry[v.ID].IsZero():
+		return BlockDrain
 	case v.Lent() && !p.ending(2):
 		return BlockLent
 	case !p.ending(4) && !p.m.tasks.Interruptible(v.ID, p.now):
--- a/csfleet/plan.go
+++ b/csfleet/plan.go
@@ -110,6 +110,7 @@
 	BlockZone     Block = "zone"  // the availability zone is unreachable
 	BlockState    Block = "state" // lost, or in another step
 	BlockLent     Block = "lent"
+	BlockDrain    Block = "drain" // the last drain took too long
 )
 
 // Blocker is a reason for which VMs wait, their number and the first of them.
--- a/csfleet/planner.go
+++ b/csfleet/planner.go
@@ -44,6 +44,7 @@
 	last    time.Time // last tick
 	zones   map[csmodel.AvailabilityZone]reach
 	pending map[csmodel.VMID]start
+	retry   map[csmodel.VMID]time.Time // when a VM whose drain took too long may be drained for a reboot again
 }
 
 // reach is the observed reachability of a zone and when it last changed.
@@ -66,6 +67,7 @@
 		options: o.defaults(),
 		zones:   make(map[csmodel.AvailabilityZone]reach),
 		pending: make(map[csmodel.VMID]start),
+		retry:   make(map[csmodel.VMID]time.Time),
 	}
 }
 
@@ -105,6 +107,11 @@
 			delete(p.pending, id)
 		}
 	}
+	for id, until := range p.retry {
+		if now.After(until) {
+			delete(p.retry, id)
+		}
+	}
 }
 
 // tick is the working state of one call of Plan.
