--- a/csnode/deferred.go
+++ b/csnode/deferred.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -193,7 +194,7 @@
 	})
 	a.n.metrics.taskStarts.Inc()
 	a.n.background(platformTimeout, func(ctx context.Context) {
-		path := "/tasks/" + string(task.ID)
+		path := "/tasks/" + url.PathEscape(string(task.ID))
 		if err := postTarget(ctx, a.client, machine.Address, path, machine.Incarnation, body); err != nil {
 			a.n.log.Warn("task not started", zap.String("task", string(task.ID)), zap.String("vm", string(machine.VM)),
 				zap.Error(err))
@@ -208,25 +209,28 @@
 	}
 	key := attemptKey{o.Task, o.Fence}
 	machine := t.machine
-	path := ""
+	var paths []string
 	switch o.Action {
 	case orderReboot:
 		a.reboot(machine, o)
 		return
 	case orderThrottle:
-		path = "throttle"
+		paths = []string{"throttle"}
 	case orderCheckpoint:
-		path = "checkpoint"
+		paths = []string{"checkpoint", "stop"}
 	case orderStop:
-		path = "stop"
+		paths = []string{"stop"}
 		if o.Overrun {
 			a.overrun[key] = true
 		}
 	}
 	a.n.background(platformTimeout, func(ctx context.Context) {
-		path := fmt.Sprintf("/tasks/%s/%s?fence=%s", o.Task, path, strconv.FormatUint(uint64(o.Fence), 10))
-		if err := postTarget(ctx, a.client, machine.Address, path, machine.Incarnation, nil); err != nil {
-			a.n.log.Warn("task order failed", zap.String("task", string(o.Task)), zap.String("path", path), zap.Error(err))
+		for _, p := range paths {
+			path := fmt.Sprintf("/tasks/%s/%s?fence=%d", url.PathEscape(string(o.Task)), p, o.Fence)
+			if err := postTarget(ctx, a.client, machine.Address, path, machine.Incarnation, nil); err != nil {
+				a.n.log.Warn("task order failed", zap.String("task", string(o.Task)), zap.String("path", p), zap.Error(err))
+				return
+			}
 		}
 	})
 }
--- a/csnode/replication.go
+++ b/csnode/replication.go
@@ -125,7 +125,7 @@
 }
 
 func (n *Node) sendRaft(to csmodel.NodeID, kind cslink.Kind, m csraft.Message) {
-	payload, err := csraft.Encode(m)
+	payload, err := csraft.EncodeMessage(m)
 	if err != nil {
 		n.log.Error("raft message not encoded", zap.Error(err))
 		return
--- a/csnode/requests.go
+++ b/csnode/requests.go
@@ -49,7 +49,7 @@
 	case *actor.Started:
 		a.start(now)
 	case *actor.Stopping:
-		a.run(a.router.Stop(now))
+		a.run(a.router.Stop())
 	case tick:
 		a.tick(now)
 	case arrival:
@@ -71,7 +71,7 @@
 	case issueKeys:
 		m.reply <- a.keys.Issue(now, m.count)
 	case beginDrain:
-		a.run(a.router.Drain(now))
+		a.router.Drain()
 	case drainState:
 		m.reply <- a.router.Drained()
 	case readLoads:
--- a/csnode/status.go
+++ b/csnode/status.go
@@ -227,3 +227,14 @@
 
 // dumpTimeout bounds the wait for each child's state.
 const dumpTimeout = 2 * time.Second
+
+// Ready tells whether the node knows leaders of both groups.
+func (n *Node) Ready() bool {
+	return n.global.Status().Leader != "" && n.region.Status().Leader != ""
+}
+
+// ViewFleet reads the local replica of the region's state. f must only read and must not keep the machine.
+func (n *Node) ViewFleet(f func(*csfleet.Machine)) { n.viewFleet(f) }
+
+// ID returns the name of the node.
+func (n *Node) ID() csmodel.NodeID { return n.settings.Node }
--- a/csnode/transport.go
+++ b/csnode/transport.go
@@ -92,7 +92,7 @@
 func (n *Node) deliver(from csmodel.NodeID, kind cslink.Kind, payload []byte) error {
 	switch kind {
 	case kindGlobal, kindRegion:
-		m, err := csraft.Decode(payload)
+		m, err := csraft.DecodeMessage(payload)
 		if err != nil {
 			return err
 		}
