--- a/csrollout/active.go
+++ b/csrollout/active.go
@@ -1,126 +1,305 @@
 package csrollout
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"cowslipstream.example/cowslipstream/csconfig"
 	"cowslipstream.example/cowslipstream/csmodel"
 )
 
-// Event is an input of Active: Committed, Announced, Requested, Received, Acknowledged or Tick.
-type Event interface{ event() }
+const (
+	// announceInterval is the time between announcements of the active revision to all peers.
+	announceInterval = 500 * time.Millisecond
+	// replicaGrace is the time that a node waits for its own replica before it asks a peer: announcements often arrive
+	// before the log entry, and each needless request costs an update.
+	replicaGrace = 250 * time.Millisecond
+	// requestTimeout is the time after which another peer is asked.
+	requestTimeout = time.Second
+	// reachable is the time since the last announcement for which a peer counts as reachable.
+	reachable = 3 * time.Second
+	// maxUpdate bounds the deltas of an update in bytes. Beyond it the whole configuration is sent.
+	maxUpdate = 256 << 10
+)
 
-// Committed reports a revision that the replica of this node has applied.
-type Committed struct{ Head Head }
+// ActiveOptions configure Active.
+type ActiveOptions struct {
+	Self csmodel.NodeID
+	// Peers lists the other nodes of the installation.
+	Peers []csmodel.NodeID
+	// Persisted is the copy found on disk. Its zero value starts at revision 0.
+	Persisted Head
+}
 
-// Announced reports the active revision of a peer, which is also the peer's acknowledgement of it.
-type Announced struct {
-	Peer     csmodel.NodeID
-	Revision csmodel.Revision
+// Progress tells where a revision is active.
+type Progress struct {
+	Active      []csmodel.NodeID
+	Pending     []csmodel.NodeID // heard from, with an older revision
+	Unreachable []csmodel.NodeID // not heard from within the last 3 s
 }
 
-// Requested reports that a peer asks for what it lacks.
-type Requested struct {
-	Peer csmodel.NodeID
-	Have csmodel.Revision // 0 asks for the whole configuration
+// peerState is what a peer last announced.
+type peerState struct {
+	revision csmodel.Revision
+	heard    time.Time
 }
 
-// Received reports an update from a peer. Peers send committed revisions only.
-type Received struct {
-	Peer   csmodel.NodeID
-	Update Update
+// Active decides which configuration is active on one node. Its revision only increases. It is not safe for concurrent
+// use.
+type Active struct {
+	self       csmodel.NodeID
+	peers      map[csmodel.NodeID]peerState
+	head       Head
+	history    history
+	announceAt time.Time
+	behind     time.Time      // when a higher revision was first heard of; zero where none is known
+	asked      csmodel.NodeID // last peer that was asked
+	askAgain   time.Time
+	whole      bool // ask for the whole configuration: a delta did not fit
 }
 
-// Acknowledged reports that a revision is active on a peer.
-type Acknowledged struct {
-	Peer     csmodel.NodeID
-	Revision csmodel.Revision
+// NewActive returns the state after a start.
+func NewActive(o ActiveOptions) *Active {
+	a := &Active{self: o.Self, head: o.Persisted, peers: make(map[csmodel.NodeID]peerState, len(o.Peers))}
+	for _, p := range o.Peers {
+		if p != o.Self {
+			a.peers[p] = peerState{}
+		}
+	}
+	if a.head.Revision > 0 {
+		a.history.add(a.head.Step)
+	}
+	return a
 }
 
-// Tick reports that time has passed. It is expected every 100 to 250 ms.
-type Tick struct{}
+// Step handles one event.
+func (a *Active) Step(now time.Time, e Event) []Command {
+	switch e := e.(type) {
+	case Committed:
+		return a.adopt(now, "", e.Head, []Step{e.Head.Step})
+	case Announced:
+		a.note(now, e.Peer, e.Revision)
+		return a.seek(now)
+	case Acknowledged:
+		a.note(now, e.Peer, e.Revision)
+		return nil
+	case Requested:
+		return a.serve(e)
+	case Received:
+		return a.receive(now, e)
+	case Tick:
+		return append(a.announce(now), a.seek(now)...)
+	default:
+		return nil
+	}
+}
 
-func (Committed) event()    {}
-func (Announced) event()    {}
-func (Requested) event()    {}
-func (Received) event()     {}
-func (Acknowledged) event() {}
-func (Tick) event()         {}
+// Head returns the active revision and its configuration, which must not be modified.
+func (a *Active) Head() Head { return a.head }
 
-// Update carries what a peer lacks: steps from a base revision, or a whole revision where Full is set.
-type Update struct {
-	Steps []Step `cbor:"1,keyasint,omitempty"`
-	Full  *Head  `cbor:"2,keyasint,omitempty"`
+// Progress tells where a revision is active, as far as this node has heard.
+func (a *Active) Progress(now time.Time, revision csmodel.Revision) Progress {
+	var p Progress
+	states := map[csmodel.NodeID]peerState{a.self: {revision: a.head.Revision, heard: now}}
+	for name, s := range a.peers {
+		states[name] = s
+	}
+	for _, name := range csmodel.SortedKeys(states) {
+		switch s := states[name]; {
+		case s.revision >= revision:
+			p.Active = append(p.Active, name)
+		case s.recent(now):
+			p.Pending = append(p.Pending, name)
+		default:
+			p.Unreachable = append(p.Unreachable, name)
+		}
+	}
+	return p
 }
 
-// Command is an output of Active: Persist, Activate, Announce, Request, Send or Mismatch. Commands are executed in
-// order.
-type Command interface{ command() }
+func (s peerState) recent(now time.Time) bool {
+	return !s.heard.IsZero() && now.Sub(s.heard) <= reachable
+}
 
-// Persist asks to write the revision to disk, where there is one, before the commands that follow.
-type Persist struct{ Head Head }
+func (a *Active) note(now time.Time, peer csmodel.NodeID, r csmodel.Revision) {
+	if _, ok := a.peers[peer]; ok {
+		a.peers[peer] = peerState{revision: r, heard: now}
+	}
+}
 
-// Activate asks to use a configuration from now on.
-type Activate struct {
-	Head Head
-	Took time.Duration // time since acceptance
+// announce sends the active revision when the interval has passed.
+func (a *Active) announce(now time.Time) []Command {
+	if now.Before(a.announceAt) {
+		return nil
+	}
+	a.announceAt = now.Add(announceInterval)
+	return []Command{Announce{Revision: a.head.Revision}}
 }
 
-// Announce asks to send the active revision to all peers.
-type Announce struct{ Revision csmodel.Revision }
+// adopt activates a revision that is higher than the active one. The steps lead to it.
+func (a *Active) adopt(now time.Time, peer csmodel.NodeID, h Head, steps []Step) []Command {
+	if h.Revision < a.head.Revision || h.Revision == 0 {
+		return nil
+	}
+	if h.Revision == a.head.Revision {
+		if h.Digest == a.head.Digest {
+			return nil
+		}
+		return []Command{Mismatch{Peer: peer, Revision: h.Revision, Reason: "differs from the active configuration"}}
+	}
+	a.head = h
+	for _, s := range steps {
+		a.history.add(s)
+	}
+	a.behind = time.Time{}
+	a.askAgain = time.Time{}
+	a.whole = false
+	a.announceAt = now.Add(announceInterval)
+	return []Command{
+		Persist{Head: h},
+		// Clocks of nodes differ by a little, so the acceptance can appear to be in the future.
+		Activate{Head: h, Took: max(0, now.Sub(h.At))},
+		Announce{Revision: h.Revision},
+	}
+}
 
-// Request asks a peer for what this node lacks.
-type Request struct {
-	Peer csmodel.NodeID
-	Have csmodel.Revision
+// serve answers a peer that is behind.
+func (a *Active) serve(e Requested) []Command {
+	if e.Have >= a.head.Revision {
+		return nil
+	}
+	if e.Have > 0 {
+		if steps, ok := a.history.since(e.Have); ok && stepsSize(steps) <= maxUpdate {
+			return []Command{Send{Peer: e.Peer, Update: Update{Steps: steps}}}
+		}
+	}
+	return []Command{Send{Peer: e.Peer, Update: Update{Full: new(a.head)}}}
 }
 
-// Send asks to send an update to a peer.
-type Send struct {
-	Peer   csmodel.NodeID
-	Update Update
+func stepsSize(steps []Step) int {
+	n := 0
+	for _, s := range steps {
+		n += s.size()
+	}
+	return n
 }
 
-// Mismatch reports an update or a committed revision that contradicts its digest or the active configuration.
-type Mismatch struct {
-	Peer     csmodel.NodeID // empty for the node's own replica
-	Revision csmodel.Revision
-	Reason   string
+// receive takes an update from a peer.
+func (a *Active) receive(now time.Time, e Received) []Command {
+	if e.Update.Full != nil {
+		return a.receiveFull(now, e.Peer, *e.Update.Full)
+	}
+	var steps []Step
+	for _, s := range e.Update.Steps {
+		if s.Revision <= a.head.Revision {
+			continue
+		}
+		if s.Revision != a.head.Revision+csmodel.Revision(len(steps))+1 {
+			return nil // for another base; the next request asks again
+		}
+		steps = append(steps, s)
+	}
+	if len(steps) == 0 {
+		return nil
+	}
+	h, err := a.build(steps)
+	if err != nil {
+		return a.reject(now, e.Peer, steps[len(steps)-1].Revision, err)
+	}
+	return a.adopt(now, e.Peer, h, steps)
 }
 
-func (Persist) command()  {}
-func (Activate) command() {}
-func (Announce) command() {}
-func (Request) command()  {}
-func (Send) command()     {}
-func (Mismatch) command() {}
+func (a *Active) receiveFull(now time.Time, peer csmodel.NodeID, h Head) []Command {
+	if h.Revision <= a.head.Revision {
+		return nil
+	}
+	if err := verify(h); err != nil {
+		return a.reject(now, peer, h.Revision, err)
+	}
+	return a.adopt(now, peer, h, []Step{h.Step})
+}
 
-// ActiveOptions configure Active.
-type ActiveOptions struct {
-	Self csmodel.NodeID
-	// Peers lists the other nodes of the installation.
-	Peers []csmodel.NodeID
-	// Persisted is the copy found on disk. Its zero value starts at revision 0.
-	Persisted Head
+// build applies steps to the active configuration.
+func (a *Active) build(steps []Step) (Head, error) {
+	c := a.head.Configuration
+	for _, s := range steps {
+		d, err := csconfig.DecodeDelta(s.Delta)
+		if err != nil {
+			return Head{}, err
+		}
+		if c, err = d.Apply(c); err != nil {
+			return Head{}, fmt.Errorf("revision %d: %w", s.Revision, err)
+		}
+	}
+	h := Head{Step: steps[len(steps)-1], Configuration: c}
+	return h, verify(h)
 }
 
-// Progress tells where a revision is active.
-type Progress struct {
-	Active      []csmodel.NodeID
-	Pending     []csmodel.NodeID // heard from, with an older revision
-	Unreachable []csmodel.NodeID // not heard from within the last 3 s
+func verify(h Head) error {
+	digest, err := h.Configuration.Digest()
+	if err != nil {
+		return err
+	}
+	if digest != h.Digest {
+		return fmt.Errorf("revision %d: %w", h.Revision, ErrDigest)
+	}
+	return nil
 }
 
-// Active decides which configuration is active on one node. Its revision only increases.
-type Active struct{}
+// reject reports an update that does not fit and asks for the whole configuration next.
+func (a *Active) reject(now time.Time, peer csmodel.NodeID, r csmodel.Revision, err error) []Command {
+	a.whole = true
+	a.askAgain = time.Time{}
+	return append([]Command{Mismatch{Peer: peer, Revision: r, Reason: err.Error()}}, a.seek(now)...)
+}
 
-// NewActive returns the state after a start.
-func NewActive(_ ActiveOptions) *Active { return &Active{} }
+// seek asks a peer that is ahead, unless the replica may still deliver the revision or an answer may still arrive.
+func (a *Active) seek(now time.Time) []Command {
+	peer, ok := a.ahead(now)
+	if !ok {
+		a.behind = time.Time{}
+		return nil
+	}
+	if a.behind.IsZero() {
+		a.behind = now
+	}
+	if now.Sub(a.behind) < replicaGrace || now.Before(a.askAgain) {
+		return nil
+	}
+	a.asked = peer
+	a.askAgain = now.Add(requestTimeout)
+	have := a.head.Revision
+	if a.whole {
+		have = 0
+	}
+	return []Command{Request{Peer: peer, Have: have}}
+}
 
-// Step handles one event.
-func (a *Active) Step(_ time.Time, _ Event) []Command { return nil }
+// ahead returns the peer to ask: one that was not asked last, then the one with the highest revision. Between equal ones
+// the choice differs from node to node, so that not all ask the same peer.
+func (a *Active) ahead(now time.Time) (csmodel.NodeID, bool) {
+	var best csmodel.NodeID
+	for _, name := range csmodel.SortedKeys(a.peers) {
+		s := a.peers[name]
+		if s.revision > a.head.Revision && s.recent(now) && (best == "" || a.prefer(name, best)) {
+			best = name
+		}
+	}
+	return best, best != ""
+}
 
-// Head returns the active revision and its configuration, which must not be modified.
-func (a *Active) Head() Head { return Head{} }
+func (a *Active) prefer(x, y csmodel.NodeID) bool {
+	if (x == a.asked) != (y == a.asked) {
+		return y == a.asked
+	}
+	if rx, ry := a.peers[x].revision, a.peers[y].revision; rx != ry {
+		return rx > ry
+	}
+	return a.rank(x) < a.rank(y)
+}
 
-// Progress tells where a revision is active, as far as this node has heard.
-func (a *Active) Progress(_ time.Time, _ csmodel.Revision) Progress { return Progress{} }
+func (a *Active) rank(name csmodel.NodeID) uint64 {
+	return xxhash.Sum64String(string(a.self) + "/" + string(name))
+}
--- a/csrollout/revision.go
+++ b/csrollout/revision.go
@@ -1,7 +1,6 @@
 package csrollout
 
 import (
-	"errors"
 	"time"
 
 	"cowslipstream.example/cowslipstream/csconfig"
@@ -62,29 +61,3 @@
 func (Accepted) result() {}
 func (Conflict) result() {}
 func (Invalid) result()  {}
-
-// EncodeSubmission returns the data of a log entry.
-func EncodeSubmission(_ Submission) ([]byte, error) { return nil, errors.New("not implemented") }
-
-// DecodeSubmission reads the data of a log entry.
-func DecodeSubmission(_ []byte) (Submission, error) {
-	return Submission{}, errors.New("not implemented")
-}
-
-// EncodeResult returns the CBOR form of a result.
-func EncodeResult(_ Result) ([]byte, error) { return nil, errors.New("not implemented") }
-
-// DecodeResult reads what Machine.Apply returned.
-func DecodeResult(_ []byte) (Result, error) { return nil, errors.New("not implemented") }
-
-// EncodeHead returns the persisted form of the active configuration.
-func EncodeHead(_ Head) ([]byte, error) { return nil, errors.New("not implemented") }
-
-// DecodeHead reads the persisted form and checks its digest.
-func DecodeHead(_ []byte) (Head, error) { return Head{}, errors.New("not implemented") }
-
-// EncodeUpdate returns the form of an update that is sent to a peer.
-func EncodeUpdate(_ Update) ([]byte, error) { return nil, errors.New("not implemented") }
-
-// DecodeUpdate reads the form of an update that a peer sent.
-func DecodeUpdate(_ []byte) (Update, error) { return Update{}, errors.New("not implemented") }
