--- a/cstask/action.go
+++ b/cstask/action.go
@@ -47,7 +47,8 @@
 	Off   bool
 }
 
-// TakeCheckpoint asks the VM to checkpoint the task, stop it and propose Checkpoint with Release, so that it moves.
+// TakeCheckpoint asks the VM to checkpoint the task, stop it and propose Checkpoint with Release and Used, so that it
+// moves to a VM with room for what it used.
 type TakeCheckpoint struct {
 	VM    csmodel.VMID
 	Task  csmodel.TaskID
