--- a/csdispatch/conn.go
+++ b/csdispatch/conn.go
@@ -33,7 +33,7 @@
 func (c *countedConn) seal() int64 {
 	c.sealed.Store(true)
 	writes := c.writes.Load()
-	_ = c.Conn.Close()
+	_ = c.Close()
 	return writes
 }
 
--- a/csrequest/request.go
+++ b/csrequest/request.go
@@ -214,7 +214,7 @@
 func (r *Router) Drained() bool { return r.draining && len(r.requests) == 0 && len(r.attempts) == 0 }
 
 // Stop ends all requests: not run where nothing was sent, otherwise unknown.
-func (r *Router) Stop(now time.Time) []Command {
+func (r *Router) Stop() []Command {
 	r.out = nil
 	r.draining = true
 	for _, id := range csmodel.SortedKeys(r.requests) {
--- a/cstarget/division.go
+++ b/cstarget/division.go
@@ -91,7 +91,7 @@
 	total := 0
 	active := 0
 	for _, state := range g.nodes {
-		if at <= state.seen+SlotLease {
+		if at < state.seen+SlotLease {
 			total += state.wants(pool)
 			active++
 		}
--- /dev/null
+++ b/cstarget/registry_test.go
@@ -0,0 +1,250 @@
+package cstarget
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"runtime"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"cowslipstream.example/cowslipstream/csmodel"
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func announcement(id csmodel.VMID, sequence uint64) Announcement {
+	return Announcement{
+		ID: id, Incarnation: 1, Sequence: sequence, Address: "127.0.0.1:4000", Zone: "z1", Rack: "r1", Pool: "p",
+		Fence: 1, Slots: 8, Connections: 64, Cores: 32000, Memory: 128 * csmodel.GiB,
+	}
+}
+
+// newHome returns a home node with usable targets of pool p that announced for the first time at the start.
+func newHome(ids ...csmodel.VMID) *Registry {
+	r := NewRegistry(Config{Node: "n1", Started: start, Nodes: []string{"127.0.0.1:1"}})
+	for _, id := range ids {
+		r.Own(start, Ownership{VM: id, Pool: "p", Fence: 1, Usable: true})
+		r.Announce(start, announcement(id, 1))
+	}
+	return r
+}
+
+func kinds(events []Event) []EventKind {
+	var all []EventKind
+	for _, e := range events {
+		all = append(all, e.Kind)
+	}
+	return all
+}
+
+// Guards against a delayed announcement that overwrites a newer one or renews its lease.
+func TestOlderAnnouncement(t *testing.T) {
+	tests := []struct {
+		name                  string
+		incarnation, sequence uint64
+		newer                 bool
+	}{
+		{"next", 2, 6, true},
+		{"repeated", 2, 5, false},
+		{"older", 2, 4, false},
+		{"old incarnation", 1, 100, false},
+		{"new incarnation", 3, 1, true},
+	}
+	for _, tt := range tests {
+		r := NewRegistry(Config{Node: "n1", Started: start})
+		a := announcement("vm", 5)
+		a.Incarnation = 2
+		r.Announce(start, a)
+		a.Incarnation = csmodel.Incarnation(tt.incarnation)
+		a.Sequence = tt.sequence
+		a.Address = "127.0.0.1:5000"
+		r.Announce(start.Add(time.Second), a)
+		got, _ := r.Target("vm")
+		if newer := got.Address == a.Address; newer != tt.newer {
+			t.Errorf("%s: got replaced %v, want %v", tt.name, newer, tt.newer)
+		}
+		if renewed := got.Announced.After(start); renewed != tt.newer {
+			t.Errorf("%s: got renewed %v, want %v", tt.name, renewed, tt.newer)
+		}
+	}
+}
+
+// Guards against targets that are reported as lost too early, too late, twice, or during the grace period of a restart.
+func TestTargetEvents(t *testing.T) {
+	tests := []struct {
+		name    string
+		leaving bool
+		running int
+		at      time.Duration
+		want    []EventKind
+	}{
+		{"within grace and lease", false, 0, 2999 * time.Millisecond, nil},
+		{"after lease", false, 0, 3001 * time.Millisecond, []EventKind{TargetLost}},
+		{"leaving and idle", true, 0, 2500 * time.Millisecond, []EventKind{TargetDrained}},
+		{"leaving and busy", true, 1, 2500 * time.Millisecond, nil},
+		{"left", true, 1, 3001 * time.Millisecond, []EventKind{TargetLeft}},
+	}
+	for _, tt := range tests {
+		r := newHome()
+		a := announcement("vm", 1)
+		a.Leaving = tt.leaving
+		a.Running = tt.running
+		if _, events := r.Announce(start, a); !slices.Equal(kinds(events), []EventKind{TargetNew}) {
+			t.Errorf("%s: got %v at the first announcement", tt.name, kinds(events))
+		}
+		got := kinds(r.Tick(start.Add(tt.at)))
+		if !slices.Equal(got, tt.want) {
+			t.Errorf("%s: got %v, want %v", tt.name, got, tt.want)
+		}
+		if again := r.Tick(start.Add(tt.at)); again != nil {
+			t.Errorf("%s: reported again: %v", tt.name, kinds(again))
+		}
+	}
+}
+
+// Guards against a target that is reported as drained while another node may still start attempts on it.
+func TestDrainedAfterLeases(t *testing.T) {
+	r := newHome("vm")
+	r.Grantor().Request(start, SlotRequest{Node: "n2", Incarnation: 1, Sequence: 1, Demand: []PoolDemand{{"p", 4}}})
+	at := start.Add(time.Second)
+	r.Own(at, Ownership{VM: "vm", Pool: "p", Fence: 2})
+	r.Announce(at, announcement("vm", 2))
+	if got := r.Tick(at.Add(900 * time.Millisecond)); got != nil {
+		t.Errorf("got %v before the lease ended", kinds(got))
+	}
+	if got := r.Tick(start.Add(SlotLease)); got != nil {
+		t.Errorf("got %v without an announcement after the lease", kinds(got))
+	}
+	r.Announce(start.Add(SlotLease), announcement("vm", 3))
+	if got := kinds(r.Tick(start.Add(SlotLease))); !slices.Equal(got, []EventKind{TargetDrained}) {
+		t.Errorf("got %v, want drained", got)
+	}
+}
+
+// Guards against an older fleet update that makes a draining target usable again.
+func TestOlderFence(t *testing.T) {
+	r := newHome("vm")
+	r.Own(start, Ownership{VM: "vm", Pool: "p", Fence: 3})
+	r.Own(start, Ownership{VM: "vm", Pool: "p", Fence: 2, Usable: true})
+	if got, _ := r.Target("vm"); got.Usable || got.Fence != 3 {
+		t.Errorf("got usable %v, fence %d", got.Usable, got.Fence)
+	}
+}
+
+// Guards against a finished task whose acknowledgement is lost with one reply, and acknowledgements that are kept forever.
+func TestAcknowledgement(t *testing.T) {
+	r := newHome("vm")
+	ack := TaskAck{ID: "t", Fence: 7}
+	r.Acknowledge("vm", ack)
+	a := announcement("vm", 2)
+	a.Tasks = []TaskReport{{ID: "t", Fence: 7, State: TaskFinished}}
+	for range 2 {
+		a.Sequence++
+		if reply, _ := r.Announce(start, a); !slices.Equal(reply.Acks, []TaskAck{ack}) {
+			t.Errorf("got %v, want %v", reply.Acks, ack)
+		}
+	}
+	a.Sequence++
+	a.Tasks = nil
+	r.Announce(start, a)
+	if got := r.records[0].acks; len(got) != 0 {
+		t.Errorf("kept %v", got)
+	}
+}
+
+// heartbeat returns the size of an announcement and its reply with HTTP headers.
+func heartbeat(t testing.TB) int {
+	a := announcement("vm-123456", 123456)
+	a.Incarnation = 1767323045000
+	a.Address = "10.100.100.100:40000"
+	a.Running = 8
+	body, err := json.Marshal(a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request, _ := http.NewRequest(http.MethodPost, "http://10.100.100.100:40000/v1/targets", bytes.NewReader(body))
+	request.Header.Set("Content-Type", "application/json")
+	sent, err := httputil.DumpRequestOut(request, true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	nodes := make([]string, 8)
+	for i := range nodes {
+		nodes[i] = fmt.Sprintf("10.100.100.10%d:40000", i)
+	}
+	r := NewRegistry(Config{Node: "node-1", Nodes: nodes})
+	r.Own(start, Ownership{VM: a.ID, Pool: a.Pool, Fence: 12, Usable: true})
+	reply, _ := r.Announce(start, a)
+	body, _ = json.Marshal(reply)
+	response := httptest.NewRecorder()
+	response.Header().Set("Content-Type", "application/json")
+	response.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	response.Header().Set("Date", "Fri, 02 Jan 2026 03:04:05 GMT")
+	_, _ = response.Write(body)
+	received, err := httputil.DumpResponse(response.Result(), true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(sent) + len(received)
+}
+
+// Guards against heartbeats that exceed their share of a node's traffic, at any number of targets.
+func TestHeartbeatSize(t *testing.T) {
+	size := heartbeat(t)
+	t.Logf("heartbeat %d bytes", size)
+	if size > heartbeatSize {
+		t.Errorf("got %d bytes, want at most %d", size, heartbeatSize)
+	}
+	r := NewRegistry(Config{Node: "n1", Started: start})
+	for n := 1; n <= 500; n++ {
+		reply, _ := r.Announce(start, announcement(csmodel.VMID(fmt.Sprint("vm", n)), 1))
+		if rate := float64(n*size) / r.Interval().Seconds(); rate > heartbeatRate {
+			t.Fatalf("%d targets: got %.0f bytes per second", n, rate)
+		}
+		if reply.Lease < 3*reply.Interval || reply.Lease < 3*time.Second {
+			t.Fatalf("%d targets: got lease %v for interval %v", n, reply.Lease, reply.Interval)
+		}
+	}
+	if got := NewRegistry(Config{}).Interval(); got != time.Second {
+		t.Errorf("got interval %v at today's size", got)
+	}
+}
+
+func BenchmarkAnnounce(b *testing.B) {
+	r := NewRegistry(Config{Node: "n1", Started: start})
+	ids := make([]csmodel.VMID, 160)
+	for i := range ids {
+		ids[i] = csmodel.VMID(fmt.Sprint("vm", i))
+	}
+	sequence := uint64(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		sequence++
+		r.Announce(start, announcement(ids[sequence%160], sequence))
+	}
+}
+
+func BenchmarkTargetRecord(b *testing.B) {
+	const count = 3200
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		r := NewRegistry(Config{Node: "n1", Started: start})
+		for i := range count {
+			a := announcement(csmodel.VMID(fmt.Sprint("vm", i)), 1)
+			a.Address = fmt.Sprint("127.0.0.1:", 10000+i)
+			r.Announce(start, a)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/count, "bytes/target")
+		runtime.KeepAlive(r)
+	}
+}
