Report unknown where only the owner of a key can tell that it has not run

Change: the key is looked up first; an unreachable owner gives unknown; an idempotent request of which nothing was sent runs at the receiving node instead. A draining node still forwards to owners. Conclusion: not run is only reported by the node that knows.

--- a/csrequest/arrive.go
+++ b/csrequest/arrive.go
@@ -17,7 +17,8 @@
 	forwardMargin = 20 * time.Millisecond
 )
 
-// arrive decides whether a request is admitted.
+// arrive decides whether a request is admitted. A key is looked up before anything else can refuse the request as not run,
+// because an earlier request with the key may have run.
 func (r *Router) arrive(now time.Time, a Arrive) {
 	if _, known := r.requests[a.ID]; known {
 		return
@@ -25,15 +26,12 @@
 	r.stats.Arrivals++
 	req := &request{id: a.ID, arrived: now, idempotent: a.Idempotent, index: notQueued, teamName: a.Team}
 	r.requests[a.ID] = req
-	job, known := r.jobs[a.Job]
-	if !known {
-		r.refuse(req, ReasonJob, 0)
-		return
+	req.job = r.jobs[a.Job]
+	req.deadline = now.Add(timeout(a, req.job))
+	if req.job != nil {
+		req.pool = r.pool(req.job.config.Pool)
+		req.pool.arrivals++
 	}
-	req.job = job
-	req.pool = r.pool(job.config.Pool)
-	req.pool.arrivals++
-	req.deadline = now.Add(timeout(a, job))
 	if req.team = r.teams[a.Team]; req.team == nil {
 		req.teamName = noTeam
 		req.team = r.teams[noTeam]
@@ -54,7 +52,7 @@
 	switch {
 	case a.Timeout > 0:
 		return a.Timeout
-	case job.config.Timeout > 0:
+	case job != nil && job.config.Timeout > 0:
 		return job.config.Timeout
 	default:
 		return defaultWait
@@ -75,14 +73,7 @@
 	id := keyID{incarnation: key.Incarnation, sequence: key.Sequence}
 	fingerprint := fingerprint(a)
 	if primary, running := r.keyed[id]; running {
-		if primary.print != fingerprint {
-			r.finish(req, verdict{outcome: Unknown, reason: ReasonReused})
-			return
-		}
-		req.state = waiting
-		req.primary = primary
-		primary.waiters = append(primary.waiters, req)
-		r.after(req.deadline, req.id, timerDeadline)
+		r.await(req, primary, fingerprint)
 		return
 	}
 	v := r.config.Keys.lookup(now, key, fingerprint)
@@ -96,6 +87,18 @@
 	r.admit(now, req)
 }
 
+// await makes a request share the outcome of one in progress with the same key.
+func (r *Router) await(req, primary *request, fingerprint uint32) {
+	if primary.print != fingerprint {
+		r.finish(req, verdict{outcome: Unknown, reason: ReasonReused})
+		return
+	}
+	req.state = waiting
+	req.primary = primary
+	primary.waiters = append(primary.waiters, req)
+	r.after(req.deadline, req.id, timerDeadline)
+}
+
 // fingerprint detects a key that is used for two different requests.
 func fingerprint(a Arrive) uint32 {
 	var d xxhash.Digest
@@ -104,22 +107,25 @@
 	return uint32(d.Sum64() ^ a.Digest ^ a.Digest>>32)
 }
 
+// forward sends a request to the owner of its key, also while the node is draining: only the owner can tell that the key
+// has not run.
 func (r *Router) forward(now time.Time, req *request, owner csmodel.NodeID, forwarded bool) {
-	switch {
-	case forwarded:
-		r.refuse(req, ReasonKey, 0)
-	case r.draining:
-		r.refuse(req, ReasonDrain, 0)
-	default:
-		req.state = forwarding
-		left := req.deadline.Sub(now)
-		r.after(req.deadline, req.id, timerDeadline)
-		r.emit(Forward{ID: req.id, Node: owner, Timeout: left - min(forwardMargin, left/4)})
+	if forwarded {
+		r.finish(req, verdict{outcome: Unknown, reason: ReasonKey})
+		return
 	}
+	req.state = forwarding
+	left := req.deadline.Sub(now)
+	r.after(req.deadline, req.id, timerDeadline)
+	r.emit(Forward{ID: req.id, Node: owner, Timeout: left - min(forwardMargin, left/4)})
 }
 
 // admit puts a request into its queue, or refuses it as not run.
 func (r *Router) admit(now time.Time, req *request) {
+	if req.job == nil {
+		r.refuse(req, ReasonJob, 0)
+		return
+	}
 	if r.draining {
 		r.refuse(req, ReasonDrain, 0)
 		return
@@ -174,8 +180,8 @@
 	r.updateDemand(now, req.pool)
 }
 
-// refuse ends a request of which nothing was sent.
+// refuse ends a request that is not admitted.
 func (r *Router) refuse(req *request, reason Reason, retryAfter time.Duration) {
 	req.retryAfter = max(minRetryAfter, retryAfter)
-	r.finish(req, verdict{outcome: NotRun, reason: reason})
+	r.end(req, reason)
 }
--- a/csrequest/request.go
+++ b/csrequest/request.go
@@ -157,9 +157,10 @@
 		r.reply(req, verdict{outcome: Unknown, reason: reason})
 		return
 	}
-	p := req.pool
 	r.end(req, reason)
-	r.pump(now, p)
+	if req.pool != nil {
+		r.pump(now, req.pool)
+	}
 }
 
 // expired handles the caller's timeout. A target whose attempt took unusually long has failed.
@@ -195,16 +196,19 @@
 	r.finish(req, v)
 }
 
-func (r *Router) forwardFailed(e ForwardFailed) {
+// forwardFailed handles an owner that cannot be reached. An earlier request with the key may have run there, so the outcome
+// is unknown even where nothing was sent now. An idempotent request of which nothing was sent runs here, without its key.
+func (r *Router) forwardFailed(now time.Time, e ForwardFailed) {
 	req, ok := r.requests[e.ID]
 	if !ok || req.state != forwarding {
 		return
 	}
-	if e.Sent {
+	if e.Sent || !req.idempotent || req.job == nil || r.draining {
 		r.finish(req, verdict{outcome: Unknown, reason: ReasonOwner})
 		return
 	}
-	r.refuse(req, ReasonOwner, 0)
+	req.sent = true // an earlier request with the key may have run
+	r.admit(now, req)
 }
 
 // Drain refuses new requests as not run. Requests that arrived before are served, and stored outcomes are still returned.
--- a/csrequest/router.go
+++ b/csrequest/router.go
@@ -109,7 +109,7 @@
 	case ForwardAnswered:
 		r.forwardAnswered(e)
 	case ForwardFailed:
-		r.forwardFailed(e)
+		r.forwardFailed(now, e)
 	case Cancelled:
 		r.cancelled(now, e)
 	case Tick:
