--- a/cstarget/grantor_test.go
+++ b/cstarget/grantor_test.go
@@ -322,3 +322,17 @@
 	}
 	return nil
 }
+
+func BenchmarkSlotRequest(b *testing.B) {
+	ids := make([]csmodel.VMID, 160)
+	for i := range ids {
+		ids[i] = csmodel.VMID(fmt.Sprint("vm", i))
+	}
+	r := newHome(ids...)
+	sequence := uint64(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		sequence++
+		r.Grantor().Request(start, demand(csmodel.NodeID(fmt.Sprint("n", sequence%20)), sequence, 64))
+	}
+}
