--- a/csdemo/cluster.go
+++ b/csdemo/cluster.go
@@ -24,7 +24,7 @@
 // Operator and its token in a demo cluster.
 const (
 	Operator = "demo"
-	Token    = "demo-token-for-loopback-only-0123456789"
+	Token    = "demo-token-for-loopback-only-0123456789" //nolint:gosec // guards nothing outside the demo
 )
 
 // Layout describes a cluster.
@@ -136,7 +136,7 @@
 
 // Settings returns the settings of a node.
 func (c *Cluster) Settings(node cssettings.Node) cssettings.Settings {
-	s := cssettings.Settings{
+	s := cssettings.Settings{ //nolint:gosec // guards nothing outside the demo
 		Node: node.Name, Region: node.Region, Zone: node.Zone, Listen: node.Listen, Link: node.Link, Nodes: c.nodes,
 		Secret: "demo-cluster-secret-for-loopback-only", Tokens: []cssettings.Token{{Operator: Operator, Token: Token}},
 	}
--- a/csdemo/result.go
+++ b/csdemo/result.go
@@ -35,7 +35,7 @@
 func (r Result) Held() bool { return len(r.Breaches) == 0 }
 
 func (s *scenario) result(ctx context.Context) Result {
-	s.say("load ended, waiting for deferred tasks and for all nodes to agree")
+	s.sayf("load ended, waiting for deferred tasks and for all nodes to agree")
 	r := Result{Urgent: s.quotes.Report(), Ordered: s.orders.Report(), Tasks: len(s.tasks)}
 	r.InTime = s.awaitTasks(ctx)
 	converged := s.awaitRevisions(ctx)
--- a/csdemo/scenario.go
+++ b/csdemo/scenario.go
@@ -116,7 +116,7 @@
 	return s.result(ctx), nil
 }
 
-func (s *scenario) say(format string, args ...any) {
+func (s *scenario) sayf(format string, args ...any) {
 	at := 0.0
 	if !s.start.IsZero() {
 		at = time.Since(s.start).Seconds()
@@ -127,7 +127,7 @@
 func (s *scenario) setUp(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, setupLimit)
 	defer cancel()
-	s.say("starting %d entry nodes in %d availability zones", len(s.cluster.Nodes()), len(s.cluster.layout.Zones))
+	s.sayf("starting %d entry nodes in %d availability zones", len(s.cluster.Nodes()), len(s.cluster.layout.Zones))
 	if err := s.cluster.WaitLeaders(ctx); err != nil {
 		return trace.Wrap(err, "no leader")
 	}
@@ -136,12 +136,12 @@
 	if err != nil {
 		return trace.Wrap(err, "first configuration")
 	}
-	s.say("configuration %s as revision %d", verdict.Result, verdict.Revision)
+	s.sayf("configuration %s as revision %d", verdict.Result, verdict.Revision)
 	if err := s.addTargets(configuration); err != nil {
 		return trace.Wrap(err)
 	}
 	err = Wait(ctx, func() bool { return servingVMs(s.cluster) == len(s.cluster.targets) })
-	s.say("%d VMs serve", servingVMs(s.cluster))
+	s.sayf("%d VMs serve", servingVMs(s.cluster))
 	return trace.Wrap(err, "VMs not registered")
 }
 
@@ -223,7 +223,7 @@
 		}
 		configuration, err := csconfig.Parse("revision", []byte(current.Text))
 		if err != nil {
-			s.say("configuration not read back: %v", err)
+			s.sayf("configuration not read back: %v", err)
 			return
 		}
 		configuration.Teams[0].Share = 3 + i%5
@@ -239,33 +239,33 @@
 	zones := s.cluster.layout.Zones
 	cut := zones[len(zones)-1]
 	s.at(cutAt)
-	s.say("fault: availability zone %s cut off", cut)
+	s.sayf("fault: availability zone %s cut off", cut)
 	s.rollouts.exclude(cut)
 	s.cluster.CutZone(cut, true)
 	s.at(healAt)
 	s.cluster.CutZone(cut, false)
-	s.say("healed: availability zone %s", cut)
+	s.sayf("healed: availability zone %s", cut)
 	s.at(silenceAt)
 	silenced := s.cluster.Nodes()[1].Name
 	s.cluster.SilenceLinks(silenced)
-	s.say("fault: open links of %s silent for good", silenced)
+	s.sayf("fault: open links of %s silent for good", silenced)
 	s.at(killAt)
 	s.victims[0].Kill()
-	s.say("fault: VM %s lost", s.victims[0].ID())
+	s.sayf("fault: VM %s lost", s.victims[0].ID())
 	s.at(restartAt)
 	restarted := s.cluster.Nodes()[0].Name
 	ctx, cancel := context.WithTimeout(ctx, restartLimit)
 	defer cancel()
 	s.rollouts.pause(restarted)
 	err := s.cluster.Stop(ctx, restarted, true)
-	s.say("entry node %s drained and stopped", restarted)
+	s.sayf("entry node %s drained and stopped", restarted)
 	if err != nil {
 		return trace.Wrap(err, "drain")
 	}
 	if err := s.cluster.Restart(restarted); err != nil {
 		return trace.Wrap(err, "restart")
 	}
-	s.say("entry node %s started again", restarted)
+	s.sayf("entry node %s started again", restarted)
 	return nil
 }
 
--- a/csdemo/watch.go
+++ b/csdemo/watch.go
@@ -71,7 +71,7 @@
 		revision := n.Active().Revision
 		// A node without a disk has no active configuration right after a start.
 		if revision != 0 && revision < w.revisions[id] {
-			w.breach("node %s went from revision %d back to %d", id, w.revisions[id], revision)
+			w.breachf("node %s went from revision %d back to %d", id, w.revisions[id], revision)
 		}
 		w.revisions[id] = max(revision, w.revisions[id])
 		n.ViewFleet(w.checkFleet)
@@ -90,7 +90,7 @@
 
 const targetSlots = 8
 
-func (w *watcher) breach(format string, args ...any) {
+func (w *watcher) breachf(format string, args ...any) {
 	text := fmt.Sprintf(format, args...)
 	if !slices.Contains(w.breaches, text) {
 		w.breaches = append(w.breaches, text)
@@ -117,7 +117,7 @@
 	}
 	for _, p := range m.Pools() {
 		if planned[p.Name] > p.Budget {
-			w.breach("pool %s has %d VMs in planned absence, budget %d", p.Name, planned[p.Name], p.Budget)
+			w.breachf("pool %s has %d VMs in planned absence, budget %d", p.Name, planned[p.Name], p.Budget)
 		}
 	}
 }
--- a/csnode/capacity.go
+++ b/csnode/capacity.go
@@ -161,8 +161,8 @@
 func (a *capacityActor) instruct(instructions []csfleet.Instruction, actions []cstask.Action) {
 	byHome := map[csmodel.NodeID][]order{}
 	add := func(o order) {
-		if node, _, _, ok := a.observer.home(o.VM); ok {
-			byHome[node] = append(byHome[node], o)
+		if vm, ok := a.observer.home(o.VM); ok {
+			byHome[vm.node] = append(byHome[vm.node], o)
 		}
 	}
 	for _, i := range instructions {
--- a/csnode/moves.go
+++ b/csnode/moves.go
@@ -60,6 +60,6 @@
 }
 
 func (o *observer) slots(id csmodel.VMID) int {
-	_, vm, _, _ := o.home(id)
+	vm, _ := o.home(id)
 	return vm.Slots
 }
--- a/csnode/node.go
+++ b/csnode/node.go
@@ -98,6 +98,7 @@
 		waiters:     newWaiters(),
 		attempts:    newAttempts(),
 		closed:      make(chan struct{}),
+		tree:        tree{ready: make(chan struct{})},
 	}
 	if n.platform == nil {
 		n.platform = newTargetPlatform()
@@ -204,12 +205,3 @@
 	slices.Sort(out)
 	return out
 }
-
-func (n *Node) peer(id csmodel.NodeID) (cssettings.Node, bool) {
-	for _, p := range n.settings.Nodes {
-		if p.Name == id {
-			return p, true
-		}
-	}
-	return cssettings.Node{}, false
-}
--- a/csnode/observer.go
+++ b/csnode/observer.go
@@ -42,23 +42,29 @@
 	}
 }
 
-// home returns the node that a VM announces to.
-func (o *observer) home(id csmodel.VMID) (csmodel.NodeID, observedVM, time.Time, bool) {
-	var node csmodel.NodeID
-	var best observedVM
-	var heard time.Time
+// located is the latest report about a VM and the home node that sent it.
+type located struct {
+	observedVM
+	node  csmodel.NodeID
+	heard time.Time
+}
+
+// home returns the latest report about a VM.
+func (o *observer) home(id csmodel.VMID) (located, bool) {
+	var best located
 	for _, name := range csmodel.SortedKeys(o.homes) {
 		vm, ok := o.homes[name].vms[id]
 		if !ok {
 			continue
 		}
 		// A target that moved to another home node has the later report there.
-		if node == "" || vm.Incarnation > best.Incarnation ||
-			vm.Incarnation == best.Incarnation && o.homes[name].heard.After(heard) {
-			node, best, heard = name, vm, o.homes[name].heard
+		heard := o.homes[name].heard
+		if best.node == "" || vm.Incarnation > best.Incarnation ||
+			vm.Incarnation == best.Incarnation && heard.After(best.heard) {
+			best = located{observedVM: vm, node: name, heard: heard}
 		}
 	}
-	return node, best, heard, node != ""
+	return best, best.node != ""
 }
 
 func (o *observer) ids() []csmodel.VMID {
@@ -75,9 +81,9 @@
 func (o *observer) observations() []csfleet.Observation {
 	var out []csfleet.Observation
 	for _, id := range o.ids() {
-		_, vm, heard, _ := o.home(id)
+		vm, _ := o.home(id)
 		out = append(out, csfleet.Observation{
-			VM: id, Incarnation: vm.Incarnation, Heard: heard, Zone: vm.Zone, Rack: vm.Rack, Pool: vm.Pool, CPU: vm.CPU,
+			VM: id, Incarnation: vm.Incarnation, Heard: vm.heard, Zone: vm.Zone, Rack: vm.Rack, Pool: vm.Pool, CPU: vm.CPU,
 			Memory: vm.Memory, Fence: vm.Fence, Drained: vm.Drained,
 		})
 	}
@@ -88,10 +94,10 @@
 func (o *observer) workers(m *csfleet.Machine) []cstask.Worker {
 	var out []cstask.Worker
 	for _, vm := range m.VMs() {
-		_, seen, heard, ok := o.home(vm.ID)
+		seen, ok := o.home(vm.ID)
 		w := cstask.Worker{
 			VM: vm.ID, Pool: vm.Pool, Zone: vm.Zone, Rack: vm.Rack, CPU: vm.CPU, Memory: vm.Memory,
-			Serving: vm.State == csfleet.Serving && ok, Quarantined: seen.Quarantined, Reported: heard,
+			Serving: vm.State == csfleet.Serving && ok, Quarantined: seen.Quarantined, Reported: seen.heard,
 			FreeCPU: vm.CPU, FreeMemory: vm.Memory,
 		}
 		for _, t := range seen.Tasks {
--- a/csnode/replication.go
+++ b/csnode/replication.go
@@ -87,8 +87,8 @@
 
 func (n *Node) globalHooks() csgroup.Observe {
 	return csgroup.Observe{
-		Applied:  func(csraft.Entry, []byte) { n.send(n.tree.rollout, replicaChanged{}) },
-		Restored: func(csmodel.Index) { n.send(n.tree.rollout, replicaChanged{}) },
+		Applied:  func(csraft.Entry, []byte) { n.revisionsChanged() },
+		Restored: func(csmodel.Index) { n.revisionsChanged() },
 		Lead:     func(t csmodel.Term) { n.logLeader(GlobalGroup, t, n.settings.Node) },
 		Follow:   func(t csmodel.Term, l csmodel.NodeID) { n.logLeader(GlobalGroup, t, l) },
 		Error:    func(err error) { n.groupFailed(GlobalGroup, err) },
@@ -106,7 +106,16 @@
 	}
 }
 
+func (n *Node) revisionsChanged() {
+	if n.treeReady() {
+		n.send(n.tree.rollout, replicaChanged{})
+	}
+}
+
 func (n *Node) fleetChanged() {
+	if !n.treeReady() {
+		return
+	}
 	n.send(n.tree.targets, replicaChanged{})
 	n.send(n.tree.deferred, replicaChanged{})
 }
--- a/csnode/tree.go
+++ b/csnode/tree.go
@@ -41,7 +41,8 @@
 //
 // Links and the operator interface are goroutines of net/http servers. They only pass messages to the children.
 type tree struct {
-	root, replication, rollout, targets, requests, deferred, capacity *actor.PID
+	ready chan struct{} // closed when the children below are set
+	root, rollout, targets, requests, deferred, capacity *actor.PID
 }
 
 type tick struct{}
@@ -77,14 +78,17 @@
 	n.tree.requests = n.spawn(c, "requests", requestsTick, func() actor.Actor { return newRequestsActor(n) })
 	n.tree.deferred = n.spawn(c, "deferred", deferredTick, func() actor.Actor { return newDeferredActor(n) })
 	n.tree.capacity = n.spawn(c, "capacity", capacityTick, func() actor.Actor { return newCapacityActor(n) })
+	close(n.tree.ready)
 	return nil
 }
 
-// spawn starts a child and sends it ticks. A child that is slower than its ticks gets no backlog of them.
+// spawn starts a child and sends it ticks. A child that is slower than its ticks gets no backlog of them. It handles its
+// first message when all children are set.
 func (n *Node) spawn(c actor.SpawnerContext, name string, interval time.Duration, produce actor.Producer) *actor.PID {
 	pending := new(atomic.Bool)
 	clearPending := func(next actor.ReceiverFunc) actor.ReceiverFunc {
 		return func(c actor.ReceiverContext, e *actor.MessageEnvelope) {
+			<-n.tree.ready
 			if _, ok := e.Message.(tick); ok {
 				pending.Store(false)
 			}
@@ -110,8 +114,8 @@
 }
 
 func (n *Node) stopTree() {
+	n.closeGroups()
 	if l := n.links.Load(); l != nil {
-		n.closeGroups()
 		if err := l.Close(); err != nil {
 			n.log.Warn("links closed", zap.Error(err))
 		}
@@ -123,9 +127,16 @@
 }
 
 // send passes a message to a child.
-func (n *Node) send(pid *actor.PID, message any) {
-	if pid != nil {
-		n.system.Root.Send(pid, message)
+func (n *Node) send(pid *actor.PID, message any) { n.system.Root.Send(pid, message) }
+
+// treeReady tells whether the children can get messages. Hooks of the groups may run earlier; the children read the
+// replicas when they start.
+func (n *Node) treeReady() bool {
+	select {
+	case <-n.tree.ready:
+		return true
+	default:
+		return false
 	}
 }
 
