Add the consensus core of a replicated group

Cause: configuration and fleet state need one agreed log on nodes that fail, lose folders and are partitioned.

A leader keeps asking a voter that it is removing until the removal is committed: without that, a two-voter group stopped for good.

--- a/csgroup/group.go
+++ b/csgroup/group.go
@@ -123,7 +123,9 @@
 
 // ChangeMember adds, promotes, demotes or removes one member and returns when the change is committed. ErrRefused tells
 // that the leader refused it.
-func (g *Group) ChangeMember(ctx context.Context, c csraft.Change) error { return errors.ErrUnsupported }
+func (g *Group) ChangeMember(ctx context.Context, c csraft.Change) error {
+	return errors.ErrUnsupported
+}
 
 // Transfer hands the leadership to the most advanced voter. It is a no-op on a node that does not lead.
 func (g *Group) Transfer(ctx context.Context) error { return errors.ErrUnsupported }
--- /dev/null
+++ b/csraft/core_test.go
@@ -0,0 +1,141 @@
+package csraft
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"cowslipstream.example/cowslipstream/csmodel"
+)
+
+var testMembers = Membership{Members: []Member{
+	{Node: "a", Incarnation: 1, Voter: true}, {Node: "b", Incarnation: 1, Voter: true}, {Node: "c", Incarnation: 1, Voter: true},
+}}
+
+// testCore returns a member of a formed group of three voters, in the given term, with its start in the past.
+func testCore(t *testing.T, self csmodel.NodeID, state HardState, more ...Entry) (*Core, time.Time) {
+	t.Helper()
+	data, err := EncodeMembership(testMembers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	entries := append([]Entry{{Term: 1, Index: 1, Kind: EntryMembership, Data: data}}, more...)
+	c := New(Config{Self: self, Incarnation: 1, Members: testMembers.Members}, Restored{State: state, Entries: entries})
+	now := time.Unix(1000, 0)
+	c.Step(now, Tick{})
+	return c, now.Add(DefaultElection)
+}
+
+func sent(commands []Command, k MessageKind) (out []Message) {
+	for _, o := range commands {
+		if s, ok := o.(Send); ok && s.Message.Kind == k {
+			out = append(out, s.Message)
+		}
+	}
+	return out
+}
+
+func request(from csmodel.NodeID, life csmodel.Incarnation, t csmodel.Term) Receive {
+	return Receive{Message: Message{Kind: MessageVote, From: from, Incarnation: life, Term: t, Index: 9, LogTerm: 9}}
+}
+
+// TestVote guards against two votes of one node in a term, also across a restart and for a candidate that lost its folder,
+// and against helping a new leader while the old one may hold a lease.
+func TestVote(t *testing.T) {
+	voted := HardState{Term: 5, Vote: "b", VoteLife: 1}
+	tests := []struct {
+		name  string
+		state HardState
+		early time.Duration
+		in    Receive
+		want  int // replies
+		grant bool
+	}{
+		{"first vote", HardState{Term: 4}, 0, request("b", 1, 5), 1, true},
+		{"same candidate again", voted, 0, request("b", 1, 5), 1, true},
+		{"another candidate in the term", voted, 0, request("c", 1, 5), 1, false},
+		{"next incarnation of the candidate", voted, 0, request("b", 2, 5), 1, false},
+		{"outdated incarnation", HardState{Term: 4}, 0, request("b", 0, 5), 0, false},
+		{"within the election timeout after a restart", HardState{Term: 4}, time.Millisecond, request("b", 1, 5), 0, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c, now := testCore(t, "a", tt.state)
+			out := c.Step(now.Add(-tt.early), tt.in)
+			replies := sent(out, MessageVoteReply)
+			if len(replies) != tt.want || (tt.want > 0 && replies[0].Reject == tt.grant) {
+				t.Fatalf("got %+v, want %d replies with grant %v", replies, tt.want, tt.grant)
+			}
+			if _, saved := out0(out).(Save); tt.grant && tt.state.Vote == "" && !saved {
+				t.Errorf("the vote is sent before it is saved: %+v", out)
+			}
+		})
+	}
+}
+
+func out0(out []Command) Command {
+	if len(out) == 0 {
+		return nil
+	}
+	return out[0]
+}
+
+// TestCommitOwnTerm guards against committing an entry of an earlier term by counting copies, which a later leader may
+// overwrite.
+func TestCommitOwnTerm(t *testing.T) {
+	c, now := testCore(t, "a", HardState{Term: 2}, Entry{Term: 2, Index: 2})
+	now = now.Add(time.Second)
+	c.Step(now, Tick{})
+	c.Step(now, Receive{Message: Message{Kind: MessagePreVoteReply, From: "b", Incarnation: 1, Term: 3}})
+	c.Step(now, Receive{Message: Message{Kind: MessageVoteReply, From: "b", Incarnation: 1, Term: 3}})
+	if c.role != Leader {
+		t.Fatalf("got role %v, want leader", c.role)
+	}
+	ack := Message{Kind: MessageAppendReply, From: "b", Incarnation: 1, Term: 3, Index: 2, Round: 1}
+	c.Step(now, Receive{Message: ack})
+	if c.commit != 0 {
+		t.Errorf("got commit %d, want 0: entry 2 is of term 2", c.commit)
+	}
+	old := ack
+	old.Index, old.Incarnation = 3, 0
+	c.Step(now, Receive{Message: old})
+	if c.commit != 0 {
+		t.Errorf("got commit %d, want 0: the acknowledgement is of an old incarnation", c.commit)
+	}
+	ack.Index = 3
+	c.Step(now, Receive{Message: ack})
+	if c.commit != 3 {
+		t.Errorf("got commit %d, want 3", c.commit)
+	}
+	if !c.Leading(now.Add(DefaultLease-1)) || c.Leading(now.Add(DefaultLease)) {
+		t.Errorf("the lease does not end %v after the acknowledged heartbeat", DefaultLease)
+	}
+	testChanges(t, c, now)
+}
+
+// testChanges guards against membership changes that lose the quorum: c leads, b is reachable and c is not.
+func testChanges(t *testing.T, c *Core, now time.Time) {
+	tests := []struct {
+		name   string
+		change Change
+		want   error
+	}{
+		{"remove the reachable voter", Change{Member: Member{Node: "b"}, Remove: true}, ErrUnsafeChange},
+		{"demote the reachable voter", Change{Member: Member{Node: "b", Incarnation: 1}}, ErrUnsafeChange},
+		{"remove the leader", Change{Member: Member{Node: "a"}, Remove: true}, ErrLeaderChange},
+		{"add a voter that is not a learner", Change{Member: Member{Node: "d", Incarnation: 1, Voter: true}}, ErrUnsafeChange},
+		{"replace a voter's incarnation as a voter", Change{Member: Member{Node: "c", Incarnation: 2, Voter: true}}, ErrUnsafeChange},
+		{"remove an unknown node", Change{Member: Member{Node: "x"}, Remove: true}, nil},
+	}
+	for _, tt := range tests {
+		id := ProposalID{Node: "a", Incarnation: 1, Sequence: 1}
+		out := c.Step(now, ChangeMember{ID: id, Change: tt.change})
+		if r, ok := out0(out).(Resolve); !ok || !errors.Is(r.Err, tt.want) {
+			t.Errorf("%s: got %+v, want %v", tt.name, out, tt.want)
+		}
+	}
+	out := c.Step(now, ChangeMember{ID: ProposalID{Node: "a", Sequence: 2}, Change: Change{Member: Member{Node: "c"}, Remove: true}})
+	if len(sent(out, MessageAppend)) == 0 {
+		t.Errorf("the removal of the lost voter is not replicated: %+v", out)
+	}
+}
--- a/csraft/event.go
+++ b/csraft/event.go
@@ -1,7 +1,10 @@
 package csraft
 
 import (
+	"cmp"
 	"errors"
+	"fmt"
+	"slices"
 	"time"
 
 	"cowslipstream.example/cowslipstream/csmodel"
@@ -42,6 +45,7 @@
 	Lease     time.Duration // below Election: how long an acknowledged heartbeat lets the leader decide
 	Heartbeat time.Duration
 	Forget    time.Duration // a learner that was silent for so long is removed
+	Volatile  bool          // no disk: the node never votes
 	Trailing  int           // entries kept before a snapshot for members that are slightly behind
 	Batch     csmodel.Bytes // bytes of entries or snapshot in one message
 	Backlog   csmodel.Bytes // bytes of uncommitted entries above which the leader drops proposals
@@ -69,3 +73,181 @@
 		return "follower"
 	}
 }
+
+// Defaults returns the configuration with the default for each zero value.
+func (c Config) Defaults() Config {
+	c.Election = or(c.Election, DefaultElection)
+	c.Jitter = or(c.Jitter, DefaultJitter)
+	c.Lease = or(c.Lease, DefaultLease)
+	c.Heartbeat = or(c.Heartbeat, DefaultHeartbeat)
+	c.Forget = or(c.Forget, DefaultForget)
+	c.Trailing = or(c.Trailing, DefaultTrailing)
+	c.Batch = or(c.Batch, DefaultBatch)
+	c.Backlog = or(c.Backlog, DefaultBacklog)
+	return c
+}
+
+// Validate reports why the configuration cannot be used.
+func (c Config) Validate() error {
+	switch {
+	case c.Self == "":
+		return fmt.Errorf("%w: no name of this node", ErrConfig)
+	case c.Lease >= c.Election:
+		return fmt.Errorf("%w: the lease must be shorter than the election timeout", ErrConfig)
+	case c.Heartbeat*2 > c.Lease:
+		return fmt.Errorf("%w: the lease must cover two heartbeats", ErrConfig)
+	case len(c.voters()) == 0:
+		return fmt.Errorf("%w: no voter", ErrConfig)
+	default:
+		return nil
+	}
+}
+
+func (c Config) voters() []csmodel.NodeID {
+	var out []csmodel.NodeID
+	for _, m := range c.Members {
+		if m.Voter {
+			out = append(out, m.Node)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+func or[T cmp.Ordered](v, fallback T) T {
+	var zero T
+	if v == zero {
+		return fallback
+	}
+	return v
+}
+
+// Event is an input of the core. The implementations are in this file.
+type Event interface{ event() }
+
+// Tick lets time pass. It is due several times per heartbeat.
+type Tick struct{}
+
+// Receive hands in a message of another node.
+type Receive struct{ Message Message }
+
+// Propose hands in proposals of this node. They are appended as one batch or forwarded to the leader.
+type Propose struct{ Proposals []Proposal }
+
+// ChangeMember proposes a membership change of this node.
+type ChangeMember struct {
+	ID     ProposalID
+	Change Change
+}
+
+// Compact hands in the encoded state of the machine after entry Index.
+type Compact struct {
+	Index csmodel.Index
+	Data  []byte
+}
+
+// Read asks for a linearizable read. The answer is a Readable with the same id. It may be repeated.
+type Read struct{ ID uint64 }
+
+// Transfer hands the leadership to a voter that is caught up. Until then no new proposals are appended.
+type Transfer struct{}
+
+// Detach makes the node stop voting and acknowledging because its disk failed. It continues to follow in memory.
+type Detach struct{}
+
+func (Tick) event()         {}
+func (Receive) event()      {}
+func (Propose) event()      {}
+func (ChangeMember) event() {}
+func (Compact) event()      {}
+func (Read) event()         {}
+func (Transfer) event()     {}
+func (Detach) event()       {}
+
+// Command is an output of the core. Commands are executed in order. The implementations are in this file.
+type Command interface{ command() }
+
+// Save makes state durable before any later command is executed. Entries replace all entries from the index of the first
+// one. Where Snapshot is set, it is stored and the log then holds exactly Entries, which follow Base.
+type Save struct {
+	State    HardState
+	Entries  []Entry
+	Snapshot *Snapshot
+	Base     csmodel.Index
+	BaseTerm csmodel.Term
+}
+
+// Send hands a message to the link of a node. It may be lost.
+type Send struct {
+	To      csmodel.NodeID
+	Message Message
+}
+
+// Apply executes committed entries on the machine.
+type Apply struct{ Entries []Entry }
+
+// Install replaces the state of the machine. The snapshot was saved before.
+type Install struct{ Snapshot Snapshot }
+
+// Resolve ends a proposal of this node without an entry. Where Err is ErrNotLeader it was not sent anywhere.
+type Resolve struct {
+	ID  ProposalID
+	Err error
+}
+
+// Readable answers a Read: the machine now holds every entry that was committed when it was asked for.
+type Readable struct{ ID uint64 }
+
+// Lead tells that this node won an election. The lease starts with the first acknowledged heartbeat.
+type Lead struct{ Term csmodel.Term }
+
+// Follow tells that this node follows another leader, or none where Leader is empty.
+type Follow struct {
+	Term   csmodel.Term
+	Leader csmodel.NodeID
+}
+
+// Renumber tells that this node, which has no log, uses a higher incarnation because the group knows one that is not
+// lower. It is made durable like a Save.
+type Renumber struct{ Incarnation csmodel.Incarnation }
+
+func (Save) command()     {}
+func (Send) command()     {}
+func (Apply) command()    {}
+func (Install) command()  {}
+func (Resolve) command()  {}
+func (Readable) command() {}
+func (Lead) command()     {}
+func (Follow) command()   {}
+func (Renumber) command() {}
+
+// HardState is what a member must not forget between two terms.
+type HardState struct {
+	_    struct{} `cbor:",toarray"`
+	Term csmodel.Term
+	// Vote is the candidate that got the vote in Term. Its incarnation is part of the vote: a candidate that lost its
+	// folder must not use the vote that its previous incarnation got.
+	Vote     csmodel.NodeID
+	VoteLife csmodel.Incarnation
+}
+
+// Snapshot is the state of the machine after entry Index.
+type Snapshot struct {
+	_       struct{} `cbor:",toarray"`
+	Index   csmodel.Index
+	Term    csmodel.Term
+	At      int64 // of the entry at Index, Unix nanoseconds
+	Members Membership
+	Data    []byte
+}
+
+// Restored is the durable state that a member starts with. The zero value is an empty folder.
+type Restored struct {
+	State    HardState
+	Snapshot Snapshot
+	Base     csmodel.Index // index and term of the entry before Entries
+	BaseTerm csmodel.Term
+	Entries  []Entry
+	// Applied is the last entry that the machine already holds; entries up to it are not applied again.
+	Applied csmodel.Index
+}
--- a/csraft/message.go
+++ b/csraft/message.go
@@ -39,8 +39,8 @@
 
 // Proposal asks the leader to append one entry. It holds a machine command or a membership change.
 type Proposal struct {
-	_      struct{}   `cbor:",toarray"`
-	ID     ProposalID //
+	_      struct{} `cbor:",toarray"`
+	ID     ProposalID
 	Data   []byte
 	Change *Change
 }
@@ -72,6 +72,7 @@
 	Total       uint64              `cbor:"15,keyasint,omitempty"`
 	Data        []byte              `cbor:"16,keyasint,omitempty"`
 	Members     *Membership         `cbor:"17,keyasint,omitempty"`
+	Volatile    bool                `cbor:"22,keyasint,omitempty"` // the sender has no disk
 	At          int64               `cbor:"18,keyasint,omitempty"` // of the last entry in a snapshot, Unix nanoseconds
 	Proposals   []Proposal          `cbor:"19,keyasint,omitempty"`
 }
--- /dev/null
+++ b/csraft/property_test.go
@@ -0,0 +1,198 @@
+package csraft
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cowslipstream.example/cowslipstream/csmodel"
+)
+
+const (
+	propertySteps = 100_000
+	tickEvery     = 50 * time.Millisecond
+)
+
+// TestProperties guards against two leaders in a term or with a lease, diverging logs and lost committed entries under
+// message loss, reordering, duplication, crashes, lost folders, membership changes and partitions.
+func TestProperties(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3, 4, 5, 6} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			s := newSim(t, seed)
+			for s.steps < propertySteps {
+				s.advance()
+				s.disturb()
+			}
+			s.heal()
+			t.Logf("seed %d: %d steps, %s virtual, %d entries, %d elections, %d crashes, %d changes, %d snapshots",
+				seed, s.steps, s.now.Sub(time.Unix(1_000_000, 0)), s.highest, s.elections, s.crashes, s.changes, s.installs)
+			if s.highest < 800 || s.elections < 20 || s.crashes < 20 || s.installs == 0 {
+				s.failf("too little happened to show anything")
+			}
+		})
+	}
+}
+
+// advance lets one tick pass: deliveries in their order of time, then a tick for each node.
+func (s *sim) advance() {
+	s.now = s.now.Add(tickEvery / 5)
+	var later []flight
+	due := s.net
+	s.net = nil
+	for _, f := range due {
+		if f.at.After(s.now) {
+			later = append(later, f)
+			continue
+		}
+		s.deliver(f)
+	}
+	s.net = append(s.net, later...)
+	for _, n := range s.nodes {
+		if n.core == nil && !s.now.Before(n.upAt) {
+			s.start(n)
+		}
+		if s.random.IntN(5) == 0 {
+			s.step(n, Tick{})
+		}
+	}
+}
+
+func (s *sim) deliver(f flight) {
+	m, err := DecodeMessage(f.message)
+	if err != nil {
+		s.failf("decode: %v", err)
+	}
+	for _, n := range s.nodes {
+		if n.id == f.to {
+			s.step(n, Receive{Message: m})
+		}
+	}
+}
+
+func (s *sim) disturb() {
+	n := s.nodes[s.random.IntN(len(s.nodes))]
+	switch r := s.random.IntN(4000); {
+	case r < 600:
+		if s.now.Unix()%8 >= 4 {
+			return // without new entries every log is up to date, so that more nodes can win
+		}
+		s.proposed++
+		id := ProposalID{Node: n.id, Incarnation: n.life, Sequence: uint64(s.proposed)}
+		s.step(n, Propose{Proposals: []Proposal{{ID: id, Data: make([]byte, s.random.IntN(100))}}})
+	case r < 610:
+		s.partition()
+	case r < 630:
+		clear(s.cut)
+	case r < 640 && n.core != nil:
+		s.crash(n, s.safeToLose(n) && s.random.IntN(2) == 0)
+	case r < 660:
+		s.changeMember(n)
+	case r < 700:
+		s.step(n, Transfer{})
+	case r < 720 && n.core != nil && n.applied > n.disk.Snapshot.Index+40:
+		s.step(n, Compact{Index: n.applied, Data: encodeState(n.state)})
+	case r < 750:
+		s.checkLogs()
+	}
+}
+
+// safeToLose tells whether every membership that a node may act on keeps a quorum of intact folders with all committed
+// entries. The loss of more folders than that is not survivable and not in the claim.
+func (s *sim) safeToLose(lost *simNode) bool {
+	for _, n := range s.nodes {
+		if n.core == nil {
+			return false
+		}
+		for _, p := range n.core.log.members {
+			if p.index >= n.core.commit || p.index == n.core.log.placed(n.core.commit).index {
+				if !s.survives(p.membership, lost) {
+					return false
+				}
+			}
+		}
+	}
+	return true
+}
+
+func (s *sim) survives(m Membership, lost *simNode) bool {
+	intact := 0
+	for _, v := range m.Voters() {
+		for _, n := range s.nodes {
+			whole := n.disk.Base+csmodel.Index(len(n.disk.Entries)) >= s.highest
+			if n.id == v.Node && n.life == v.Incarnation && n != lost && whole {
+				intact++
+			}
+		}
+	}
+	return intact >= quorum(len(m.Voters()))
+}
+
+func (s *sim) partition() {
+	clear(s.cut)
+	oneWay := s.random.IntN(3) == 0
+	links := s.random.IntN(2) == 0
+	side := map[csmodel.NodeID]bool{}
+	for _, n := range s.nodes {
+		side[n.id] = s.random.IntN(2) == 0
+	}
+	for _, a := range s.nodes {
+		for _, b := range s.nodes {
+			cut := side[a.id] != side[b.id] && (!oneWay || side[a.id])
+			if links {
+				cut = s.random.IntN(3) == 0
+			}
+			if cut {
+				s.cut[[2]csmodel.NodeID{a.id, b.id}] = true
+			}
+		}
+	}
+}
+
+func (s *sim) changeMember(n *simNode) {
+	if n.core == nil {
+		return
+	}
+	target := s.nodes[s.random.IntN(4)]
+	s.changes++
+	s.proposed++
+	c := Change{Member: Member{Node: target.id, Incarnation: target.life, Voter: s.random.IntN(3) > 0}, Remove: s.random.IntN(6) == 0}
+	s.step(n, ChangeMember{ID: ProposalID{Node: n.id, Incarnation: n.life, Sequence: uint64(s.proposed)}, Change: c})
+}
+
+// heal ends all faults; every node that is a member must then reach the same state within some seconds.
+func (s *sim) heal() {
+	s.lossy = false
+	clear(s.cut)
+	for end := s.now.Add(15 * time.Second); s.now.Before(end); {
+		s.advance()
+	}
+	leader := s.leading()
+	if leader == nil {
+		s.failf("no leader after the faults ended")
+	}
+	for i := range 10 {
+		s.step(leader, Propose{Proposals: []Proposal{{ID: ProposalID{Node: leader.id, Incarnation: leader.life, Sequence: uint64(1<<30 + i)}}}})
+		s.advance()
+	}
+	for end := s.now.Add(5 * time.Second); s.now.Before(end); {
+		s.advance()
+	}
+	for _, a := range leader.core.log.membership().Members {
+		for _, n := range s.nodes {
+			if n.id == a.Node && (n.applied != leader.applied || n.state != leader.state) {
+				s.failf("%s is at %d, the leader at %d", n.id, n.applied, leader.applied)
+			}
+		}
+	}
+	s.checkLogs()
+}
+
+func (s *sim) leading() *simNode {
+	for _, n := range s.nodes {
+		if n.core != nil && n.core.Leading(s.now) {
+			return n
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/csraft/propose.go
@@ -0,0 +1,184 @@
+package csraft
+
+import (
+	"errors"
+	"time"
+
+	"cowslipstream.example/cowslipstream/csmodel"
+)
+
+// waitingRead is a read that the leader answers when its lease and its own first entry allow it.
+type waitingRead struct {
+	node csmodel.NodeID // empty for this node
+	id   uint64
+}
+
+// route returns the node to send proposals to: the leader, or a member that relays them to the leader.
+func (c *Core) route() (csmodel.NodeID, bool) {
+	if c.leader != "" && c.leader != c.config.Self {
+		return c.leader, true
+	}
+	if c.hint != "" && c.now.Sub(c.hintAt) < hintFor {
+		return c.hint, true
+	}
+	return "", false
+}
+
+func (c *Core) propose(proposals []Proposal) {
+	if c.role == Leader {
+		c.appendProposals(proposals)
+		return
+	}
+	to, ok := c.route()
+	if !ok {
+		for _, p := range proposals {
+			c.emit(Resolve{ID: p.ID, Err: ErrNotLeader})
+		}
+		return
+	}
+	c.send(to, Message{Kind: MessagePropose, Proposals: proposals})
+}
+
+// onPropose appends the proposals of another node, or relays them once to the leader for a node that cannot reach it.
+func (c *Core) onPropose(m Message) {
+	if c.role == Leader {
+		c.appendProposals(m.Proposals)
+		return
+	}
+	direct := len(m.Proposals) > 0 && m.Proposals[0].ID.Node == m.From
+	if direct && c.leader != "" && c.leader != m.From {
+		c.send(c.leader, Message{Kind: MessagePropose, Proposals: m.Proposals})
+	}
+}
+
+// appendProposals appends a batch. A proposal that is dropped here is sent again by its node; refusing it would be wrong
+// because an earlier copy of it may still be committed.
+func (c *Core) appendProposals(proposals []Proposal) {
+	if !c.lead.transferUntil.IsZero() {
+		return
+	}
+	var entries []Entry
+	size := csmodel.Bytes(0)
+	for _, p := range proposals {
+		if p.Change != nil {
+			c.proposeChange(p)
+			continue
+		}
+		e := Entry{Proposal: p.ID, Data: p.Data}
+		size += entrySize(e)
+		if _, dup := c.lead.pending[p.ID]; dup || c.lead.backlog+size > c.config.Backlog {
+			continue
+		}
+		c.lead.pending[p.ID] = 0
+		entries = append(entries, e)
+	}
+	if len(entries) > 0 {
+		c.appendOwn(entries...)
+	}
+}
+
+func (c *Core) proposeChange(p Proposal) {
+	if _, dup := c.lead.pending[p.ID]; dup {
+		return
+	}
+	before := c.log.membership()
+	next, err := c.changed(before, *p.Change)
+	switch {
+	case errors.Is(err, ErrChange):
+		return
+	case err != nil || sameMembers(before, next):
+		c.resolve(p.ID, err)
+	default:
+		c.appendMembership(p.ID, next)
+	}
+}
+
+func (c *Core) resolve(id ProposalID, err error) {
+	if id.Node == c.config.Self {
+		c.emit(Resolve{ID: id, Err: err})
+		return
+	}
+	m := Message{Kind: MessageResult, Proposals: []Proposal{{ID: id}}}
+	if err != nil {
+		m.Reject = true
+		m.Data = []byte(err.Error())
+	}
+	c.send(id.Node, m)
+}
+
+func (c *Core) read(id uint64) {
+	const unanswered = ^csmodel.Index(0)
+	if c.role == Leader {
+		c.reads[id] = unanswered
+		c.queueRead(waitingRead{id: id})
+		return
+	}
+	if c.leader == "" {
+		return
+	}
+	c.reads[id] = unanswered
+	c.send(c.leader, Message{Kind: MessageRead, Round: id})
+}
+
+func (c *Core) onRead(m Message) {
+	if c.role == Leader {
+		c.queueRead(waitingRead{node: m.From, id: m.Round})
+	}
+}
+
+func (c *Core) queueRead(r waitingRead) {
+	for _, w := range c.lead.reads {
+		if w == r {
+			return
+		}
+	}
+	c.lead.reads = append(c.lead.reads, r)
+}
+
+// answerReads answers with the commit index while the lease excludes a newer leader. Before its first own entry is
+// committed a leader does not know which entries are.
+func (c *Core) answerReads() {
+	if len(c.lead.reads) == 0 || c.commit < c.lead.first || !c.Leading(c.now) {
+		return
+	}
+	for _, r := range c.lead.reads {
+		if r.node == "" {
+			c.reads[r.id] = c.commit
+			continue
+		}
+		c.send(r.node, Message{Kind: MessageReadReply, Round: r.id, Index: c.commit})
+	}
+	c.lead.reads = nil
+}
+
+// ForgetRead drops a read that is no longer waited for.
+func (c *Core) ForgetRead(id uint64) { delete(c.reads, id) }
+
+func (c *Core) startTransfer() {
+	if c.role == Leader && c.lead.transferUntil.IsZero() {
+		c.lead.transferUntil = c.now.Add(c.config.Election)
+	}
+}
+
+// tryTransfer makes a voter that has the whole log campaign at once. This node stops leading first, for good in this
+// term: the election that it asked for may take place at any later time and ignores the lease.
+func (c *Core) tryTransfer() {
+	if c.lead.transferUntil.IsZero() {
+		return
+	}
+	if c.now.After(c.lead.transferUntil) {
+		c.lead.transferUntil = time.Time{}
+		return
+	}
+	for _, n := range csmodel.SortedKeys(c.lead.peers) {
+		p := c.lead.peers[n]
+		if !p.voter || p.match < c.log.lastIndex() || !c.reachable(p) {
+			continue
+		}
+		term := c.state.Term
+		c.deadline = c.now.Add(c.electionTimeout())
+		c.follow(term, "")
+		c.send(n, Message{Kind: MessageTimeoutNow, Term: term})
+		return
+	}
+}
