--- /dev/null
+++ b/csgroup/call.go
@@ -0,0 +1,64 @@
+package csgroup
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"cowslipstream.example/cowslipstream/csraft"
+)
+
+// Stages of a call. Only a call that is still waiting may be abandoned as not run.
+const (
+	stageWaiting int32 = iota
+	stageSent
+	stageAbandoned
+)
+
+type callKind uint8
+
+const (
+	callPropose callKind = iota
+	callChange
+	callRead
+	callTransfer
+)
+
+// call is one waiting Propose, ChangeMember, Read or Transfer.
+type call struct {
+	ctx      context.Context
+	kind     callKind
+	proposal csraft.Proposal
+	stage    atomic.Int32
+	done     chan outcome
+	attempts int
+	sentAt   time.Time
+}
+
+type outcome struct {
+	result []byte
+	err    error
+}
+
+func newCall(ctx context.Context, k callKind, p csraft.Proposal) *call {
+	return &call{ctx: ctx, kind: k, proposal: p, done: make(chan outcome, 1)}
+}
+
+// unsent is the error of a call that ended before it was sent.
+func (c *call) unsent() error { return fmt.Errorf("%w: %w", ErrNoLeader, context.Cause(c.ctx)) }
+
+func (c *call) finish(result []byte, err error) {
+	select {
+	case c.done <- outcome{result: result, err: err}:
+	default:
+	}
+}
+
+// over tells whether nobody waits for the call.
+func (c *call) over() bool { return c.stage.Load() == stageAbandoned || c.ctx.Err() != nil }
+
+// claim marks a proposal as sent. It fails where the caller was told before that it was not.
+func (c *call) claim() bool {
+	return c.stage.CompareAndSwap(stageWaiting, stageSent) || c.stage.Load() == stageSent
+}
--- /dev/null
+++ b/csgroup/calls.go
@@ -0,0 +1,294 @@
+package csgroup
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+
+	"cowslipstream.example/cowslipstream/csmodel"
+	"cowslipstream.example/cowslipstream/csraft"
+)
+
+// startShift places the number of the start above the sequence numbers, so that two starts of a node from the same folder
+// never use the same proposal id.
+const startShift = 40
+
+// calls holds the waiting calls of this node.
+type calls struct {
+	self        csmodel.NodeID
+	incarnation csmodel.Incarnation
+	sequence    uint64
+	queue       []*call // no sequence number yet
+	pending     map[uint64]*call
+	lowest      uint64 // no pending call is below
+	reads       map[uint64]*call
+	lastRead    uint64
+	transfers   []*call
+	flushing    bool // a flush message is on the way
+	forwarded   []csraft.Proposal
+}
+
+func (c *calls) begin(self csmodel.NodeID, i csmodel.Incarnation) {
+	c.self = self
+	c.incarnation = i
+	if c.pending == nil {
+		c.pending = map[uint64]*call{}
+		c.reads = map[uint64]*call{}
+	}
+}
+
+// start moves the sequence numbers past those of earlier starts.
+func (c *calls) start(starts uint64) {
+	if c.sequence == 0 {
+		c.sequence = starts << startShift
+		c.lastRead = c.sequence
+	}
+}
+
+func (c *calls) count() int { return len(c.queue) + len(c.pending) + len(c.reads) + len(c.transfers) }
+
+// hurry makes all calls due, because there is a new leader.
+func (c *calls) hurry() {
+	for _, k := range c.pending {
+		k.sentAt = time.Time{}
+	}
+	for _, k := range c.reads {
+		k.sentAt = time.Time{}
+	}
+}
+
+func (c *calls) resolve(id csraft.ProposalID, result []byte, err error) {
+	k, ok := c.pending[id.Sequence]
+	if !ok || id != k.proposal.ID {
+		return
+	}
+	if errors.Is(err, csraft.ErrNotLeader) {
+		return // sent again when due
+	}
+	if err != nil {
+		err = fmt.Errorf("%w: %w", ErrRefused, err)
+	}
+	delete(c.pending, id.Sequence)
+	k.finish(result, err)
+}
+
+// settle ends the calls whose results are known after the machine was replaced by a snapshot.
+func (c *calls) settle(result func(csraft.ProposalID) ([]byte, bool, error)) {
+	for _, s := range csmodel.SortedKeys(c.pending) {
+		id := c.pending[s].proposal.ID
+		if b, found, err := result(id); found && err == nil {
+			c.resolve(id, b, nil)
+		}
+	}
+}
+
+func (c *calls) readable(id uint64) {
+	if k, ok := c.reads[id]; ok {
+		delete(c.reads, id)
+		k.finish(nil, nil)
+	}
+}
+
+// admit gives sequence numbers to queued calls. All pending ones stay within the window of results that replicas keep.
+func (c *calls) admit() {
+	for len(c.queue) > 0 && c.sequence+1 < c.least()+csraft.SessionWindow {
+		k := c.queue[0]
+		c.queue = c.queue[1:]
+		if k.over() {
+			continue
+		}
+		c.sequence++
+		k.proposal.ID = csraft.ProposalID{Node: c.self, Incarnation: c.incarnation, Sequence: c.sequence}
+		c.pending[c.sequence] = k
+	}
+}
+
+func (c *calls) least() uint64 {
+	if len(c.pending) == 0 {
+		return c.sequence + 1
+	}
+	for c.lowest <= c.sequence {
+		if _, ok := c.pending[c.lowest]; ok {
+			return c.lowest
+		}
+		if c.lowest+2*csraft.SessionWindow < c.sequence {
+			c.lowest = c.sequence - csraft.SessionWindow
+			continue
+		}
+		c.lowest++
+	}
+	return c.sequence + 1
+}
+
+// sweep drops calls that nobody waits for.
+func (c *calls) sweep(forget func(uint64)) {
+	for s, k := range c.pending {
+		if k.over() {
+			delete(c.pending, s)
+		}
+	}
+	for id, k := range c.reads {
+		if k.over() {
+			delete(c.reads, id)
+			forget(id)
+		}
+	}
+}
+
+// stop ends all calls with the actor.
+func (c *calls) stop() {
+	all := append(c.queue, c.transfers...)
+	for _, k := range c.pending {
+		all = append(all, k)
+	}
+	for _, k := range c.reads {
+		all = append(all, k)
+	}
+	for _, k := range all {
+		if k.kind == callTransfer || k.kind == callRead || k.stage.CompareAndSwap(stageWaiting, stageAbandoned) {
+			k.finish(nil, ErrClosed)
+			continue
+		}
+		k.finish(nil, ErrTimeout)
+	}
+}
+
+// call takes a new call into the next batch.
+func (r *runner) call(ctx actor.Context, k *call) {
+	switch k.kind {
+	case callTransfer:
+		r.calls.transfers = append(r.calls.transfers, k)
+		r.step(csraft.Transfer{})
+		r.finishTransfers()
+	case callRead:
+		r.calls.lastRead++
+		r.calls.reads[r.calls.lastRead] = k
+		r.read(r.calls.lastRead, k, r.now())
+	default:
+		r.calls.queue = append(r.calls.queue, k)
+		r.scheduleFlush(ctx)
+	}
+}
+
+// scheduleFlush makes one batch of all proposals that wait in the mailbox now.
+func (r *runner) scheduleFlush(ctx actor.Context) {
+	if !r.calls.flushing {
+		r.calls.flushing = true
+		ctx.Send(ctx.Self(), &flush{})
+	}
+}
+
+func (r *runner) flush() {
+	r.calls.flushing = false
+	if r.core == nil {
+		r.calls.forwarded = nil
+		return
+	}
+	batch := r.due(r.now())
+	if r.core.Role() == csraft.Leader {
+		batch = append(batch, r.calls.forwarded...)
+	}
+	r.calls.forwarded = nil
+	if len(batch) > 0 {
+		r.step(csraft.Propose{Proposals: batch})
+	}
+}
+
+// due returns the proposals to send now, first ones and repetitions.
+func (r *runner) due(now time.Time) []csraft.Proposal {
+	if !r.core.Routed() {
+		return nil
+	}
+	r.calls.admit()
+	var batch []csraft.Proposal
+	for _, s := range csmodel.SortedKeys(r.calls.pending) {
+		k := r.calls.pending[s]
+		if !k.sentAt.IsZero() && now.Sub(k.sentAt) < r.o.Resend {
+			continue
+		}
+		if !k.claim() {
+			delete(r.calls.pending, s)
+			continue
+		}
+		k.attempts++
+		k.sentAt = now
+		batch = append(batch, k.proposal)
+	}
+	return batch
+}
+
+func (r *runner) resend(now time.Time) {
+	r.calls.sweep(r.core.ForgetRead)
+	if batch := r.due(now); len(batch) > 0 {
+		r.step(csraft.Propose{Proposals: batch})
+	}
+	for _, id := range csmodel.SortedKeys(r.calls.reads) {
+		if k := r.calls.reads[id]; k.sentAt.IsZero() || now.Sub(k.sentAt) >= r.o.Resend {
+			r.read(id, k, now)
+		}
+	}
+}
+
+func (r *runner) read(id uint64, k *call, now time.Time) {
+	k.sentAt = now
+	r.step(csraft.Read{ID: id})
+}
+
+// finishTransfers ends the transfers when this node does not lead.
+func (r *runner) finishTransfers() {
+	leads := r.core != nil && r.core.Role() == csraft.Leader
+	var kept []*call
+	for _, k := range r.calls.transfers {
+		switch {
+		case !leads:
+			k.finish(nil, nil)
+		case !k.over():
+			kept = append(kept, k)
+		}
+	}
+	r.calls.transfers = kept
+}
+
+// receive hands a message to the core. Proposals of other nodes join the next batch.
+func (r *runner) receive(ctx actor.Context, m csraft.Message) {
+	switch {
+	case r.core == nil:
+	case m.Kind == csraft.MessageResult:
+		r.results(m)
+	case m.Kind == csraft.MessagePropose && r.core.Role() == csraft.Leader:
+		r.forwarded(ctx, m)
+	default:
+		r.step(csraft.Receive{Message: m})
+	}
+}
+
+// forwarded answers proposals that were applied before and adds the others to the next batch.
+func (r *runner) forwarded(ctx actor.Context, m csraft.Message) {
+	known := map[csmodel.NodeID][]csraft.Proposal{}
+	for _, p := range m.Proposals {
+		result, found, err := r.group.replica.result(p.ID)
+		switch {
+		case err != nil: // expired: its outcome is unknown and it must not run
+		case found:
+			known[p.ID.Node] = append(known[p.ID.Node], csraft.Proposal{ID: p.ID, Data: result})
+		default:
+			r.calls.forwarded = append(r.calls.forwarded, p)
+		}
+	}
+	r.sendResults(known)
+	if len(r.calls.forwarded) > 0 {
+		r.scheduleFlush(ctx)
+	}
+}
+
+func (r *runner) results(m csraft.Message) {
+	for _, p := range m.Proposals {
+		var err error
+		if m.Reject {
+			err = errors.New(string(m.Data))
+		}
+		r.calls.resolve(p.ID, p.Data, err)
+	}
+}
--- a/csgroup/group.go
+++ b/csgroup/group.go
@@ -1,134 +1,233 @@
-// Package csgroup runs one replicated group: the consensus core of csraft, the files of csdisk and a Machine, in one
-// actor.
 package csgroup
 
 import (
 	"context"
-	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/jonboulle/clockwork"
 
-	"cowslipstream.example/cowslipstream/csdisk"
 	"cowslipstream.example/cowslipstream/csmodel"
 	"cowslipstream.example/cowslipstream/csraft"
 )
 
-// Errors of this package. Test with errors.Is.
-var (
-	// ErrNoLeader reports that no leader was known until the context ended. The proposal was not sent and never runs.
-	ErrNoLeader = errors.New("csgroup: no leader")
-	// ErrTimeout reports that the context ended after the proposal was sent. The outcome is unknown.
-	ErrTimeout = errors.New("csgroup: outcome unknown")
-	// ErrRefused reports that the proposal was refused before it was sent, or a membership change by the leader. It
-	// never runs.
-	ErrRefused = errors.New("csgroup: refused")
-	// ErrClosed reports a call after Close. The proposal was not sent and never runs.
-	ErrClosed = errors.New("csgroup: closed")
+// Defaults of Options.
+const (
+	DefaultSnapshotBytes   = 4 * csmodel.MiB
+	DefaultSnapshotEntries = 10_000
+	DefaultTick            = 50 * time.Millisecond
+	DefaultResend          = 500 * time.Millisecond
 )
 
-// Options configure a group.
-type Options struct {
-	// Config names the group, this node and the configured voters. Zero durations take the defaults of csraft.
-	// Incarnation is taken from the disk, or from the clock for a node without a disk, where it is zero.
-	Config csraft.Config
-	// Machine is the replicated state. The group owns it: other code reads it through Read and View.
-	Machine csraft.Machine
-	// Disk is the folder of this group. Nil makes the node a learner with a new incarnation at each start. The caller
-	// closes the disk after Close.
-	Disk csdisk.Disk
-	// Clock defaults to the real clock.
-	Clock clockwork.Clock
-	// Send hands a message to the link of a node. It is called in the actor: it must not block and may drop messages.
-	Send func(to csmodel.NodeID, m csraft.Message)
-	// Spawner starts the actor, for example the context of a supervisor. Nil starts an actor system for this group.
-	Spawner actor.SpawnerContext
-	// Observe holds optional hooks.
-	Observe Observe
-	// SnapshotBytes and SnapshotEntries bound the log between two snapshots (4 MiB and 10,000 entries).
-	SnapshotBytes   csmodel.Bytes
-	SnapshotEntries int
-	// Tick is the interval of the timer that drives elections, heartbeats and resends (50 ms).
-	Tick time.Duration
-	// Resend is the interval after which an unanswered proposal or read is sent again (500 ms).
-	Resend time.Duration
+// maxData is the size of one machine command, so that its entry fits into one frame of a link.
+const maxData = csmodel.MiB + 64*csmodel.KiB
+
+// maxQueued is the number of messages of other nodes that wait for the actor; more are dropped.
+const maxQueued = 8192
+
+// maxWaiting is the number of proposals and reads that wait for an outcome.
+const maxWaiting = 1 << 16
+
+// Group is one replicated group on this node.
+type Group struct {
+	options Options
+	system  *actor.ActorSystem // own system, where no spawner is given
+	root    *actor.RootContext
+	pid     *actor.PID
+	replica replica
+	queued  atomic.Int64
+	waiting atomic.Int64
+	closed  atomic.Bool
+	stop    chan struct{}
+	once    sync.Once
+	status  statusBox
 }
 
-// Observe holds hooks for the owner. They are called in the actor, one at a time, and must not block or call the group's
-// waiting methods. Nil hooks are skipped.
-type Observe struct {
-	// Applied is called after an entry of kind EntryNormal was applied; duplicates of a proposal are not reported.
-	Applied func(e csraft.Entry, result []byte)
-	// Restored is called after the state of the machine was replaced by a snapshot.
-	Restored func(i csmodel.Index)
-	// Lead is called when this node becomes leader, and Follow when it stops or learns of another leader ("" is none).
-	Lead   func(t csmodel.Term)
-	Follow func(t csmodel.Term, leader csmodel.NodeID)
-	// Error is called when the group fails (disk error, panic) and when it refuses a damaged folder.
-	Error func(err error)
+// Defaults returns the options with the default for each zero value.
+func (o Options) Defaults() Options {
+	if o.Clock == nil {
+		o.Clock = clockwork.NewRealClock()
+	}
+	if o.SnapshotBytes == 0 {
+		o.SnapshotBytes = DefaultSnapshotBytes
+	}
+	if o.SnapshotEntries == 0 {
+		o.SnapshotEntries = DefaultSnapshotEntries
+	}
+	if o.Tick == 0 {
+		o.Tick = DefaultTick
+	}
+	if o.Resend == 0 {
+		o.Resend = DefaultResend
+	}
+	o.Config = o.Config.Defaults()
+	o.Config.Volatile = o.Disk == nil
+	return o
 }
 
-// Status describes the group for dumps and metrics.
-type Status struct {
-	Group       csmodel.GroupID
-	Self        csmodel.NodeID
-	Incarnation csmodel.Incarnation
-	Role        csraft.Role
-	Term        csmodel.Term
-	Leader      csmodel.NodeID // empty where none is known
-	Leading     bool           // this node leads and its lease is valid
-	LastContact time.Time      // of the leader, on this node; Now on the leader itself
-	Commit      csmodel.Index
-	Applied     csmodel.Index
-	First       csmodel.Index // first entry that is kept
-	Last        csmodel.Index
-	LogBytes    csmodel.Bytes // on disk, or in memory for a node without a disk
-	Pending     int           // proposals and reads that wait for an outcome
-	Members     []MemberStatus
-	Err         error // why the node does not vote, for example a disk error
+// Validate reports why the options cannot be used.
+func (o Options) Validate() error {
+	if o.Machine == nil || o.Send == nil {
+		return fmt.Errorf("%w: Machine and Send are required", csraft.ErrConfig)
+	}
+	return o.Config.Validate()
 }
 
-// MemberStatus describes one member. Match and LastContact are known on the leader only.
-type MemberStatus struct {
-	csraft.Member
-	Match       csmodel.Index
-	LastContact time.Time
+// New starts the actor, which opens the folder, and returns the group. A folder that cannot be opened is no error of New:
+// the node follows without a vote, reports the error in Status and tries again.
+func New(o Options) (*Group, error) {
+	o = o.Defaults()
+	if err := o.Validate(); err != nil {
+		return nil, err
+	}
+	blank, err := o.Machine.Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	g := &Group{options: o, stop: make(chan struct{})}
+	g.replica = replica{machine: o.Machine, blank: blank}
+	spawner := o.Spawner
+	if spawner == nil {
+		g.system = actor.NewActorSystem(actor.WithLoggerFactory(quietLogger))
+		spawner = g.system.Root
+	}
+	g.root = spawner.ActorSystem().Root
+	props := actor.PropsFromProducer(func() actor.Actor { return newRunner(g) })
+	g.pid = spawner.Spawn(props)
+	if !o.manual {
+		go g.tickAll()
+	}
+	return g, nil
 }
 
-// Group is one replicated group on this node.
-type Group struct{}
+func quietLogger(*actor.ActorSystem) *slog.Logger {
+	return slog.New(slog.NewTextHandler(io.Discard, nil))
+}
 
-// New opens the folder, starts the actor and returns the group.
-func New(o Options) (*Group, error) { return nil, errors.ErrUnsupported }
+// tickAll sends a tick to the actor at each interval, unless the last one still waits.
+func (g *Group) tickAll() {
+	ticker := g.options.Clock.NewTicker(g.options.Tick)
+	defer ticker.Stop()
+	var waiting atomic.Bool
+	for {
+		select {
+		case <-g.stop:
+			return
+		case <-ticker.Chan():
+			if waiting.CompareAndSwap(false, true) {
+				g.root.Send(g.pid, &tick{done: func() { waiting.Store(false) }})
+			}
+		}
+	}
+}
 
 // Receive hands in a message that the link of a node delivered. It does not block.
-func (g *Group) Receive(from csmodel.NodeID, m csraft.Message) {}
+func (g *Group) Receive(from csmodel.NodeID, m csraft.Message) {
+	if g.closed.Load() {
+		return
+	}
+	if g.queued.Add(1) > maxQueued {
+		g.queued.Add(-1)
+		return
+	}
+	m.From = from
+	g.root.Send(g.pid, &received{message: m})
+}
 
 // Propose replicates a machine command and returns the result of Apply. It may be called on any node: the proposal is
-// forwarded to the leader and sent again under the same id until the context ends.
+// forwarded to the leader and sent again under the same id until the context ends. The local replica may apply the entry
+// a little later than Propose returns.
 func (g *Group) Propose(ctx context.Context, data []byte) ([]byte, error) {
-	return nil, errors.ErrUnsupported
+	if csmodel.Bytes(len(data)) > maxData {
+		return nil, fmt.Errorf("%w: command of %d bytes", ErrRefused, len(data))
+	}
+	return g.wait(newCall(ctx, callPropose, csraft.Proposal{Data: slices.Clone(data)}))
 }
 
 // Read calls f with a machine that includes every proposal that had finished before the call (linearizable). On a node
-// that is not the leader it asks the leader for the index to wait for. f must only read and must not keep the machine.
-func (g *Group) Read(ctx context.Context, f func(csraft.Machine)) error { return errors.ErrUnsupported }
+// that is not the leader it asks the leader for the index to wait for. It returns ErrNoLeader where no leader answered
+// until the context ended. f must only read and must not keep the machine.
+func (g *Group) Read(ctx context.Context, f func(csraft.Machine)) error {
+	if _, err := g.wait(newCall(ctx, callRead, csraft.Proposal{})); err != nil {
+		return err
+	}
+	g.View(f)
+	return nil
+}
 
 // View calls f with the local replica, which may be behind. f must only read and must not keep the machine.
-func (g *Group) View(f func(csraft.Machine)) {}
-
-// Status returns the current state.
-func (g *Group) Status() Status { return Status{} }
+func (g *Group) View(f func(csraft.Machine)) { g.replica.view(f) }
 
-// ChangeMember adds, promotes, demotes or removes one member and returns when the change is committed. ErrRefused tells
-// that the leader refused it.
+// ChangeMember adds, promotes, demotes or removes one member and returns when the change is committed. An incarnation of
+// zero is the one that the group knows. ErrRefused tells that the leader refused the latest attempt.
 func (g *Group) ChangeMember(ctx context.Context, c csraft.Change) error {
-	return errors.ErrUnsupported
+	_, err := g.wait(newCall(ctx, callChange, csraft.Proposal{Change: &c}))
+	return err
+}
+
+// Transfer hands the leadership to a voter that is caught up and returns when this node does not lead.
+func (g *Group) Transfer(ctx context.Context) error {
+	_, err := g.wait(newCall(ctx, callTransfer, csraft.Proposal{}))
+	return err
 }
 
-// Transfer hands the leadership to the most advanced voter. It is a no-op on a node that does not lead.
-func (g *Group) Transfer(ctx context.Context) error { return errors.ErrUnsupported }
+// wait hands the call to the actor and returns its outcome.
+func (g *Group) wait(c *call) ([]byte, error) {
+	if g.closed.Load() {
+		return nil, ErrClosed
+	}
+	if err := c.ctx.Err(); err != nil {
+		return nil, c.unsent()
+	}
+	defer g.waiting.Add(-1)
+	if g.waiting.Add(1) > maxWaiting {
+		return nil, fmt.Errorf("%w: too many calls wait", ErrRefused)
+	}
+	g.root.Send(g.pid, c)
+	select {
+	case o := <-c.done:
+		return o.result, o.err
+	case <-c.ctx.Done():
+	case <-g.stop:
+	}
+	select {
+	case o := <-c.done: // finished at the same time
+		return o.result, o.err
+	default:
+	}
+	if c.stage.CompareAndSwap(stageWaiting, stageAbandoned) {
+		if g.closed.Load() {
+			return nil, ErrClosed
+		}
+		return nil, c.unsent()
+	}
+	return nil, ErrTimeout
+}
+
+// Close transfers the leadership where this node leads, stops the actor and ends waiting calls. It takes at most one
+// election timeout.
+func (g *Group) Close() error {
+	g.once.Do(func() {
+		ctx, cancel := clockwork.WithTimeout(context.Background(), g.options.Clock, g.options.Config.Election)
+		defer cancel()
+		_ = g.Transfer(ctx) // the election timeout of the others does the same later
+		g.end()
+	})
+	return nil
+}
 
-// Close transfers the leadership where this node leads, stops the actor and ends waiting calls.
-func (g *Group) Close() error { return errors.ErrUnsupported }
+// end stops the actor without a transfer.
+func (g *Group) end() {
+	g.closed.Store(true)
+	close(g.stop)
+	_ = g.root.StopFuture(g.pid).Wait() // the actor always stops; Wait reports a disk that takes longer than its limit
+	if g.system != nil {
+		g.system.Shutdown()
+	}
+}
--- a/csraft/core.go
+++ b/csraft/core.go
@@ -43,6 +43,7 @@
 // New returns the core of a member that starts with the given durable state.
 func New(c Config, r Restored) *Core {
 	c = c.Defaults()
+	r = r.Connected()
 	core := &Core{
 		config:   c,
 		state:    r.State,
@@ -58,17 +59,24 @@
 	return core
 }
 
-// restore fills the log. Entries that do not connect to the snapshot are dropped.
-func (l *memoryLog) restore(r Restored) {
+// Connected returns the state without log entries that do not connect to the snapshot. There are some where the process
+// ended between storing an installed snapshot and dropping the log that it replaces.
+func (r Restored) Connected() Restored {
 	connected := r.Base <= r.Snapshot.Index
 	if connected && r.Base < r.Snapshot.Index {
 		at := int(r.Snapshot.Index-r.Base) - 1
 		connected = at < len(r.Entries) && r.Entries[at].Term == r.Snapshot.Term
 	}
 	if !connected {
-		l.reset(r.Snapshot)
-		return
+		r.Base, r.BaseTerm, r.Entries = r.Snapshot.Index, r.Snapshot.Term, nil
+	}
+	if r.Snapshot.Term > r.State.Term {
+		r.State = HardState{Term: r.Snapshot.Term}
 	}
+	return r
+}
+
+func (l *memoryLog) restore(r Restored) {
 	l.base, l.baseTerm = r.Base, r.BaseTerm
 	if r.Snapshot.Index > 0 {
 		l.baseAt = time.Unix(0, r.Snapshot.At).UTC()
@@ -121,7 +129,7 @@
 	case Transfer:
 		c.startTransfer()
 	case Detach:
-		c.detach()
+		c.detach(e.Applied)
 	}
 	c.finish()
 	return c.out
@@ -217,9 +225,17 @@
 	}
 }
 
-func (c *Core) detach() {
+func (c *Core) detach(applied csmodel.Index) {
 	c.detached = true
 	c.follow(c.state.Term, "")
+	if applied < c.log.base {
+		return
+	}
+	if applied < c.log.lastIndex() {
+		c.log.truncate(applied + 1)
+	}
+	c.commit = min(applied, c.log.lastIndex())
+	c.applied = applied
 }
 
 // outdated tells whether the sender was replaced by a newer incarnation.
--- a/csraft/event.go
+++ b/csraft/event.go
@@ -20,6 +20,8 @@
 	DefaultTrailing  = 1000 // entries
 	DefaultBatch     = 256 * csmodel.KiB
 	DefaultBacklog   = 8 * csmodel.MiB
+
+	trailingBytes = csmodel.MiB // bound of the memory of the entries that Trailing keeps
 )
 
 // Errors of Validate and Resolve. Test with errors.Is.
@@ -152,8 +154,9 @@
 // Transfer hands the leadership to a voter that is caught up. Until then no new proposals are appended.
 type Transfer struct{}
 
-// Detach makes the node stop voting and acknowledging because its disk failed. It continues to follow in memory.
-type Detach struct{}
+// Detach makes the node stop voting and acknowledging because its disk failed. It continues to follow in memory after
+// Applied, the last entry that the machine holds; what it could not save is dropped.
+type Detach struct{ Applied csmodel.Index }
 
 func (Tick) event()         {}
 func (Receive) event()      {}
--- a/csraft/follower.go
+++ b/csraft/follower.go
@@ -124,8 +124,9 @@
 	}
 }
 
+// onReadReply ignores answers to a previous incarnation, which may have used the same id.
 func (c *Core) onReadReply(m Message) {
-	if _, asked := c.reads[m.Round]; asked {
+	if _, asked := c.reads[m.Round]; asked && m.Known == c.config.Incarnation {
 		c.reads[m.Round] = m.Index
 	}
 }
--- a/csraft/propose.go
+++ b/csraft/propose.go
@@ -10,6 +10,7 @@
 // waitingRead is a read that the leader answers when its lease and its own first entry allow it.
 type waitingRead struct {
 	node csmodel.NodeID // empty for this node
+	life csmodel.Incarnation
 	id   uint64
 }
 
@@ -24,6 +25,12 @@
 	return "", false
 }
 
+// Routed tells whether a proposal would be appended or sent to another node now.
+func (c *Core) Routed() bool {
+	_, ok := c.route()
+	return ok || c.role == Leader
+}
+
 func (c *Core) propose(proposals []Proposal) {
 	if c.role == Leader {
 		c.appendProposals(proposals)
@@ -36,7 +43,26 @@
 		}
 		return
 	}
-	c.send(to, Message{Kind: MessagePropose, Proposals: proposals})
+	for _, part := range SplitProposals(proposals, c.config.Batch) {
+		c.send(to, Message{Kind: MessagePropose, Proposals: part})
+	}
+}
+
+// SplitProposals divides proposals into parts that a message can hold: at least one, and otherwise up to the limit.
+func SplitProposals(proposals []Proposal, limit csmodel.Bytes) (parts [][]Proposal) {
+	size, first := csmodel.Bytes(0), 0
+	for i, p := range proposals {
+		size += csmodel.Bytes(len(p.Data) + entryOverhead)
+		if i > first && size > limit {
+			parts = append(parts, proposals[first:i])
+			first = i
+			size = csmodel.Bytes(len(p.Data) + entryOverhead)
+		}
+	}
+	if first < len(proposals) {
+		parts = append(parts, proposals[first:])
+	}
+	return parts
 }
 
 // onPropose appends the proposals of another node, or relays them once to the leader for a node that cannot reach it.
@@ -122,7 +148,7 @@
 
 func (c *Core) onRead(m Message) {
 	if c.role == Leader {
-		c.queueRead(waitingRead{node: m.From, id: m.Round})
+		c.queueRead(waitingRead{node: m.From, life: m.Incarnation, id: m.Round})
 	}
 }
 
@@ -146,11 +172,14 @@
 			c.reads[r.id] = c.commit
 			continue
 		}
-		c.send(r.node, Message{Kind: MessageReadReply, Round: r.id, Index: c.commit})
+		c.send(r.node, Message{Kind: MessageReadReply, Round: r.id, Known: r.life, Index: c.commit})
 	}
 	c.lead.reads = nil
 }
 
+// Role returns the role of this node.
+func (c *Core) Role() Role { return c.role }
+
 // ForgetRead drops a read that is no longer waited for.
 func (c *Core) ForgetRead(id uint64) { delete(c.reads, id) }
 
--- a/csraft/snapshot.go
+++ b/csraft/snapshot.go
@@ -25,12 +25,23 @@
 		Index: e.Index, Term: term, At: c.log.entries[e.Index-c.log.base-1].At.UnixNano(),
 		Members: c.log.placed(e.Index).membership, Data: e.Data,
 	}
-	if keep := csmodel.Index(c.config.Trailing); e.Index > keep {
-		c.log.compact(e.Index - keep)
-	}
+	c.log.compact(c.trailing(e.Index))
 	c.saveSnapshot()
 }
 
+// trailing returns the new base of the log after a snapshot at the index.
+func (c *Core) trailing(i csmodel.Index) csmodel.Index {
+	size := csmodel.Bytes(0)
+	for n := 0; n < c.config.Trailing && i > c.log.base; n++ {
+		size += entrySize(c.log.entries[i-c.log.base-1])
+		if size > trailingBytes {
+			break
+		}
+		i--
+	}
+	return i
+}
+
 func (c *Core) saveSnapshot() {
 	if c.detached {
 		return
