--- a/csconfig/codec.go
+++ b/csconfig/cbor.go
@@ -9,13 +9,13 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-// maxItems bounds the lists of a decoded configuration or delta.
-const maxItems = 1 << 16
+// maxListItems bounds the lists of a decoded configuration or delta.
+const maxListItems = 1 << 16
 
-var encoding, decoding = modes()
+var cborEncoding, cborDecoding = cborModes()
 
-// modes returns the codec of configurations. Times keep their nanoseconds.
-func modes() (cbor.EncMode, cbor.DecMode) {
+// cborModes returns the codec of configurations. Times keep their nanoseconds.
+func cborModes() (cbor.EncMode, cbor.DecMode) {
 	o := cbor.CoreDetEncOptions()
 	o.Time = cbor.TimeRFC3339NanoUTC
 	e, err := o.EncMode()
@@ -26,7 +26,7 @@
 		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
 		IndefLength:      cbor.IndefLengthForbidden,
 		TagsMd:           cbor.TagsForbidden,
-		MaxArrayElements: maxItems,
+		MaxArrayElements: maxListItems,
 	}.DecMode()
 	if err != nil {
 		panic(err)
@@ -35,12 +35,12 @@
 }
 
 // Encode returns the CBOR form.
-func (d Delta) Encode() ([]byte, error) { return encoding.Marshal(d) }
+func (d Delta) Encode() ([]byte, error) { return cborEncoding.Marshal(d) }
 
 // DecodeDelta reads the CBOR form.
 func DecodeDelta(data []byte) (Delta, error) {
 	var d Delta
-	if err := decoding.Unmarshal(data, &d); err != nil {
+	if err := cborDecoding.Unmarshal(data, &d); err != nil {
 		return Delta{}, fmt.Errorf("decode delta: %w", err)
 	}
 	return d, nil
@@ -49,10 +49,10 @@
 // Canonical returns a copy with each list in ascending order of names and times in UTC.
 func (c Configuration) Canonical() Configuration {
 	return Configuration{
-		Pools: sorted(c.Pools, poolName),
-		Jobs:  sorted(c.Jobs, jobName),
-		Teams: sorted(c.Teams, teamName),
-		Waves: sorted(canonicalWaves(c.Waves), waveName),
+		Pools: sortItems(c.Pools, poolName),
+		Jobs:  sortItems(c.Jobs, jobName),
+		Teams: sortItems(c.Teams, teamName),
+		Waves: sortItems(canonicalWaves(c.Waves), waveName),
 	}
 }
 
@@ -66,12 +66,12 @@
 }
 
 // Encode returns the CBOR form of the canonical configuration: equal configurations have equal forms.
-func (c Configuration) Encode() ([]byte, error) { return encoding.Marshal(c.Canonical()) }
+func (c Configuration) Encode() ([]byte, error) { return cborEncoding.Marshal(c.Canonical()) }
 
 // DecodeConfiguration reads the CBOR form.
 func DecodeConfiguration(data []byte) (Configuration, error) {
 	var c Configuration
-	if err := decoding.Unmarshal(data, &c); err != nil {
+	if err := cborDecoding.Unmarshal(data, &c); err != nil {
 		return Configuration{}, fmt.Errorf("decode configuration: %w", err)
 	}
 	return c.Canonical(), nil
--- a/cslink/accept.go
+++ b/cslink/accept.go
@@ -53,10 +53,10 @@
 		l.refuse(c, err)
 		return
 	}
-	defer ws.CloseNow()
-	defer c.Close()
-	defer context.AfterFunc(l.ctx, func() { c.Close() })()
-	deadline := l.clock.AfterFunc(handshakeTimeout, func() { c.Close() })
+	defer func() { _ = ws.CloseNow() }()
+	defer c.end()
+	defer context.AfterFunc(l.ctx, c.end)()
+	deadline := l.clock.AfterFunc(handshakeTimeout, c.end)
 	defer deadline.Stop()
 	ws.SetReadLimit(handshakeLimit)
 	a, err := l.answer(l.ctx, ws)
--- a/cslink/core.go
+++ b/cslink/core.go
@@ -91,7 +91,7 @@
 	return c.received
 }
 
-// attach starts a new socket. received is the last sequence number that the peer has from this node. Messages with a
+// attach starts a new socket; an earlier one has been detached. received is the last sequence number that the peer has from this node. Messages with a
 // higher number are written again. What was written to an earlier life of the peer is dropped: that life may have
 // acted on it, and a message is never delivered twice.
 func (c *core) attach(now time.Time, peer life, received uint64) error {
@@ -104,7 +104,6 @@
 		return fmt.Errorf("%w: acknowledges message %d of %d", err, received, c.queue.sequence)
 	}
 	c.connected = true
-	c.queue.written = 0
 	c.start = now
 	c.heard = now
 	c.beatAt = now
--- a/cslink/dial.go
+++ b/cslink/dial.go
@@ -64,7 +64,7 @@
 	a, err := l.introduce(ctx, ws)
 	if err != nil {
 		_ = ws.CloseNow()
-		c.Close()
+		c.end()
 		return 0, err
 	}
 	deadline.Stop()
--- a/cslink/link.go
+++ b/cslink/link.go
@@ -104,7 +104,7 @@
 func (l *link) receive(s *socket, f frame) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for l.inboxSize >= maxInbox && l.socket == s {
+	for l.inboxSize >= maxInbox && l.socket == s && !l.closed {
 		l.paused = true
 		l.changed.Wait()
 	}
--- a/cslink/socket.go
+++ b/cslink/socket.go
@@ -36,11 +36,15 @@
 	return n, err
 }
 
+// Close also ends the accounting as an unauthenticated connection.
 func (c *conn) Close() error {
 	c.settle()
 	return c.Conn.Close()
 }
 
+// end closes the connection. It may have been closed before.
+func (c *conn) end() { _ = c.Close() }
+
 // settle ends the accounting as an unauthenticated connection.
 func (c *conn) settle() {
 	if c.release != nil {
@@ -57,6 +61,7 @@
 	refused atomic.Uint64
 }
 
+// Accept returns the next connection within the limit. Others are closed at once.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.Listener.Accept()
@@ -91,7 +96,7 @@
 	s.once.Do(func() {
 		s.err = err
 		close(s.done)
-		s.conn.Close()
+		s.conn.end()
 	})
 }
 
