--- a/csrequest/property_test.go
+++ b/csrequest/property_test.go
@@ -11,7 +11,7 @@
 	arrival := n.arrivals[d.Request]
 	t := &worldAttempt{dispatch: d, arrival: arrival}
 	if arrival.replies > 0 {
-		w.fail("attempt %s dispatched after the reply", d.Attempt)
+		w.failf("attempt %s dispatched after the reply", d.Attempt)
 	}
 	arrival.dispatched = append(arrival.dispatched, t)
 	if k := w.byText[arrival.arrive.Key]; k != nil {
@@ -34,12 +34,12 @@
 	w.executed++
 	t.executed = true
 	if t.barred {
-		w.fail("attempt %s of request %d ran after not run was reported", t.dispatch.Attempt, t.dispatch.Request)
+		w.failf("attempt %s of request %d ran after not run was reported", t.dispatch.Attempt, t.dispatch.Request)
 	}
 	if k := w.byText[t.arrival.arrive.Key]; k != nil {
 		k.executions++
 		if k.executions > 1 && !k.idempotent {
-			w.fail("key %s ran %d times", k.text, k.executions)
+			w.failf("key %s ran %d times", k.text, k.executions)
 		}
 	}
 	answered := w.event(n, AttemptAnswered{
@@ -88,15 +88,16 @@
 	a.outcome = r.Outcome
 	w.outcomes[r.Outcome]++
 	if a.replies > 1 {
-		w.fail("request %d of %s has %d replies", r.ID, n.id, a.replies)
+		w.failf("request %d of %s has %d replies", r.ID, n.id, a.replies)
 	}
 	switch r.Outcome {
 	case Answered:
 		if got := string(r.Answer.Body); got != a.identity {
-			w.fail("request %d got the answer of %s, want %s", r.ID, got, a.identity)
+			w.failf("request %d got the answer of %s, want %s", r.ID, got, a.identity)
 		}
 	case NotRun:
 		w.bar(a, r.Reason)
+	default:
 	}
 	if a.origin == nil {
 		return
@@ -119,7 +120,7 @@
 	}
 	for _, t := range attempts {
 		if t.executed {
-			w.fail("request %d of %s is not run because of %q, but attempt %s ran",
+			w.failf("request %d of %s is not run because of %q, but attempt %s ran",
 				a.arrive.ID, a.node.id, reason, t.dispatch.Attempt)
 		}
 		t.barred = true
--- a/csrequest/world_test.go
+++ b/csrequest/world_test.go
@@ -114,7 +114,7 @@
 	return w
 }
 
-func (w *world) fail(format string, arguments ...any) {
+func (w *world) failf(format string, arguments ...any) {
 	if w.err == nil {
 		w.err = fmt.Errorf(format, arguments...)
 	}
@@ -128,7 +128,7 @@
 	n.arrivals = map[RequestID]*worldArrival{}
 	n.keys = NewKeys(KeysConfig{Node: n.id, Incarnation: n.incarnation, Stored: 20 * csmodel.KiB})
 	if err := n.keys.Restore(w.now, n.log); err != nil {
-		w.fail("restore: %v", err)
+		w.failf("restore: %v", err)
 	}
 	n.router = NewRouter(Config{Node: n.id, Incarnation: n.incarnation, Zone: "z1", Keys: n.keys})
 	w.execute(n, n.router.Step(w.now, Configure{Configuration: worldConfig}))
--- a/cstarget/announcement.go
+++ b/cstarget/announcement.go
@@ -4,11 +4,15 @@
 package cstarget
 
 import (
+	"errors"
 	"time"
 
 	"cowslipstream.example/cowslipstream/csmodel"
 )
 
+// maxSlots is the largest number of slots of a target.
+const maxSlots = 1024
+
 // Announcement is the body of POST /v1/targets, sent by a target to its home node.
 type Announcement struct {
 	ID          csmodel.VMID             `json:"id"`
@@ -32,6 +36,23 @@
 	Tasks   []TaskReport `json:"tasks,omitempty"`
 }
 
+// ErrAnnouncement is returned for an announcement that lacks a required field or has one out of range.
+var ErrAnnouncement = errors.New("invalid announcement")
+
+// Validate checks the fields that the registry relies on.
+func (a Announcement) Validate() error {
+	switch {
+	case a.ID == "", a.Address == "", a.Pool == "":
+		return ErrAnnouncement
+	case a.Incarnation == 0, a.Sequence == 0:
+		return ErrAnnouncement
+	case a.Slots < 0, a.Slots > maxSlots, a.Connections < 0, a.Running < 0:
+		return ErrAnnouncement
+	default:
+		return nil
+	}
+}
+
 // TaskState is the state of a deferred task on a target.
 type TaskState string
 
--- a/cstarget/grantor_test.go
+++ b/cstarget/grantor_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"cowslipstream.example/cowslipstream/csmodel"
 )
 
@@ -323,16 +325,28 @@
 	return nil
 }
 
-func BenchmarkSlotRequest(b *testing.B) {
-	ids := make([]csmodel.VMID, 160)
+// benchmarkSlots measures a request for half of the slots of a home node and the encoded sizes.
+func benchmarkSlots(b *testing.B, targets, nodes int) {
+	ids := make([]csmodel.VMID, targets)
 	for i := range ids {
 		ids[i] = csmodel.VMID(fmt.Sprint("vm", i))
 	}
 	r := newHome(ids...)
 	sequence := uint64(0)
+	var request SlotRequest
+	var grant SlotGrant
 	b.ReportAllocs()
 	for b.Loop() {
 		sequence++
-		r.Grantor().Request(start, demand(csmodel.NodeID(fmt.Sprint("n", sequence%20)), sequence, 64))
+		request = demand(csmodel.NodeID(fmt.Sprint("n", sequence%uint64(nodes))), sequence, 4*targets)
+		grant = r.Grantor().Request(start, request)
 	}
+	sent, _ := cbor.Marshal(request)
+	received, _ := cbor.Marshal(grant)
+	b.ReportMetric(float64(len(sent)+len(received)), "bytes/exchange")
+}
+
+func BenchmarkSlotRequest(b *testing.B) {
+	b.Run("today", func(b *testing.B) { benchmarkSlots(b, 8, 8) })
+	b.Run("design", func(b *testing.B) { benchmarkSlots(b, 160, 5) })
 }
--- a/cstarget/health_test.go
+++ b/cstarget/health_test.go
@@ -83,14 +83,14 @@
 	h := newHealthOf(9)
 	h.Observe(start, use("vm0", 0, 5))
 	now := start
-	for _, delay := range []time.Duration{1, 2, 4, 8, 16, 32, 60, 60} {
-		now = now.Add(delay*time.Second - time.Millisecond)
-		if h.Probe(now, "vm0") {
-			t.Fatalf("probed before %d s", delay)
+	for _, seconds := range []int{1, 2, 4, 8, 16, 32, 60, 60} {
+		next := now.Add(time.Duration(seconds) * time.Second)
+		if h.Probe(next.Add(-time.Millisecond), "vm0") {
+			t.Fatalf("probed before %d s", seconds)
 		}
-		now = now.Add(time.Millisecond)
+		now = next
 		if !h.Probe(now, "vm0") {
-			t.Fatalf("not probed after %d s", delay)
+			t.Fatalf("not probed after %d s", seconds)
 		}
 		h.Observe(now, use("vm0", 0, 1))
 	}
--- a/cstarget/record.go
+++ b/cstarget/record.go
@@ -1,6 +1,7 @@
 package cstarget
 
 import (
+	"math"
 	"time"
 
 	"cowslipstream.example/cowslipstream/csmodel"
@@ -44,6 +45,9 @@
 	previousUntil time.Duration
 }
 
+// clamp returns a count as it is stored in a record.
+func clamp(n int) uint16 { return uint16(max(0, min(n, math.MaxUint16))) }
+
 // counted returns the slots that the node may be using.
 func (l *lease) counted(at time.Duration) int {
 	slots := 0
--- a/cstarget/registry.go
+++ b/cstarget/registry.go
@@ -151,10 +151,10 @@
 	rec.sequence = a.Sequence
 	rec.memory = a.Memory
 	rec.cores = int32(a.Cores)
-	rec.slots = uint16(a.Slots)
-	rec.connections = uint16(a.Connections)
-	rec.running = uint16(a.Running)
-	rec.tasks = uint16(len(a.Tasks))
+	rec.slots = clamp(a.Slots)
+	rec.connections = clamp(a.Connections)
+	rec.running = clamp(a.Running)
+	rec.tasks = clamp(len(a.Tasks))
 	rec.leaving = a.Leaving
 	rec.announced = at
 	r.health.Track(rec.id, rec.incarnation, r.owners[rec.id].Pool)
--- a/cstarget/registry_test.go
+++ b/cstarget/registry_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -158,6 +159,28 @@
 	}
 }
 
+// Guards against announcements that would corrupt the division of slots.
+func TestValidate(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*Announcement)
+		want   error
+	}{
+		{"complete", func(*Announcement) {}, nil},
+		{"no id", func(a *Announcement) { a.ID = "" }, ErrAnnouncement},
+		{"no sequence", func(a *Announcement) { a.Sequence = 0 }, ErrAnnouncement},
+		{"negative slots", func(a *Announcement) { a.Slots = -1 }, ErrAnnouncement},
+		{"too many slots", func(a *Announcement) { a.Slots = maxSlots + 1 }, ErrAnnouncement},
+	}
+	for _, tt := range tests {
+		a := announcement("vm", 1)
+		tt.change(&a)
+		if got := a.Validate(); !errors.Is(got, tt.want) {
+			t.Errorf("%s: got %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
+
 // heartbeat returns the size of an announcement and its reply with HTTP headers.
 func heartbeat(t testing.TB) int {
 	a := announcement("vm-123456", 123456)
