--- a/csnode/journal.go
+++ b/csnode/journal.go
@@ -16,12 +16,19 @@
 // incarnation answers `unknown` for the keys of this one.
 type journal struct {
 	n       *Node
-	log     csrequest.Log
-	batches chan []csrequest.Record
+	log     *keyLog
+	batches chan journalBatch
+}
+
+// journalBatch holds records to append, or all records that replace the log.
+type journalBatch struct {
+	records  []csrequest.Record
+	snapshot [][]byte
+	compact  bool
 }
 
 func (n *Node) openJournal() error {
-	n.journal = &journal{n: n, batches: make(chan []csrequest.Record, journalQueue)}
+	n.journal = &journal{n: n, batches: make(chan journalBatch, journalQueue)}
 	disk, err := n.openDisk("keys")
 	if err != nil {
 		return trace.Wrap(err)
@@ -29,7 +36,7 @@
 	if disk == nil {
 		return nil
 	}
-	log, err := openKeyLog(disk)
+	log, err := n.openKeyLog(disk)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -59,7 +66,7 @@
 		return
 	}
 	select {
-	case j.batches <- records:
+	case j.batches <- journalBatch{records: records}:
 	default:
 		j.n.log.Warn("key records dropped: disk too slow", zap.Int("records", len(records)))
 		for _, r := range records {
@@ -70,28 +77,48 @@
 	}
 }
 
+// compact replaces the log by a snapshot of the keys where it has grown. Batches that are queued earlier are part of the
+// snapshot.
+func (j *journal) compact(now time.Time, keys *csrequest.Keys) {
+	if j.log == nil || !j.log.grown() {
+		return
+	}
+	select {
+	case j.batches <- journalBatch{snapshot: keys.Snapshot(now), compact: true}:
+	default:
+	}
+}
+
 func (j *journal) write() {
 	for {
 		select {
 		case <-j.n.closed:
 			return
-		case records := <-j.batches:
-			records = j.drain(records)
-			for _, e := range csrequest.Save(j.log, records) {
-				j.n.send(j.n.tree.requests, e)
-			}
+		case b := <-j.batches:
+			j.save(b)
 		}
 	}
 }
 
-// drain adds the batches that are already waiting, so that one sync covers them.
-func (j *journal) drain(records []csrequest.Record) []csrequest.Record {
-	for {
+// save writes a batch together with those that are already waiting, so that one sync covers them.
+func (j *journal) save(b journalBatch) {
+	records := b.records
+	for !b.compact {
 		select {
-		case more := <-j.batches:
-			records = append(records, more...)
+		case b = <-j.batches:
+			records = append(records, b.records...)
+			continue
 		default:
-			return records
 		}
+		break
+	}
+	for _, e := range csrequest.Save(j.log, records) {
+		j.n.send(j.n.tree.requests, e)
+	}
+	if !b.compact {
+		return
+	}
+	if err := j.log.compact(b.snapshot); err != nil {
+		j.n.log.Error("key records not compacted", zap.Error(err))
 	}
 }
--- a/csnode/node.go
+++ b/csnode/node.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"slices"
 	"sync"
@@ -58,6 +59,8 @@
 	waiters     *waiters
 	attempts    *attempts
 	journal     *journal
+	config      csdisk.Disk // holds the active configuration; nil without a disk
+	disks       []io.Closer
 	started     time.Time
 
 	system *actor.ActorSystem
@@ -116,6 +119,11 @@
 	if err := n.openJournal(); err != nil {
 		return trace.Wrap(err)
 	}
+	config, err := n.openDisk("config")
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	n.config = config
 	web, err := n.listen()
 	if err != nil {
 		return trace.Wrap(err)
@@ -171,6 +179,7 @@
 		n.stopTree()
 		n.dispatcher.Close()
 		n.work.Wait()
+		n.closeDisks()
 		n.log.Info("node stopped")
 	})
 }
--- a/csnode/replication.go
+++ b/csnode/replication.go
@@ -82,7 +82,20 @@
 	if n.options.Disk != nil {
 		return n.options.Disk(folder)
 	}
-	return csdisk.Open(folder)
+	disk, err := csdisk.OpenOS(folder)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	n.disks = append(n.disks, disk)
+	return disk, nil
+}
+
+func (n *Node) closeDisks() {
+	for _, d := range n.disks {
+		if err := d.Close(); err != nil {
+			n.log.Warn("data folder closed", zap.Error(err))
+		}
+	}
 }
 
 func (n *Node) globalHooks() csgroup.Observe {
--- a/csnode/requests.go
+++ b/csnode/requests.go
@@ -200,6 +200,7 @@
 		return
 	}
 	a.keys.Tick(now)
+	a.n.journal.compact(now, a.keys)
 	a.shareLeases(now)
 	loads := a.router.Loads(now)
 	a.n.metrics.observeLoads(loads)
--- a/csnode/rollout.go
+++ b/csnode/rollout.go
@@ -9,15 +9,14 @@
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
+	"cowslipstream.example/cowslipstream/csdisk"
 	"cowslipstream.example/cowslipstream/cslink"
 	"cowslipstream.example/cowslipstream/csmodel"
 	"cowslipstream.example/cowslipstream/csrollout"
 )
 
-const (
-	activeFile = "active"     // the active configuration
-	activeTemp = "active.tmp" // becomes activeFile when it is synced
-)
+// activeFile holds the active configuration.
+const activeFile = "active"
 
 // rolloutActor runs the state machine of the active configuration.
 type rolloutActor struct {
@@ -86,14 +85,11 @@
 
 func (a *rolloutActor) step(e csrollout.Event) {
 	for _, command := range a.active.Step(a.n.clock.Now(), e) {
-		if !a.execute(command) {
-			return
-		}
+		a.execute(command)
 	}
 }
 
-// execute returns false where the commands that follow must not be executed.
-func (a *rolloutActor) execute(command csrollout.Command) bool {
+func (a *rolloutActor) execute(command csrollout.Command) {
 	switch c := command.(type) {
 	case csrollout.Persist:
 		if err := a.n.saveActive(c.Head); err != nil {
@@ -113,7 +109,6 @@
 		a.n.log.Error("configuration update refused", zap.String("peer", string(c.Peer)),
 			zap.Uint64("revision", uint64(c.Revision)), zap.String("reason", c.Reason))
 	}
-	return true
 }
 
 func (a *rolloutActor) announce(peer csmodel.NodeID) {
@@ -168,11 +163,10 @@
 const staleAfter = 3 * time.Second
 
 func (n *Node) loadActive() (csrollout.Head, error) {
-	disk, err := n.openDisk("config")
-	if err != nil || disk == nil {
-		return csrollout.Head{}, trace.Wrap(err)
+	if n.config == nil {
+		return csrollout.Head{}, nil
 	}
-	data, err := disk.Read(activeFile)
+	data, err := csdisk.ReadFile(n.config, activeFile)
 	if errors.Is(err, fs.ErrNotExist) {
 		return csrollout.Head{}, nil
 	}
@@ -183,22 +177,12 @@
 }
 
 func (n *Node) saveActive(head csrollout.Head) error {
-	disk, err := n.openDisk("config")
-	if err != nil || disk == nil {
-		return trace.Wrap(err)
+	if n.config == nil {
+		return nil
 	}
 	data, err := csrollout.EncodeHead(head)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	if err := disk.Remove(activeTemp); err != nil {
-		return trace.Wrap(err)
-	}
-	if err := disk.Append(activeTemp, data); err != nil {
-		return trace.Wrap(err)
-	}
-	if err := disk.Sync(activeTemp); err != nil {
-		return trace.Wrap(err)
-	}
-	return trace.Wrap(disk.Rename(activeTemp, activeFile))
+	return trace.Wrap(csdisk.WriteFile(n.config, activeFile, data))
 }
--- a/csnode/tree.go
+++ b/csnode/tree.go
@@ -41,7 +41,7 @@
 //
 // Links and the operator interface are goroutines of net/http servers. They only pass messages to the children.
 type tree struct {
-	ready chan struct{} // closed when the children below are set
+	ready                                                chan struct{} // closed when the children below are set
 	root, rollout, targets, requests, deferred, capacity *actor.PID
 }
 
