--- a/csfleet/apply.go
+++ b/csfleet/apply.go
@@ -178,7 +178,7 @@
 			return c.Replacement.apply(m, at).Status
 		}
 	}
-	if !home.canGiveUp() {
+	if !home.canRemove() {
 		return NotAllowed
 	}
 	return OK
--- a/csfleet/budget.go
+++ b/csfleet/budget.go
@@ -13,6 +13,7 @@
 	configured  bool // in the active configuration
 	homes       int
 	leaving     int // homes in a permanent move
+	lost        int
 	unavailable int
 	zones       map[csmodel.AvailabilityZone]zoneCount
 }
@@ -24,9 +25,12 @@
 	return len(p.config.Zones) == 0 || slices.Contains(p.config.Zones, z)
 }
 
-// canGiveUp tells whether a home VM may leave for good. Otherwise permanent moves and removals could shrink a pool below
-// its size while its budget looks unused.
-func (p *pool) canGiveUp() bool { return !p.configured || p.homes-p.leaving-1 >= p.config.Size }
+// canRemove tells whether a lost home VM may be removed without a replacement. Otherwise removals could shrink a pool
+// below its size while its budget looks unused.
+func (p *pool) canRemove() bool { return !p.configured || p.homes-p.leaving-1 >= p.config.Size }
+
+// canGiveUp tells whether a home VM may leave for good. Lost VMs do not make up for it.
+func (p *pool) canGiveUp() bool { return !p.configured || p.homes-p.leaving-p.lost-1 >= p.config.Size }
 
 func (m *Machine) pool(id csmodel.PoolID) *pool {
 	p, ok := m.pools[id]
@@ -46,6 +50,9 @@
 	if v.Step == StepMove && v.Permanent {
 		p.leaving += delta
 	}
+	if v.State == Lost {
+		p.lost += delta
+	}
 	if !m.available(v) {
 		p.unavailable += delta
 		z.unavailable += delta
