--- a/csnode/requests.go
+++ b/csnode/requests.go
@@ -49,7 +49,7 @@
 	case *actor.Started:
 		a.start(now)
 	case *actor.Stopping:
-		a.run(a.router.Stop())
+		a.run(a.router.Stop(now))
 	case tick:
 		a.tick(now)
 	case arrival:
@@ -71,7 +71,7 @@
 	case issueKeys:
 		m.reply <- a.keys.Issue(now, m.count)
 	case beginDrain:
-		a.router.Drain()
+		a.router.Drain(now)
 	case drainState:
 		m.reply <- a.router.Drained()
 	case readLoads:
