Use new connections for a new incarnation of a target

The seeded slot test did not see the attempts of a restarted holder, so it passed without the protection of their slots. Change: connections are kept by address and incarnation. TestFaults uses a new connection for its last attempt. The slot test counts the leases of restarted holders until they end. Conclusion: a reboot no longer makes orders unknown through old connections.

--- a/csdispatch/client.go
+++ b/csdispatch/client.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"cowslipstream.example/cowslipstream/csmodel"
 	"cowslipstream.example/cowslipstream/csrequest"
 )
 
@@ -28,7 +29,7 @@
 const (
 	maxBody        = 1 << 20 // bytes of a response body
 	maxHeader      = 16 << 10
-	maxPeers       = 1024 // addresses whose connections are kept
+	maxPeers       = 1024 // lives of targets whose connections are kept
 	maxIdle        = 64   // idle connections to an address
 	defaultConnect = time.Second
 	defaultIdle    = 10 * time.Second
@@ -50,11 +51,18 @@
 type Client struct {
 	config   Config
 	mu       sync.Mutex
-	peers    map[string]*peer
+	peers    map[peerID]*peer
 	sequence uint64
 }
 
-// peer holds the connections to one address.
+// peerID names one life of a target. A rebooted target closes its connections, and an order that is sent on one of them
+// before the close is noticed would become unknown, so a new incarnation gets new connections.
+type peerID struct {
+	address     string
+	incarnation csmodel.Incarnation
+}
+
+// peer holds the connections to one life of a target.
 type peer struct {
 	transport *http.Transport
 	busy      int
@@ -69,7 +77,7 @@
 	if c.Idle == 0 {
 		c.Idle = defaultIdle
 	}
-	return &Client{config: c, peers: map[string]*peer{}}
+	return &Client{config: c, peers: map[peerID]*peer{}}
 }
 
 // Do sends one attempt and returns its AttemptAnswered, AttemptRefused or AttemptFailed event. It returns at the latest
@@ -77,7 +85,7 @@
 func (c *Client) Do(ctx context.Context, d csrequest.Dispatch, body []byte) csrequest.Event {
 	ctx, cancel := context.WithTimeout(ctx, d.Limit)
 	defer cancel()
-	p := c.acquire(d.Address)
+	p := c.acquire(peerID{address: d.Address, incarnation: d.Incarnation})
 	defer c.release(p)
 
 	var used connections
@@ -112,7 +120,7 @@
 }
 
 // failed closes the connections of an attempt and tells whether any part of the request may have been sent. After a
-// timeout the idle connections to the address are closed too, because an intermediary that lost the state of one
+// timeout the idle connections to the target are closed too, because an intermediary that lost the state of one
 // connection may have lost that of all.
 func (c *Client) failed(ctx context.Context, p *peer, used *connections, d csrequest.Dispatch) csrequest.Event {
 	sent := used.seal()
@@ -162,16 +170,16 @@
 	}
 }
 
-func (c *Client) acquire(address string) *peer {
+func (c *Client) acquire(id peerID) *peer {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p, ok := c.peers[address]
+	p, ok := c.peers[id]
 	if !ok {
 		if len(c.peers) >= maxPeers {
 			c.evict()
 		}
 		p = &peer{transport: c.transport()}
-		c.peers[address] = p
+		c.peers[id] = p
 	}
 	c.sequence++
 	p.used = c.sequence
@@ -185,21 +193,21 @@
 	p.busy--
 }
 
-// evict drops the address that was not used for the longest time.
+// evict drops the peer that was not used for the longest time.
 func (c *Client) evict() {
-	oldest := ""
-	for address, p := range c.peers {
-		if p.busy == 0 && (oldest == "" || p.used < c.peers[oldest].used) {
-			oldest = address
+	var oldest peerID
+	for id, p := range c.peers {
+		if p.busy == 0 && (oldest.address == "" || p.used < c.peers[oldest].used) {
+			oldest = id
 		}
 	}
-	if oldest != "" {
+	if oldest.address != "" {
 		c.peers[oldest].transport.CloseIdleConnections()
 		delete(c.peers, oldest)
 	}
 }
 
-// transport returns a transport for one address. The number of connections is bounded by the attempts in flight, which the
+// transport returns a transport for one peer. The number of connections is bounded by the attempts in flight, which the
 // router keeps within the connections of its leases.
 func (c *Client) transport() *http.Transport {
 	dialer := &net.Dialer{
--- a/csfake/target_test.go
+++ b/csfake/target_test.go
@@ -161,6 +161,8 @@
 			t.Errorf("fault %d: got %d executions", tt.fault, n)
 		}
 	}
+	target.SetFault(FaultNone)
+	client.Close() // the second response of the last fault may still arrive on its connection
 	client.Do(context.Background(), attempt(target, "again", ample), []byte("call-0\n"))
 	if got := ledger.Duplicates(); !slices.Equal(got, []string{"call-0"}) || ledger.Total() != len(tests)+1 {
 		t.Errorf("got duplicates %v of %d", got, ledger.Total())
--- a/cstarget/grantor_test.go
+++ b/cstarget/grantor_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -189,6 +190,7 @@
 	now       time.Time
 	homes     []*Registry
 	holders   []*Holder
+	dead      []*Holder // whose leases may not have ended
 	sequences map[csmodel.VMID]uint64
 	home      map[csmodel.VMID]int
 	moved     map[csmodel.VMID]bool
@@ -240,10 +242,12 @@
 		r.Tick(w.now)
 	}
 	w.announce()
+	w.dead = slices.DeleteFunc(w.dead, func(h *Holder) bool { return len(h.Leases(w.now)) == 0 })
 	i := w.random.IntN(len(w.holders))
 	h := w.holders[i]
 	switch w.random.IntN(200) {
-	case 0: // restart of a holder
+	case 0: // restart of a holder, whose attempts run on
+		w.dead = append(w.dead, h)
 		w.holders[i] = w.newHolder(i, h.config.Incarnation+1)
 	case 1: // restart of a home node
 		home := w.random.IntN(2)
@@ -312,7 +316,7 @@
 func (w *slotWorld) check() error {
 	for _, vm := range slotTargets {
 		held := 0
-		for _, h := range w.holders {
+		for _, h := range slices.Concat(w.dead, w.holders) {
 			for _, l := range h.Leases(w.now) {
 				if l.Target == vm {
 					held += l.Slots
