--- a/csfleet/property_test.go
+++ b/csfleet/property_test.go
@@ -69,12 +69,15 @@
 // unavailable counts by the definition on the design page, independent of the machine's counts. voluntary counts the
 // VMs that are lent or in a step.
 func (w *world) unavailable(id csmodel.PoolID) (all, voluntary int) {
-	for _, v := range w.machine.VMs() {
-		ok, _ := w.machine.Reachable(v.Zone)
-		if v.Home == id && (v.Pool != v.Home || v.State != Serving || !ok) {
+	for _, v := range w.machine.order {
+		if v.Home != id {
+			continue
+		}
+		away := v.Pool != v.Home
+		if ok, _ := w.machine.Reachable(v.Zone); away || v.State != Serving || !ok {
 			all++
 		}
-		if v.Home == id && (v.Pool != v.Home || v.State != Serving && v.State != Lost) {
+		if away || v.State != Serving && v.State != Lost {
 			voluntary++
 		}
 	}
