End a reboot only after the VM has announced since

Change: FinishReboot needs an announcement after the start of the reboot; the simulations announce it when heard.

--- a/csfleet/compare.go
+++ b/csfleet/compare.go
@@ -66,6 +66,7 @@
 
 type trialVM struct {
 	Observation
+	life        csmodel.Incarnation // of the process; the observation follows when it announces
 	lostUntil   time.Time
 	drainedAt   time.Time
 	rebootUntil time.Time
@@ -96,8 +97,8 @@
 	})
 	for _, z := range t.zones {
 		for n := range compareRack {
-			v := &trialVM{Observation: Observation{
-				VM: csmodel.VMID(fmt.Sprintf("%s-%s-%d", id, z, n)), Incarnation: 1, Zone: z, Rack: csmodel.Rack(z), Pool: id,
+			v := &trialVM{life: 1, Observation: Observation{
+				VM: csmodel.VMID(fmt.Sprintf("%s-%s-%d", id, z, n)), Zone: z, Rack: csmodel.Rack(z), Pool: id,
 			}}
 			t.vms = append(t.vms, v)
 			t.byID[v.VM] = v
@@ -132,7 +133,7 @@
 	for _, v := range t.vms {
 		if t.rng.Float64() < lossRate && t.now.After(v.lostUntil) {
 			v.lostUntil = t.now.Add(lossTime)
-			v.Incarnation++
+			v.life++
 		}
 	}
 }
@@ -151,6 +152,7 @@
 		silent := t.now.Before(v.lostUntil) || t.now.Before(v.rebootUntil)
 		if !silent && !t.isolated(v.Zone) {
 			v.Heard = t.now
+			v.Incarnation = v.life
 			v.Drained = !v.drainedAt.IsZero() && !t.now.Before(v.drainedAt)
 		}
 		if !v.Heard.IsZero() {
@@ -189,8 +191,8 @@
 		}
 	case Reboot:
 		v := t.reach(i.VM)
-		if v != nil && v.Incarnation == i.Incarnation {
-			v.Incarnation++
+		if v != nil && v.life == i.Incarnation {
+			v.life++
 			v.rebootUntil = t.now.Add(rebootTime)
 			v.drainedAt = time.Time{}
 			v.Drained = false
--- a/csfleet/follow.go
+++ b/csfleet/follow.go
@@ -114,7 +114,7 @@
 }
 
 func (t *tick) followRebooting(v *VM, ob *Observation) {
-	if ob.Incarnation > v.Incarnation {
+	if ob.Incarnation > v.Incarnation && ob.Heard.After(v.Since) {
 		t.propose(FinishReboot{VM: v.ID, Fence: v.Fence, Incarnation: ob.Incarnation})
 		return
 	}
--- a/csfleet/world_test.go
+++ b/csfleet/world_test.go
@@ -41,6 +41,7 @@
 
 type worldVM struct {
 	Observation
+	life        csmodel.Incarnation // of the process; the observation follows when it announces
 	lostUntil   time.Time
 	rebootUntil time.Time
 	draining    bool
@@ -90,8 +91,9 @@
 func (w *world) addVM(pool csmodel.PoolID) *worldVM {
 	zone := csmodel.AvailabilityZone(fmt.Sprint(w.spawned % 3))
 	v := &worldVM{
+		life: 1,
 		Observation: Observation{
-			VM: csmodel.VMID(fmt.Sprintf("v%03d", w.spawned)), Incarnation: 1, Zone: zone,
+			VM: csmodel.VMID(fmt.Sprintf("v%03d", w.spawned)), Zone: zone,
 			Rack: csmodel.Rack(fmt.Sprintf("%s-%d", zone, w.spawned/12)), Pool: pool, CPU: 4000, Memory: 16 * csmodel.GiB,
 		},
 		tasks: make(map[csmodel.TaskID]worldTask),
@@ -142,7 +144,7 @@
 }
 
 func (w *world) restartVM(v *worldVM) {
-	v.Incarnation++
+	v.life++
 	v.draining = false
 	v.Drained = false
 	clear(v.tasks)
@@ -162,6 +164,7 @@
 	for _, v := range w.vms {
 		if !w.silent(v) && !w.cut(v) {
 			v.Heard = w.now
+			v.Incarnation = v.life
 			v.Drained = v.draining && len(v.tasks) == 0
 		}
 		if !v.Heard.IsZero() {
@@ -225,7 +228,7 @@
 			v.draining = false
 		}
 	case Reboot:
-		if v := w.reach(i.VM, i.Fence); v != nil && v.Incarnation == i.Incarnation {
+		if v := w.reach(i.VM, i.Fence); v != nil && v.life == i.Incarnation {
 			w.restartVM(v)
 			v.rebootUntil = w.now.Add(time.Minute)
 		}
@@ -326,7 +329,7 @@
 	all := []Command{
 		StartReboot{VM: v.VM, Fence: f}, StartMove{VM: v.VM, Fence: f, To: w.pool()}, UndoMove{VM: v.VM, Fence: f},
 		HandOver{VM: v.VM, Fence: f}, Admit{VM: v.VM, Fence: f}, ReportLost{VM: v.VM, Fence: f},
-		RegisterVM{VM: v.VM, Home: w.pool(), Zone: v.Zone, Incarnation: 1},
+		RegisterVM{VM: v.VM, Home: w.pool(), Zone: v.Zone, Incarnation: v.life},
 		PauseWave{Wave: wave, Operator: true}, ResumeWave{Wave: wave, Operator: true}, Configure{Revision: 1},
 	}
 	w.network = append(w.network, all[w.rng.IntN(len(all))])
