--- a/csclient/exchange.go
+++ b/csclient/exchange.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"cowslipstream.example/cowslipstream/csapi"
@@ -49,8 +50,7 @@
 	if r.Header == nil {
 		r.Header = http.Header{}
 	}
-	// Without GetBody the transport does not resend a body on its own. Resending is decided by outcome.
-	r.GetBody = nil
+	hideKey(r)
 	response, err := c.http.Do(r)
 	if err != nil {
 		return reply{}, &sendError{sent: !isDialError(err), cause: err}
@@ -66,6 +66,17 @@
 	return reply{status: response.StatusCode, header: response.Header, body: body}, nil
 }
 
+// hideKey keeps the transport from resending requests on its own, which it does where it finds an Idempotency-Key or can
+// obtain the body again. A hidden resend would hide an attempt whose outcome is open. Header names are the same in any
+// case to the node, but the transport looks for the canonical one.
+func hideKey(r *http.Request) {
+	r.GetBody = nil
+	if key := r.Header.Get(csapi.KeyHeader); key != "" {
+		r.Header.Del(csapi.KeyHeader)
+		r.Header[strings.ToLower(csapi.KeyHeader)] = []string{key}
+	}
+}
+
 // maxResponse bounds every response. Status and dump of a full-size installation are larger than an answer.
 const maxResponse = 16 << 20
 
