--- a/cssettings/parse.go
+++ b/cssettings/parse.go
@@ -20,7 +20,7 @@
 // type csyaml.Faults and lists every fault with its position. No fault holds a secret or token.
 func Parse(file string, data []byte) (Settings, error) {
 	var s Settings
-	document, err := csyaml.Decode(file, data, &s, "secret", "token")
+	document, err := csyaml.Decode(file, data, &s, "secret", "tokens", "token")
 	if err != nil {
 		return Settings{}, err
 	}
--- a/csyaml/decode.go
+++ b/csyaml/decode.go
@@ -8,12 +8,17 @@
 	"time"
 
 	"github.com/goccy/go-yaml/ast"
+
+	"cowslipstream.example/cowslipstream/csmodel"
 )
 
 // Decode reads a document into the struct that out points to. Fields are named by their yaml tags. The error is of type
-// Faults and lists all faults. Values of the hidden fields appear in no fault.
+// Faults and lists all faults. Values of the hidden fields and of misspelt fields appear in no
+// fault of a document that has hidden fields.
 func Decode(file string, data []byte, out any, hidden ...string) (*Document, error) {
-	d := &decoder{Document: newDocument(file, data, hidden)}
+	known := csmodel.NewSet[string]()
+	collectFields(reflect.TypeOf(out).Elem(), known)
+	d := &decoder{Document: newDocument(file, data, known, hidden)}
 	root := d.parse(data)
 	if root != nil {
 		d.value(root, reflect.ValueOf(out).Elem(), "")
@@ -147,6 +152,20 @@
 	return names
 }
 
+// collectFields adds the names of all fields of a type and of the types inside it.
+func collectFields(t reflect.Type, names csmodel.Set[string]) {
+	if t.Kind() == reflect.Slice {
+		t = t.Elem()
+	}
+	if t.Kind() != reflect.Struct || t == reflect.TypeFor[time.Time]() {
+		return
+	}
+	for i := range t.NumField() {
+		names.Add(fieldName(t.Field(i)))
+		collectFields(t.Field(i).Type, names)
+	}
+}
+
 func fieldName(f reflect.StructField) string {
 	name, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
 	return name
--- a/csyaml/document.go
+++ b/csyaml/document.go
@@ -1,7 +1,11 @@
 package csyaml
 
 import (
+	"regexp"
+	"slices"
 	"strings"
+
+	"cowslipstream.example/cowslipstream/csmodel"
 )
 
 // Document is a decoded file. It gives faults found after decoding their position in the file.
@@ -9,6 +13,7 @@
 	file      string
 	lines     []string
 	hidden    []string
+	known     csmodel.Set[string]
 	positions map[string]position
 }
 
@@ -16,11 +21,12 @@
 	line, column int
 }
 
-func newDocument(file string, data []byte, hidden []string) *Document {
+func newDocument(file string, data []byte, known csmodel.Set[string], hidden []string) *Document {
 	return &Document{
 		file:      file,
 		lines:     strings.Split(string(data), "\n"),
 		hidden:    hidden,
+		known:     known,
 		positions: map[string]position{},
 	}
 }
@@ -64,13 +70,18 @@
 // excerptLength bounds an excerpt in bytes, for files with very long lines.
 const excerptLength = 160
 
-func (d *Document) excerpt(line int) string {
-	if line < 1 || line > len(d.lines) {
+// line returns the text of a line without white space at its end.
+func (d *Document) line(number int) string {
+	if number < 1 || number > len(d.lines) {
 		return ""
 	}
-	text := strings.TrimRight(d.lines[line-1], "\r \t")
+	return strings.TrimRight(d.lines[number-1], "\r \t")
+}
+
+func (d *Document) excerpt(number int) string {
+	text := d.line(number)
 	if len(d.hidden) > 0 {
-		text = hide(text, d.hidden)
+		text = d.hide(text)
 	}
 	if len(text) > excerptLength {
 		text = strings.ToValidUTF8(text[:excerptLength], "") + " ..."
@@ -80,39 +91,33 @@
 
 const hiddenValue = "[hidden]"
 
-// hide removes the value from a line unless the line has the form "key: value" with a key that is neither hidden nor
-// close to a hidden one. A misspelt key must not reveal a secret.
-func hide(line string, hidden []string) string {
-	key, value, found := strings.Cut(line, ":")
-	name := strings.Trim(key, " \t-'\"")
-	switch {
-	case strings.TrimSpace(line) == "" || isComment(line):
+// keyPattern matches the key of an entry in block or flow style.
+var keyPattern = regexp.MustCompile(`([^\s{}\[\],:"']+)["']?\s*:(?:\s|$)`)
+
+// hide removes everything after the first key that is hidden or unknown. A misspelt key must not reveal a secret, and
+// neither must a secret that continues on a line of its own.
+func (d *Document) hide(line string) string {
+	if strings.TrimSpace(line) == "" || strings.HasPrefix(strings.TrimSpace(line), "#") {
 		return line
-	case !found:
+	}
+	keys := keyPattern.FindAllStringSubmatchIndex(line, -1)
+	if len(keys) == 0 {
 		return hiddenValue
-	case strings.TrimSpace(value) == "":
-		return line
-	case !isWord(name) || isSensitive(name, hidden):
-		return key + ": " + hiddenValue
-	default:
-		return line
 	}
-}
-
-func isComment(line string) bool { return strings.HasPrefix(strings.TrimSpace(line), "#") }
-
-func isWord(name string) bool {
-	for _, r := range name {
-		if r < 'a' || r > 'z' {
-			return false
+	for _, at := range keys {
+		name := line[at[2]:at[3]]
+		if !d.known.Has(name) || slices.Contains(d.hidden, name) {
+			return line[:at[3]] + ": " + hiddenValue
 		}
 	}
-	return name != ""
+	return line
 }
 
-func isSensitive(name string, hidden []string) bool {
-	for _, h := range hidden {
-		if strings.HasPrefix(h, name) || strings.HasPrefix(name, h) || distance(name, h) <= maxDistance {
+// isHidden tells whether a path leads to or through a hidden field.
+func (d *Document) isHidden(path string) bool {
+	for segment := range strings.SplitSeq(path, ".") {
+		name, _, _ := strings.Cut(segment, "[")
+		if slices.Contains(d.hidden, name) {
 			return true
 		}
 	}
--- a/csyaml/parse.go
+++ b/csyaml/parse.go
@@ -82,7 +82,11 @@
 	if len(d.hidden) > 0 {
 		reason = "invalid YAML"
 	}
-	d.report(at, Syntax, "", reason, "check indentation, quotes and brackets at this line and the one before")
+	fix := "check indentation, quotes and brackets at this line and the one before"
+	if strings.HasPrefix(d.line(at.line), "\t") {
+		fix = "indent with spaces rather than tabs"
+	}
+	d.report(at, Syntax, "", reason, fix)
 }
 
 // start returns the position where a node begins.
--- a/csyaml/scalar.go
+++ b/csyaml/scalar.go
@@ -168,7 +168,7 @@
 	case ast.SequenceType:
 		return "a list"
 	default:
-		if isSensitive(path[strings.LastIndexByte(path, '.')+1:], d.hidden) {
+		if d.isHidden(path) {
 			return "a value"
 		}
 		return shorten(strconv.Quote(scalarText(n)))
