Serve and demo run the entry node

Cause: the two subcommands were placeholders. Change: serve runs csnode until SIGTERM and drains; demo runs csdemo and prints its table. Conclusion: one command shows the whole path.

--- a/cmd/cowslipstream/demo.go
+++ b/cmd/cowslipstream/demo.go
@@ -1,9 +1,12 @@
 package main
 
 import (
-	"context"
-	"errors"
-	"io"
+	"go.uber.org/zap"
+
+	"cowslipstream.example/cowslipstream/csdemo"
+	"cowslipstream.example/cowslipstream/cslog"
+	"cowslipstream.example/cowslipstream/csmodel"
+	"cowslipstream.example/cowslipstream/cssettings"
 )
 
 const demoUsage = `Runs an installation of 3 availability zones in one process on loopback for
@@ -14,16 +17,28 @@
 
 type demoCommand struct {
 	*app
+	Verbose bool `long:"verbose" description:"log the events of all nodes to standard error"`
 }
 
 // Execute runs the subcommand.
 func (c *demoCommand) Execute([]string) error {
-	return demo(c.ctx, c.stdout)
-}
-
-var errDemo = errors.New("demo: this build contains no entry node")
-
-// demo runs the demonstration and prints its report.
-func demo(_ context.Context, _ io.Writer) error {
-	return errDemo
+	log := zap.NewNop()
+	if c.Verbose {
+		verbose, err := cslog.New(cssettings.LevelInfo, c.stderr)
+		if err != nil {
+			return err
+		}
+		log = verbose
+	}
+	result, err := csdemo.Run(c.ctx, c.stdout, csdemo.Layout{
+		Region: "demo", Zones: []csmodel.AvailabilityZone{"north", "south", "east"}, NodesPerZone: 2, Voters: 3, Log: log,
+	})
+	if err != nil {
+		return err
+	}
+	result.Print(c.stdout)
+	if !result.Held() {
+		return &reported{status: exitFailure}
+	}
+	return nil
 }
--- a/cmd/cowslipstream/serve.go
+++ b/cmd/cowslipstream/serve.go
@@ -1,10 +1,8 @@
 package main
 
 import (
-	"context"
-	"errors"
-	"io"
-
+	"cowslipstream.example/cowslipstream/cslog"
+	"cowslipstream.example/cowslipstream/csnode"
 	"cowslipstream.example/cowslipstream/cssettings"
 	"cowslipstream.example/cowslipstream/csyaml"
 )
@@ -29,12 +27,9 @@
 	if err != nil {
 		return err
 	}
-	return serve(c.ctx, settings, c.stderr)
-}
-
-var errServe = errors.New("serve: this build contains no entry node")
-
-// serve runs a node until the context ends. It logs to the given writer.
-func serve(_ context.Context, _ cssettings.Settings, _ io.Writer) error {
-	return errServe
+	log, err := cslog.New(settings.Log, c.stderr)
+	if err != nil {
+		return err
+	}
+	return csnode.Serve(c.ctx, settings, log)
 }
--- a/csnode/tree.go
+++ b/csnode/tree.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"log/slog"
 	"sync/atomic"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
-	"go.uber.org/zap/exp/zapslog"
 
+	"cowslipstream.example/cowslipstream/cslog"
 	"cowslipstream.example/cowslipstream/csmodel"
 )
 
@@ -48,9 +47,8 @@
 type tick struct{}
 
 func (n *Node) startTree() error {
-	n.system = actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
-		return slog.New(zapslog.NewHandler(n.log.WithOptions(zap.IncreaseLevel(zap.WarnLevel)).Core()))
-	}), actor.WithDeadLetterRequestLogging(false))
+	quiet := n.log.WithOptions(zap.IncreaseLevel(zap.WarnLevel))
+	n.system = actor.NewActorSystem(cslog.Actors(quiet), actor.WithDeadLetterRequestLogging(false))
 	ready := make(chan error, 1)
 	strategy := actor.NewOneForOneStrategy(restartLimit, restartWindow, func(reason any) actor.Directive {
 		n.metrics.restarts.Inc()
