End a drain when the holders have confirmed it

Change: a target is quiet when every holder has confirmed the end of its lease and reports no attempt in flight; targets out of service announce every 200 ms.

--- a/csdemo/scenario.go
+++ b/csdemo/scenario.go
@@ -33,12 +33,12 @@
 
 // Load of the demo.
 const (
-	quoteRate    = 40.0 // requests per second
-	burstFactor  = 6
+	quoteRate    = 60.0 // requests per second
+	burstFactor  = 5
 	orderRate    = 15.0 // requests per second
 	taskCount    = 40
 	taskRuntime  = 800 * time.Millisecond
-	serviceTime  = 150 * time.Millisecond
+	serviceTime  = 200 * time.Millisecond
 	callTimeout  = 4 * time.Second
 	taskDeadline = 60 * time.Second
 )
--- a/cstarget/division.go
+++ b/cstarget/division.go
@@ -40,7 +40,7 @@
 		until := min(at+SlotLease, rec.grantEnd())
 		l.set(at, slots[i], until, r.Sequence)
 		if slots[i] > 0 {
-			rec.leasedUntil = max(rec.leasedUntil, until)
+			rec.quietAt = never
 			grants = append(grants, g.export(rec, l, at))
 		}
 	}
@@ -81,7 +81,7 @@
 	until := min(at+SlotLease, rec.grantEnd())
 	l.set(at, 1, until, r.Sequence)
 	l.probe = true
-	rec.leasedUntil = max(rec.leasedUntil, until)
+	rec.quietAt = never
 	return g.export(rec, l, at), true
 }
 
--- a/cstarget/grantor.go
+++ b/cstarget/grantor.go
@@ -184,6 +184,22 @@
 	}
 }
 
+// settle records since when a target is quiet: no node holds an unexpired lease, none has reported an attempt in flight
+// within the last slot lease, and no earlier home node can have leases out. The attempts of a node that went silent end
+// up in the target's own count of running attempts.
+func (g *Grantor) settle(at time.Duration, rec *record) {
+	active := at < rec.grantAfter || rec.leased(at) > 0
+	for _, state := range g.nodes {
+		active = active || at < state.seen+SlotLease && state.busyOn(rec.id) > 0
+	}
+	switch {
+	case active:
+		rec.quietAt = never
+	case rec.quietAt == never:
+		rec.quietAt = at
+	}
+}
+
 // prune forgets nodes that stopped asking.
 func (g *Grantor) prune(at time.Duration) {
 	for node, state := range g.nodes {
--- a/cstarget/record.go
+++ b/cstarget/record.go
@@ -21,7 +21,7 @@
 	announced   time.Duration
 	interval    time.Duration // of the last reply
 	grantAfter  time.Duration // no grant before this time
-	leasedUntil time.Duration // end of the longest lease ever granted
+	quietAt     time.Duration // since when no node can start an attempt or has one in flight; never while one can
 	leases      []lease       // in the order of node ids
 	acks        []TaskAck
 	cores       int32
@@ -45,6 +45,9 @@
 	previousUntil time.Duration
 }
 
+// never stands for a time that has not come.
+const never = time.Duration(math.MaxInt64)
+
 // clamp returns a count as it is stored in a record.
 func clamp(n int) uint16 { return uint16(max(0, min(n, math.MaxUint16))) }
 
--- a/cstarget/registry.go
+++ b/cstarget/registry.go
@@ -13,6 +13,9 @@
 	minInterval    = time.Second     // shortest heartbeat interval
 	minTargetLease = 3 * time.Second // shortest target lease
 	leaseIntervals = 3               // target lease in heartbeat intervals
+	// drainInterval is the heartbeat interval of a target that is out of service, so that its drain and its preparation
+	// for another pool are seen soon. Few targets are in this state at once.
+	drainInterval = 200 * time.Millisecond
 	// heartbeatSize is the size in bytes of an announcement, its reply and their HTTP headers. TestHeartbeatSize checks it.
 	heartbeatSize = 900
 	heartbeatRate = 8 << 10 // largest heartbeat traffic of a node in bytes per second
@@ -139,10 +142,12 @@
 	case !created && a.Incarnation != rec.incarnation:
 		// The target refuses attempts for its previous incarnation.
 		rec.leases = nil
-		rec.leasedUntil = at
+		rec.quietAt = at
 		rec.drained = false
 	}
-	rec.leasedUntil = max(rec.leasedUntil, rec.grantAfter)
+	if rec.grantAfter > at {
+		rec.quietAt = never
+	}
 	rec.address = a.Address
 	rec.zone = csmodel.AvailabilityZone(r.name(string(a.Zone)))
 	rec.rack = csmodel.Rack(r.name(string(a.Rack)))
@@ -163,6 +168,9 @@
 func (r *Registry) reply(rec *record, reports []TaskReport) AnnounceReply {
 	owner := r.owners[rec.id]
 	interval := r.Interval()
+	if owner.Pool != "" && !owner.Usable || rec.leaving {
+		interval = min(interval, drainInterval)
+	}
 	return AnnounceReply{
 		Node:     r.config.Node,
 		Interval: interval,
@@ -203,16 +211,17 @@
 	return events
 }
 
-// becameDrained tells once that a target has no work. Attempts may start until the last lease ends, so only a later
-// announcement proves it.
+// becameDrained tells once that a target has no work. Attempts may start until every lease has ended or its holder has
+// confirmed its end, so only a later announcement proves it.
 func (r *Registry) becameDrained(at time.Duration, rec *record) bool {
+	r.grantor.settle(at, rec)
 	owner, owned := r.owners[rec.id]
 	if !rec.leaving && (!owned || owner.Usable) {
 		rec.drained = false
 		return false
 	}
-	idle := rec.running == 0 && rec.tasks == 0 && rec.leased(at) == 0 && rec.announced >= rec.leasedUntil
-	if !idle || rec.drained || at < rec.grantAfter {
+	idle := rec.running == 0 && rec.tasks == 0 && rec.announced >= rec.quietAt
+	if !idle || rec.drained {
 		return false
 	}
 	rec.drained = true
