--- a/csapi/problem.go
+++ b/csapi/problem.go
@@ -38,8 +38,8 @@
 	return Problem{Type: kind, Title: http.StatusText(status), Status: status, Detail: detail}
 }
 
-// Error returns status, title and detail in one line.
-func (p Problem) Error() string {
+// String returns status, title and detail in one line.
+func (p Problem) String() string {
 	if p.Detail == "" {
 		return fmt.Sprintf("%d %s", p.Status, p.Title)
 	}
--- a/csclient/errors.go
+++ b/csclient/errors.go
@@ -63,6 +63,20 @@
 // Unwrap returns the cause.
 func (e *UnknownError) Unwrap() error { return e.Cause }
 
+// ProblemError is an error response of a node.
+type ProblemError struct {
+	csapi.Problem
+}
+
+// Error returns status, title and detail.
+func (e *ProblemError) Error() string { return e.String() }
+
+// IsProblem tells whether an error is an error response with the given HTTP status.
+func IsProblem(err error, status int) bool {
+	var p *ProblemError
+	return errors.As(err, &p) && p.Status == status
+}
+
 // Faults in responses.
 var (
 	errNoOutcome = errors.New("response without outcome")
--- a/csclient/exchange.go
+++ b/csclient/exchange.go
@@ -86,13 +86,13 @@
 }
 
 // problem returns the problem in the body of an error response.
-func (r reply) problem() csapi.Problem {
+func (r reply) problem() *ProblemError {
 	var p csapi.Problem
 	if r.header.Get(csapi.TypeHeader) == csapi.ProblemType && json.Unmarshal(r.body, &p) == nil {
 		p.Status = r.status
-		return p
+		return &ProblemError{Problem: p}
 	}
-	return csapi.NewProblem(r.status, "", "")
+	return &ProblemError{Problem: csapi.NewProblem(r.status, "", "")}
 }
 
 // retryAfter returns the delay of the Retry-After header, which is a number of seconds or a date.
--- a/csclient/request_test.go
+++ b/csclient/request_test.go
@@ -100,7 +100,7 @@
 	f.keys = append(f.keys, key)
 	switch next {
 	case refuses, refusesInput, isUnsure, resetsBefore:
-	default:
+	default: // every other action runs the request
 		if key == "" || f.runs[key] == 0 {
 			f.runs[key]++
 		}
@@ -120,6 +120,7 @@
 	h.Set(csapi.KeyHeader, key)
 	status, body := http.StatusOK, ownBody
 	switch next {
+	case answers:
 	case refuses:
 		h.Set(csapi.OutcomeHeader, string(csapi.NotRun))
 		status = http.StatusServiceUnavailable
--- a/csclient/tasks.go
+++ b/csclient/tasks.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -122,9 +121,3 @@
 	}
 	return t, err
 }
-
-// IsProblem tells whether an error holds a problem with the given HTTP status.
-func IsProblem(err error, status int) bool {
-	var p csapi.Problem
-	return errors.As(err, &p) && p.Status == status
-}
--- a/csconfig/validate.go
+++ b/csconfig/validate.go
@@ -22,7 +22,7 @@
 // checked.
 const MaintenanceTime = 5 * time.Minute
 
-// Validate returns nil or all faults of the configuration as csyaml.Faults with path, reason and fix.
+// Validate returns nil or a *csyaml.InvalidError with the path, reason and fix of every fault.
 func (c Configuration) Validate() error {
 	return c.check().faults.Err()
 }
--- a/csconfig/yaml.go
+++ b/csconfig/yaml.go
@@ -4,8 +4,8 @@
 	"cowslipstream.example/cowslipstream/csyaml"
 )
 
-// Parse reads and validates a configuration. The file name appears in faults only. The error is of type csyaml.Faults
-// and lists every fault with its position.
+// Parse reads and validates a configuration. The file name appears in faults only. The error is a
+// *csyaml.InvalidError and lists every fault with its position.
 func Parse(file string, data []byte) (Configuration, error) {
 	return parse(file, data, Configuration.Validate)
 }
--- a/cssettings/parse.go
+++ b/cssettings/parse.go
@@ -16,8 +16,8 @@
 // DefaultMemory is the memory limit of a node at full size.
 const DefaultMemory = 32 * csmodel.MiB
 
-// Parse reads settings, fills in defaults and validates them. The file name appears in faults only. The error is of
-// type csyaml.Faults and lists every fault with its position. No fault holds a secret or token.
+// Parse reads settings, fills in defaults and validates them. The file name appears in faults only. The error is a
+// *csyaml.InvalidError and lists every fault with its position. No fault holds a secret or token.
 func Parse(file string, data []byte) (Settings, error) {
 	var s Settings
 	document, err := csyaml.Decode(file, data, &s, "secret", "tokens", "token")
--- a/cssettings/validate.go
+++ b/cssettings/validate.go
@@ -30,7 +30,7 @@
 // printable matches what an HTTP header can carry as a bearer token.
 var printable = regexp.MustCompile(`^[!-~]+$`)
 
-// Validate returns nil or all faults of the settings as csyaml.Faults with path, reason and fix.
+// Validate returns nil or a *csyaml.InvalidError with the path, reason and fix of every fault.
 func (s Settings) Validate() error {
 	v := &validator{Settings: s}
 	v.checkOwn()
--- a/csyaml/decode.go
+++ b/csyaml/decode.go
@@ -12,12 +12,12 @@
 	"cowslipstream.example/cowslipstream/csmodel"
 )
 
-// Decode reads a document into the struct that out points to. Fields are named by their yaml tags. The error is of type
-// Faults and lists all faults. Values of the hidden fields and of misspelt fields appear in no
+// Decode reads a document into the struct that out points to. Fields are named by their yaml tags. The error is an
+// *InvalidError and lists all faults. Values of the hidden fields and of misspelt fields appear in no
 // fault of a document that has hidden fields.
 func Decode(file string, data []byte, out any, hidden ...string) (*Document, error) {
 	known := csmodel.NewSet[string]()
-	collectFields(reflect.TypeOf(out).Elem(), known)
+	collectFields(reflect.TypeOf(out).Elem(), known, csmodel.NewSet[reflect.Type]())
 	d := &decoder{Document: newDocument(file, data, known, hidden)}
 	root := d.parse(data)
 	if root != nil {
@@ -153,16 +153,17 @@
 }
 
 // collectFields adds the names of all fields of a type and of the types inside it.
-func collectFields(t reflect.Type, names csmodel.Set[string]) {
+func collectFields(t reflect.Type, names csmodel.Set[string], seen csmodel.Set[reflect.Type]) {
 	if t.Kind() == reflect.Slice {
 		t = t.Elem()
 	}
-	if t.Kind() != reflect.Struct || t == reflect.TypeFor[time.Time]() {
+	if t.Kind() != reflect.Struct || t == reflect.TypeFor[time.Time]() || seen.Has(t) {
 		return
 	}
+	seen.Add(t)
 	for i := range t.NumField() {
 		names.Add(fieldName(t.Field(i)))
-		collectFields(t.Field(i).Type, names)
+		collectFields(t.Field(i).Type, names, seen)
 	}
 }
 
--- a/csyaml/document.go
+++ b/csyaml/document.go
@@ -42,7 +42,7 @@
 		placed[i] = d.at(d.find(f.Path), f)
 	}
 	sortFaults(placed)
-	return placed
+	return placed.Err()
 }
 
 // find returns the position of a path, or of the nearest enclosing value where the path is absent.
--- a/csyaml/fault.go
+++ b/csyaml/fault.go
@@ -44,8 +44,8 @@
 	Fix    string
 }
 
-// Error returns position, path, reason and fix in one line.
-func (f Fault) Error() string {
+// String returns position, path, reason and fix in one line.
+func (f Fault) String() string {
 	text := f.headline()
 	if f.Fix != "" {
 		text += "; fix: " + f.Fix
@@ -106,11 +106,16 @@
 // Faults is everything that is wrong with a document.
 type Faults []Fault
 
+// InvalidError says that a document has faults.
+type InvalidError struct {
+	Faults Faults
+}
+
 // Error returns one line for each fault.
-func (fs Faults) Error() string {
-	lines := make([]string, len(fs))
-	for i, f := range fs {
-		lines[i] = f.Error()
+func (e *InvalidError) Error() string {
+	lines := make([]string, len(e.Faults))
+	for i, f := range e.Faults {
+		lines[i] = f.String()
 	}
 	return strings.Join(lines, "\n")
 }
@@ -129,12 +134,12 @@
 	}
 }
 
-// Err returns nil where there are no faults.
+// Err returns an *InvalidError, or nil where there are no faults.
 func (fs Faults) Err() error {
 	if len(fs) == 0 {
 		return nil
 	}
-	return fs
+	return &InvalidError{Faults: fs}
 }
 
 // Print writes every fault with its excerpt and fix.
@@ -146,9 +151,9 @@
 
 // List returns the faults that an error holds, or nil where it holds none.
 func List(err error) Faults {
-	var fs Faults
-	if errors.As(err, &fs) {
-		return fs
+	var invalid *InvalidError
+	if errors.As(err, &invalid) {
+		return invalid.Faults
 	}
 	return nil
 }
--- a/csyaml/limits.go
+++ b/csyaml/limits.go
@@ -90,6 +90,7 @@
 		}
 	case token.MappingValueType:
 		l.addKey(tk)
+	default: // other tokens do not nest
 	}
 }
 
