Report requests that were never sent as not run, and the id of an apply without verdict

Cause: a request whose context had ended before it was sent was reported as unknown; an apply that ended without a response did not tell how to repeat it. Change: exchange checks the context first; apply prints the submission id and base; media types may have parameters. Conclusion: unknown is reported only where a byte may have been sent.

--- a/cmd/cowslipstream/apply.go
+++ b/cmd/cowslipstream/apply.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strings"
 
+	"github.com/google/uuid"
+
 	"cowslipstream.example/cowslipstream/csapi"
 	"cowslipstream.example/cowslipstream/csclient"
 	"cowslipstream.example/cowslipstream/csconfig"
@@ -62,10 +64,13 @@
 	if err != nil {
 		return err
 	}
+	if c.ID == "" {
+		c.ID = uuid.NewString()
+	}
 	submission := csapi.Submission{ID: csmodel.SubmissionID(c.ID), Base: base, Text: string(text)}
 	verdict, err := client.Apply(ctx, submission)
 	if err != nil {
-		return err
+		return fmt.Errorf("submission %s: %w; repeat it with --id %s --base %d", c.ID, err, c.ID, base)
 	}
 	return c.finish(ctx, client, verdict)
 }
--- a/csclient/exchange.go
+++ b/csclient/exchange.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"mime"
 	"net"
 	"net/http"
 	"strconv"
@@ -42,6 +43,9 @@
 
 // exchange sends a message to one node and reads the complete response.
 func (c *Client) exchange(ctx context.Context, address string, m message) (reply, error) {
+	if err := context.Cause(ctx); err != nil {
+		return reply{}, &sendError{cause: err}
+	}
 	r, err := http.NewRequestWithContext(ctx, m.method, "http://"+address+m.path, bytes.NewReader(m.body))
 	if err != nil {
 		return reply{}, &sendError{cause: err}
@@ -88,13 +92,19 @@
 // problem returns the problem in the body of an error response.
 func (r reply) problem() *ProblemError {
 	var p csapi.Problem
-	if r.header.Get(csapi.TypeHeader) == csapi.ProblemType && json.Unmarshal(r.body, &p) == nil {
+	if r.hasType(csapi.ProblemType) && json.Unmarshal(r.body, &p) == nil {
 		p.Status = r.status
 		return &ProblemError{Problem: p}
 	}
 	return &ProblemError{Problem: csapi.NewProblem(r.status, "", "")}
 }
 
+// hasType tells whether the body has a media type, with or without parameters.
+func (r reply) hasType(want string) bool {
+	got, _, err := mime.ParseMediaType(r.header.Get(csapi.TypeHeader))
+	return err == nil && got == want
+}
+
 // retryAfter returns the delay of the Retry-After header, which is a number of seconds or a date.
 func (r reply) retryAfter(now time.Time) time.Duration {
 	text := r.header.Get(csapi.RetryHeader)
--- a/csclient/request_test.go
+++ b/csclient/request_test.go
@@ -248,6 +248,21 @@
 	}
 }
 
+// Guards against an unknown outcome for a request that was never sent.
+func TestRequestEnded(t *testing.T) {
+	node := newFakeNode(t)
+	c := csclient.New(csclient.Options{Nodes: []string{node.address()}})
+	defer c.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for _, idempotent := range []bool{false, true} {
+		_, err := c.Request(ctx, csclient.Request{Job: "quote", Idempotent: idempotent})
+		if !errors.Is(err, csclient.ErrNotRun) || !errors.Is(err, context.Canceled) {
+			t.Errorf("got %v, want %v", err, csclient.ErrNotRun)
+		}
+	}
+}
+
 // Guards against a dead node in the list that fails requests while another node serves.
 func TestRequestDeadNode(t *testing.T) {
 	dead := newFakeNode(t)
--- a/csclient/send.go
+++ b/csclient/send.go
@@ -28,7 +28,7 @@
 		if err != nil {
 			return reply{}, err
 		}
-		if slices.Contains(accept, r.status) && r.header.Get(csapi.TypeHeader) == csapi.JSONType {
+		if slices.Contains(accept, r.status) && r.hasType(csapi.JSONType) {
 			return r, nil
 		}
 		return r, c.judge(r)
--- a/cssettings/validate.go
+++ b/cssettings/validate.go
@@ -30,7 +30,8 @@
 // printable matches what an HTTP header can carry as a bearer token.
 var printable = regexp.MustCompile(`^[!-~]+$`)
 
-// Validate returns nil or a *csyaml.InvalidError with the path, reason and fix of every fault.
+// Validate returns nil or a *csyaml.InvalidError with the path, reason and fix of every fault. Fill in
+// Defaults first.
 func (s Settings) Validate() error {
 	v := &validator{Settings: s}
 	v.checkOwn()
