Report a drained or prepared target at once

Cause: the region's leader learned of a drained target up to 500 ms late, and the demand of the demo did not exceed its pool, so that the delay did not show.

--- a/csnode/operators.go
+++ b/csnode/operators.go
@@ -142,7 +142,7 @@
 		wanted = csmodel.Revision(parsed)
 	}
 	head := w.n.latest(r.Context())
-	if wanted > head.Revision {
+	if head.Revision == 0 || wanted > head.Revision {
 		problem(rw, r, http.StatusNotFound, "", "no such revision")
 		return
 	}
--- a/csnode/targets.go
+++ b/csnode/targets.go
@@ -31,6 +31,7 @@
 	remote   map[csmodel.NodeID][]csmodel.PoolSummary
 	loads    loadsChanged
 	ticks    int
+	news     bool // a move or maintenance waits for the next report
 
 	summary     uint64 // hash of the summaries sent last
 	summarySent time.Time
@@ -165,6 +166,7 @@
 			a.n.log.Info("target announced", zap.String("vm", string(t.ID)), zap.String("address", t.Address),
 				zap.Uint64("incarnation", uint64(t.Incarnation)))
 		case cstarget.TargetChanged:
+			a.news = true
 			a.n.log.Debug("target changed", zap.String("vm", string(t.ID)))
 		case cstarget.TargetLost, cstarget.TargetLeft:
 			delete(a.tasks, t.ID)
@@ -173,6 +175,7 @@
 			a.n.log.Warn("target lost", zap.String("vm", string(t.ID)), zap.Bool("leaving", t.Leaving))
 		case cstarget.TargetDrained:
 			a.drained[t.ID] = t.Fence
+			a.news = true
 			a.n.log.Info("target drained", zap.String("vm", string(t.ID)), zap.Uint64("fence", uint64(t.Fence)))
 		}
 	}
@@ -201,7 +204,8 @@
 	if a.ticks%summaryTicks == 0 {
 		a.summarise(now)
 	}
-	if a.ticks%reportTicks == 0 {
+	if a.ticks%reportTicks == 0 || a.news {
+		a.news = false
 		a.report(now)
 	}
 }
