Close both groups at the same time; run property seeds in parallel

Cause: a node without another voter took 3.0 s to stop after its drain, as each group waits 1.5 s for a transfer of its leadership. Change: the groups close in parallel. The seeds of the property tests run in parallel.

--- a/csfleet/property_test.go
+++ b/csfleet/property_test.go
@@ -24,6 +24,7 @@
 func TestMachineProperties(t *testing.T) {
 	for seed := uint64(1); seed <= propertySeeds; seed++ {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
 			w := newWorld(t, seed)
 			for w.commands < propertyCommands {
 				w.step()
--- a/csnode/replication.go
+++ b/csnode/replication.go
@@ -2,6 +2,7 @@
 
 import (
 	"path/filepath"
+	"sync"
 
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/gravitational/trace"
@@ -170,15 +171,20 @@
 	n.region.Receive(from, m)
 }
 
+// closeGroups closes both groups at the same time, because each may wait for the transfer of its leadership.
 func (n *Node) closeGroups() {
+	var all sync.WaitGroup
 	for _, g := range []*csgroup.Group{n.global, n.region} {
 		if g == nil {
 			continue
 		}
-		if err := g.Close(); err != nil {
-			n.log.Warn("group closed", zap.Error(err))
-		}
+		all.Go(func() {
+			if err := g.Close(); err != nil {
+				n.log.Warn("group closed", zap.Error(err))
+			}
+		})
 	}
+	all.Wait()
 }
 
 // viewFleet reads the local replica of the region's machine.
--- a/cstask/property_test.go
+++ b/cstask/property_test.go
@@ -37,23 +37,33 @@
 // duplicated, reordered and stale commands; and against replicas that differ after a restore.
 func TestTableProperties(t *testing.T) {
 	for seed := uint64(1); seed <= 4; seed++ {
-		m := &model{
-			t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), now: epoch,
-			table: New(Limits{Retention: time.Hour, Ended: 500}), replica: New(Limits{Retention: time.Hour, Ended: 500}),
-			accepted: make(map[csmodel.TaskID]Submit), ended: make(map[csmodel.TaskID]State), forgotten: make(csmodel.Set[csmodel.TaskID]),
-		}
-		for i := range propertyCommands {
-			m.now = m.now.Add(time.Duration(m.rng.IntN(2000)) * time.Millisecond)
-			m.apply(m.choose())
-			if i%2500 == 2499 {
-				m.restore()
-				m.checkAll()
-			}
-		}
-		if len(m.ended) < propertyCommands/50 {
-			m.failf("only %d tasks ended", len(m.ended))
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			newModel(t, seed).run()
+		})
+	}
+}
+
+func newModel(t *testing.T, seed uint64) *model {
+	limits := Limits{Retention: time.Hour, Ended: 500}
+	return &model{
+		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), now: epoch, table: New(limits), replica: New(limits),
+		accepted: make(map[csmodel.TaskID]Submit), ended: make(map[csmodel.TaskID]State), forgotten: make(csmodel.Set[csmodel.TaskID]),
+	}
+}
+
+func (m *model) run() {
+	for i := range propertyCommands {
+		m.now = m.now.Add(time.Duration(m.rng.IntN(2000)) * time.Millisecond)
+		m.apply(m.choose())
+		if i%2500 == 2499 {
+			m.restore()
+			m.checkAll()
 		}
 	}
+	if len(m.ended) < propertyCommands/50 {
+		m.failf("only %d tasks ended", len(m.ended))
+	}
 }
 
 // choose returns a new command or, in a third of the cases, an earlier one: a duplicate, reordered and often stale.
