Wake the requests child when something is due instead of every 20 ms

Cause: half of the idle processor time of a node went to ticks; most of it was the requests child with 50 ticks a second and the stack growth of each mailbox run. Change: 10 ticks a second and a wake message for earlier deadlines of the router and for new demand; 4 instead of 10 ticks for the roll-out.

--- a/csnode/requests.go
+++ b/csnode/requests.go
@@ -13,7 +13,7 @@
 )
 
 // loadTicks is the number of ticks of requestsTick between two reports of the load.
-const loadTicks = 10
+const loadTicks = 2
 
 // requestsActor runs the router, the idempotency keys and the slots held by this node.
 type requestsActor struct {
@@ -22,10 +22,18 @@
 	keys    *csrequest.Keys
 	holder  *cstarget.Holder
 	ticks   int
-	leases  int // slot leases passed to the router
+	renewed time.Time // last look for due slot requests
+	urgent  bool      // the demand changed since then
+	woken   time.Time // time of the next wake message that is on its way
 	forward map[csrequest.RequestID]csmodel.NodeID
 }
 
+// minRenew is the shortest time between two looks for due slot requests.
+const minRenew = 20 * time.Millisecond
+
+// wake lets the router handle a time that comes before the next tick.
+type wake struct{}
+
 type (
 	arrival struct {
 		event csrequest.Arrive
@@ -52,6 +60,10 @@
 		a.run(a.router.Stop(now))
 	case tick:
 		a.tick(now)
+	case wake:
+		a.woken = time.Time{}
+		a.step(now, csrequest.Tick{})
+		a.renew(now)
 	case arrival:
 		a.step(now, m.event)
 	case csrequest.Event:
@@ -61,6 +73,7 @@
 	case cstarget.SlotGrant:
 		if a.holder.Granted(m) {
 			a.shareLeases(now)
+			a.renew(now)
 		}
 	case summaryOf:
 		a.summary(now, m)
@@ -79,6 +92,27 @@
 	case readLeases:
 		m.reply <- a.holder.Leases(now)
 	}
+	a.schedule(now)
+}
+
+// schedule asks for a wake message where the router or a due slot request cannot wait for the next tick.
+func (a *requestsActor) schedule(now time.Time) {
+	if a.router == nil {
+		return
+	}
+	next, ok := a.router.Next()
+	if a.urgent && (!ok || next.After(a.renewed.Add(minRenew))) {
+		next, ok = a.renewed.Add(minRenew), true
+	}
+	if !ok || next.After(now.Add(requestsTick)) || !a.woken.IsZero() && !next.Before(a.woken) {
+		return
+	}
+	a.woken = next
+	a.n.clock.AfterFunc(max(next.Sub(now), time.Millisecond), func() {
+		if a.n.life.Err() == nil {
+			a.n.send(a.n.tree.requests, wake{})
+		}
+	})
 }
 
 // start begins without requests. Callers of a failed predecessor get their outcome from what was sent for them.
@@ -128,6 +162,7 @@
 			a.n.waiters.resolve(c)
 		case csrequest.Demand:
 			a.holder.Demand(c.SlotDemand)
+			a.urgent = true
 		}
 	}
 	a.n.journal.append(records)
@@ -175,17 +210,35 @@
 
 func (a *requestsActor) shareLeases(now time.Time) {
 	leases := a.holder.Leases(now)
-	a.leases = len(leases)
 	a.step(now, csrequest.SlotsChanged{Leases: leases})
 }
 
 func (a *requestsActor) tick(now time.Time) {
 	a.step(now, csrequest.Tick{})
+	a.renew(now)
+	a.ticks++
+	if a.ticks%loadTicks != 0 {
+		return
+	}
+	a.keys.Tick(now)
+	a.n.journal.compact(now, a.keys)
+	a.shareLeases(now)
+	loads := a.router.Loads(now)
+	a.n.metrics.observeLoads(loads)
+	a.n.send(a.n.tree.targets, loadsChanged{loads: poolLoads(loads), waits: a.router.Waits(now)})
+}
+
+// renew sends the slot requests that are due.
+func (a *requestsActor) renew(now time.Time) {
+	if now.Sub(a.renewed) < minRenew {
+		a.urgent = true
+		return
+	}
+	a.renewed = now
+	a.urgent = false
 	var uses []cstarget.TargetUse
 	for _, u := range a.router.Uses() {
-		uses = append(uses, cstarget.TargetUse{
-			Target: u.Target, Incarnation: u.Incarnation, Busy: u.Busy, Good: u.Good, Bad: u.Bad,
-		})
+		uses = append(uses, cstarget.TargetUse(u))
 	}
 	a.holder.Uses(uses)
 	for _, r := range a.holder.Requests(now) {
@@ -195,16 +248,6 @@
 		}
 		a.n.notify(r.Home, kindSlots, encode(r.Request), "slots")
 	}
-	a.ticks++
-	if a.ticks%loadTicks != 0 {
-		return
-	}
-	a.keys.Tick(now)
-	a.n.journal.compact(now, a.keys)
-	a.shareLeases(now)
-	loads := a.router.Loads(now)
-	a.n.metrics.observeLoads(loads)
-	a.n.send(a.n.tree.targets, loadsChanged{loads: poolLoads(loads), waits: a.router.Waits(now)})
 }
 
 func poolLoads(loads []csrequest.Load) []poolLoad {
--- a/csnode/tree.go
+++ b/csnode/tree.go
@@ -21,9 +21,9 @@
 
 // Intervals of the ticks of the children.
 const (
-	rolloutTick  = 100 * time.Millisecond
+	rolloutTick  = 250 * time.Millisecond
 	targetsTick  = 100 * time.Millisecond
-	requestsTick = 20 * time.Millisecond
+	requestsTick = 100 * time.Millisecond
 	deferredTick = 250 * time.Millisecond
 	capacityTick = 250 * time.Millisecond
 )
