Test replicated groups on a virtual clock

Cause: csgroup had no tests. Change: a cluster of groups on a fake clock with links in memory and fake disks; tests for a killed and an isolated leader, restart after 1,000 changes, lost and damaged folders, a second loss after a repair, disk errors, panics, message loss and planned stops. Calls no longer use Context.Err, which waits for the end in the context of the fake clock.

--- a/csgroup/call.go
+++ b/csgroup/call.go
@@ -56,7 +56,18 @@
 }
 
 // over tells whether nobody waits for the call.
-func (c *call) over() bool { return c.stage.Load() == stageAbandoned || c.ctx.Err() != nil }
+func (c *call) over() bool { return c.stage.Load() == stageAbandoned || c.expired() }
+
+// expired tells whether the context has ended. It does not use Err, which in the context of a fake clock waits for the
+// end.
+func (c *call) expired() bool {
+	select {
+	case <-c.ctx.Done():
+		return true
+	default:
+		return false
+	}
+}
 
 // claim marks a proposal as sent. It fails where the caller was told before that it was not.
 func (c *call) claim() bool {
--- a/csgroup/group.go
+++ b/csgroup/group.go
@@ -182,7 +182,7 @@
 	if g.closed.Load() {
 		return nil, ErrClosed
 	}
-	if err := c.ctx.Err(); err != nil {
+	if c.expired() {
 		return nil, c.unsent()
 	}
 	defer g.waiting.Add(-1)
--- /dev/null
+++ b/csgroup/group_test.go
@@ -0,0 +1,328 @@
+package csgroup
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/goleak"
+
+	"cowslipstream.example/cowslipstream/csdisk"
+	"cowslipstream.example/cowslipstream/csmodel"
+	"cowslipstream.example/cowslipstream/csraft"
+)
+
+// TestLeaderKilled guards against a group that does not form, does not serve its learners or needs more than 2 s for the
+// next leader.
+func TestLeaderKilled(t *testing.T) {
+	c := newCluster(t, 2)
+	c.awaitLeader()
+	total := uint64(0)
+	for _, id := range []csmodel.NodeID{"a", "b", "c", "l0", "l1"} {
+		total++
+		c.mustPropose(c.nodes[id].group, total)
+		for _, reader := range []csmodel.NodeID{"a", "b", "c", "l0"} {
+			if got, err := c.read(c.nodes[reader].group); err != nil || got != total {
+				t.Fatalf("%s reads %d %v after %d", reader, got, err, total)
+			}
+		}
+	}
+	leader := c.leader().Status()
+	c.kill(leader.Self)
+	took := c.until("a new leader", 5*time.Second, func() bool { return c.leader() != nil })
+	t.Logf("new leader after %v", took)
+	if took >= 2*time.Second {
+		t.Errorf("got a new leader after %v, want less than 2 s", took)
+	}
+	c.mustPropose(c.nodes["l0"].group, total+1)
+	c.start(leader.Self)
+	c.until("all replicas equal", 10*time.Second, func() bool { return c.same(total + 1) })
+}
+
+// TestIsolatedLeader guards against decisions by a leader that was replaced, and against reporting a proposal as not run
+// that may have been.
+func TestIsolatedLeader(t *testing.T) {
+	c := newCluster(t, 1)
+	old := c.awaitLeader()
+	c.mustPropose(old, 1)
+	c.isolate(old.Status().Self, true)
+	_, err := c.propose(old, 500*time.Millisecond)
+	wantErr(t, err, ErrTimeout)
+	c.until("the old leader stops", csraft.DefaultLease, func() bool { return !old.Status().Leading })
+	if c.leader() != nil {
+		t.Fatal("a second leader before the lease ended")
+	}
+	c.until("a new leader", 3*time.Second, func() bool { return c.leader() != nil })
+	c.mustPropose(c.leader(), 2)
+	_, err = c.propose(old, time.Second)
+	wantErr(t, err, ErrNoLeader)
+	if _, err = c.read(old); !errors.Is(err, ErrNoLeader) {
+		t.Errorf("got %v from a read on the isolated node, want %v", err, ErrNoLeader)
+	}
+	if got := view(old); got != 1 {
+		t.Errorf("got %d in the isolated replica, want 1", got)
+	}
+	c.isolate(old.Status().Self, false)
+	c.until("all replicas equal", 10*time.Second, func() bool { return c.same(2) })
+}
+
+// TestRestart guards against losing or repeating any of 1,000 changes over a restart of all nodes, and of a learner that
+// starts from a snapshot.
+func TestRestart(t *testing.T) {
+	const changes = 1000
+	c := newCluster(t, 1)
+	leader := c.awaitLeader()
+	err := c.run(func() error { return proposeAll(c, leader, changes) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, id := range []csmodel.NodeID{"a", "b", "c", "l0"} {
+		c.kill(id)
+	}
+	for _, id := range []csmodel.NodeID{"a", "b", "c", "l0"} {
+		c.start(id)
+	}
+	c.awaitLeader()
+	c.mustPropose(c.nodes["l0"].group, changes+1)
+	c.until("all replicas equal", 10*time.Second, func() bool { return c.same(changes + 1) })
+	if s := c.leader().Status(); s.First < 900 || s.LogBytes > 64*csmodel.KiB {
+		t.Errorf("the log was not compacted: first entry %d, %v", s.First, s.LogBytes)
+	}
+}
+
+func proposeAll(c *cluster, g *Group, n int) error {
+	ctx, cancel := clockwork.WithTimeout(context.Background(), c.clock, time.Minute)
+	defer cancel()
+	errs := make(chan error, n)
+	for range n {
+		go func() {
+			_, err := g.Propose(ctx, []byte("add"))
+			errs <- err
+		}()
+	}
+	var all error
+	for range n {
+		all = errors.Join(all, <-errs)
+	}
+	return all
+}
+
+// TestLostFolder guards against a vote of a node that lost its folder, and against a membership change that leaves fewer
+// reachable voters than a quorum when a second voter is lost right after the repair.
+func TestLostFolder(t *testing.T) {
+	c := newCluster(t, 0)
+	leader := c.awaitLeader()
+	c.mustPropose(leader, 1)
+	lost := c.follower()
+	old, _ := member(leader, lost.id)
+	c.kill(lost.id)
+	lost.disk = csdisk.NewFake()
+	c.mustPropose(leader, 2)
+	c.start(lost.id)
+	c.until("the new incarnation is a voter", 5*time.Second, func() bool {
+		m, ok := member(leader, lost.id)
+		return ok && m.Voter && m.Incarnation > old.Incarnation
+	})
+	c.until("the new incarnation has all entries", 2*time.Second, func() bool { return view(lost.group) == 2 })
+
+	second := c.follower(lost.id)
+	c.kill(second.id)
+	c.pass(csraft.DefaultLease)
+	err := c.change(leader, csraft.Change{Member: csraft.Member{Node: lost.id}, Remove: true})
+	wantErr(t, err, ErrRefused)
+	wantErr(t, err, ErrRefused)
+	c.mustPropose(leader, 3)
+	err = c.change(leader, csraft.Change{Member: csraft.Member{Node: second.id}, Remove: true})
+	if err != nil {
+		t.Errorf("the removal of the lost voter: %v", err)
+	}
+}
+
+// TestSecondFolderLost guards against a group that continues with one voter when the folder of a second voter is lost
+// before the first one is repaired: its entries may be on no other node.
+func TestSecondFolderLost(t *testing.T) {
+	c := newCluster(t, 0)
+	leader := c.awaitLeader()
+	c.mustPropose(leader, 1)
+	first := c.follower()
+	second := c.follower(first.id)
+	c.kill(first.id)
+	first.disk = csdisk.NewFake()
+	c.start(first.id)
+	c.until("the first one is a learner", 5*time.Second, func() bool {
+		m, ok := member(leader, first.id)
+		return ok && !m.Voter
+	})
+	c.kill(second.id)
+	second.disk = csdisk.NewFake()
+	c.start(second.id)
+	c.pass(10 * time.Second)
+	for _, g := range c.groups() {
+		if s := g.Status(); s.Leading {
+			t.Errorf("%s leads with members %+v", s.Self, s.Members)
+		}
+	}
+	if got := view(leader); got != 1 {
+		t.Errorf("got %d, want 1", got)
+	}
+}
+
+// TestDamagedFolder guards against using a folder with a changed byte.
+func TestDamagedFolder(t *testing.T) {
+	c := newCluster(t, 0)
+	leader := c.awaitLeader()
+	c.mustPropose(leader, 1)
+	n := c.follower()
+	c.kill(n.id)
+	names, err := n.disk.List()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range names {
+		if len(name) > 4 && name[:4] == "log-" {
+			if err := n.disk.FlipBit(name, 200); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	c.start(n.id)
+	c.until("the node votes again", 10*time.Second, func() bool {
+		m, _ := member(leader, n.id)
+		return m.Voter && m.Incarnation == n.group.Status().Incarnation
+	})
+	if s := n.group.Status(); s.Damaged != 1 || view(n.group) != 1 {
+		t.Errorf("got %+v, want one damaged folder", s)
+	}
+}
+
+// TestDiskError guards against a node that votes or leads with a failed disk, stops serving or does not return.
+func TestDiskError(t *testing.T) {
+	c := newCluster(t, 0)
+	broken := errors.New("sync failed")
+	leader := c.awaitLeader()
+	c.mustPropose(leader, 1)
+	n := c.nodes[leader.Status().Self]
+	n.disk.FailSync(broken)
+	if got, err := c.propose(leader, 20*time.Second); err != nil || got != 2 {
+		t.Fatalf("got %d %v from the node with the failed disk, want 2 by the next leader", got, err)
+	}
+	s := leader.Status()
+	if s.Leading || !errors.Is(s.Err, broken) || len(n.errs) == 0 {
+		t.Errorf("got %+v, want a node that reports the disk error", s)
+	}
+	c.until("the node follows", 5*time.Second, func() bool { return view(leader) == 2 })
+	n.disk.FailSync(nil)
+	c.until("the node votes again", 15*time.Second, func() bool { return leader.Status().Err == nil })
+	c.kill(c.follower(n.id).id)
+	c.mustPropose(c.awaitLeader(), 3)
+}
+
+// TestPanic guards against a panic of one machine that ends the process or leaves a half-changed replica.
+func TestPanic(t *testing.T) {
+	c := newCluster(t, 1)
+	leader := c.awaitLeader()
+	for _, id := range []csmodel.NodeID{c.follower().id, "l0"} {
+		n := c.nodes[id]
+		n.group.replica.mu.Lock()
+		n.machine.poison = true
+		n.group.replica.mu.Unlock()
+		c.mustPropose(leader, view(leader)+1)
+		c.until("the panic is reported", 5*time.Second, func() bool { return errors.Is(n.group.Status().Err, errPanic) })
+		c.until("the replica is built again", 10*time.Second, func() bool {
+			return n.group.Status().Err == nil && view(n.group) == view(leader)
+		})
+	}
+}
+
+// TestLoss guards against proposals that are lost, applied twice or answered with the result of another one while messages
+// are lost and leaders change.
+func TestLoss(t *testing.T) {
+	c := newCluster(t, 2)
+	c.awaitLeader()
+	c.loss = 20
+	const each = 150
+	var mu sync.Mutex
+	seen := map[uint64]bool{}
+	var wg sync.WaitGroup
+	for _, g := range c.groups() {
+		for range each {
+			wg.Go(func() {
+				b, err := g.Propose(context.Background(), []byte("add"))
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil || seen[binary.BigEndian.Uint64(b)] {
+					t.Errorf("got %v %v, want a new result", b, err)
+					return
+				}
+				seen[binary.BigEndian.Uint64(b)] = true
+			})
+		}
+	}
+	old := c.leader().options.Config.Self
+	c.pass(300 * time.Millisecond)
+	c.isolate(old, true)
+	c.pass(3 * time.Second)
+	c.isolate(old, false)
+	_ = c.run(func() error {
+		wg.Wait()
+		return nil
+	})
+	c.loss = 0
+	c.until("all replicas equal", 20*time.Second, func() bool { return c.same(uint64(len(seen))) })
+	if len(seen) != 5*each {
+		t.Errorf("got %d results, want %d", len(seen), 5*each)
+	}
+}
+
+// TestClose guards against a planned stop that waits for an election timeout, a leaked goroutine and calls that never
+// return. It uses the real clock and file system.
+func TestClose(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	disk, err := csdisk.OpenOS(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer disk.Close()
+	var g *Group
+	o := Options{
+		Config:  csraft.Config{Self: "a", Members: []csraft.Member{{Node: "a", Voter: true}}},
+		Machine: &counter{}, Disk: disk, Send: func(csmodel.NodeID, csraft.Message) {},
+	}
+	for want := range uint64(2) {
+		o.Machine = &counter{}
+		if g, err = New(o); err != nil {
+			t.Fatal(err)
+		}
+		b, err := g.Propose(t.Context(), nil)
+		if err != nil || binary.BigEndian.Uint64(b) != want+1 {
+			t.Fatalf("got %v %v, want %d", b, err, want+1)
+		}
+		if err := g.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	_, err = g.Propose(t.Context(), nil)
+	wantErr(t, err, ErrClosed)
+}
+
+// TestTransfer guards against a planned stop of the leader that costs an election timeout.
+func TestTransfer(t *testing.T) {
+	c := newCluster(t, 0)
+	leader := c.awaitLeader()
+	c.mustPropose(leader, 1)
+	start := c.clock.Now()
+	if err := c.run(leader.Close); err != nil {
+		t.Fatal(err)
+	}
+	c.mu.Lock()
+	c.nodes[leader.options.Config.Self].group = nil
+	c.mu.Unlock()
+	c.mustPropose(c.awaitLeader(), 2)
+	if took := c.clock.Since(start); took > 500*time.Millisecond {
+		t.Errorf("the next leader took %v, want no election timeout", took)
+	}
+}
