--- a/csgroup/calls.go
+++ b/csgroup/calls.go
@@ -236,9 +236,9 @@
 	r.step(csraft.Read{ID: id})
 }
 
-// finishTransfers ends the transfers when this node does not lead.
+// finishTransfers ends the transfers when this node does not lead or no other voter is reachable.
 func (r *runner) finishTransfers() {
-	leads := r.core != nil && r.core.Role() == csraft.Leader
+	leads := r.core != nil && r.core.Role() == csraft.Leader && r.core.CanTransfer()
 	var kept []*call
 	for _, k := range r.calls.transfers {
 		switch {
--- a/csgroup/group.go
+++ b/csgroup/group.go
@@ -45,7 +45,8 @@
 	waiting atomic.Int64
 	closed  atomic.Bool
 	stop    chan struct{}
-	once    sync.Once
+	once    sync.Once // of Close
+	halted  sync.Once // closes stop
 	status  statusBox
 }
 
@@ -171,7 +172,8 @@
 	return err
 }
 
-// Transfer hands the leadership to a voter that is caught up and returns when this node does not lead.
+// Transfer hands the leadership to a voter that is caught up. It returns when this node does not lead or no other voter
+// is reachable.
 func (g *Group) Transfer(ctx context.Context) error {
 	_, err := g.wait(newCall(ctx, callTransfer, csraft.Proposal{}))
 	return err
@@ -222,10 +224,15 @@
 	return nil
 }
 
+// halt ends waiting calls and the ticks, also where the supervisor stops the actor.
+func (g *Group) halt() {
+	g.closed.Store(true)
+	g.halted.Do(func() { close(g.stop) })
+}
+
 // end stops the actor without a transfer.
 func (g *Group) end() {
-	g.closed.Store(true)
-	close(g.stop)
+	g.halt()
 	_ = g.root.StopFuture(g.pid).Wait() // the actor always stops; Wait reports a disk that takes longer than its limit
 	if g.system != nil {
 		g.system.Shutdown()
--- a/csgroup/group_test.go
+++ b/csgroup/group_test.go
@@ -326,3 +326,46 @@
 		t.Errorf("the next leader took %v, want no election timeout", took)
 	}
 }
+
+// TestFormation guards against a second group: empty nodes must not form one while a configured voter may hold a log.
+func TestFormation(t *testing.T) {
+	c := newCluster(t, 0)
+	c.kill("c")
+	c.nodes["c"].disk = csdisk.NewFake()
+	c.pass(10 * time.Second)
+	if c.leader() != nil {
+		t.Fatal("a group was formed without all configured voters")
+	}
+	c.start("c")
+	c.mustPropose(c.awaitLeader(), 1)
+	c.kill("b")
+	c.kill("c")
+	c.kill("a")
+	c.nodes["a"].disk = csdisk.NewFake()
+	c.nodes["b"].disk = csdisk.NewFake()
+	c.start("a")
+	c.start("b")
+	c.pass(10 * time.Second)
+	if c.leader() != nil {
+		t.Error("a second group was formed while a voter with a log was down")
+	}
+}
+
+// TestBrokenLink guards against a node that depends on its one link to the leader.
+func TestBrokenLink(t *testing.T) {
+	c := newCluster(t, 1)
+	leader := c.awaitLeader()
+	c.mustPropose(leader, 1)
+	c.until("all replicas equal", 5*time.Second, func() bool { return c.same(1) })
+	self := leader.Status().Self
+	for _, id := range []csmodel.NodeID{"l0", c.follower().id} {
+		c.cut[[2]csmodel.NodeID{self, id}] = true
+		c.cut[[2]csmodel.NodeID{id, self}] = true
+	}
+	c.pass(3 * time.Second)
+	c.mustPropose(c.nodes["l0"].group, 2)
+	c.until("all replicas equal", 5*time.Second, func() bool { return c.same(2) })
+	if !leader.Status().Leading {
+		t.Error("the leader was replaced because of a link that a quorum does not need")
+	}
+}
--- a/csgroup/runner.go
+++ b/csgroup/runner.go
@@ -66,8 +66,8 @@
 		r.incarnation = r.o.Config.Incarnation
 		r.build()
 	case *actor.Stopping:
-		r.group.closed.Store(true)
 		r.calls.stop()
+		r.group.halt()
 	case *tick:
 		m.done()
 		r.tick()
--- a/csraft/core_test.go
+++ b/csraft/core_test.go
@@ -139,3 +139,17 @@
 		t.Errorf("the removal of the lost voter is not replicated: %+v", out)
 	}
 }
+
+// TestRenumber guards against a new folder that is ignored for good because the clock that numbered it was set back, and
+// against a replaced node that returns by taking a higher number.
+func TestRenumber(t *testing.T) {
+	reply := Receive{Message: Message{Kind: MessageJoinReply, From: "b", Incarnation: 1, Formed: true, Known: 9}}
+	fresh := New(Config{Self: "a", Incarnation: 4, Members: testMembers.Members}, Restored{})
+	if got, ok := out0(fresh.Step(time.Unix(1000, 0), reply)).(Renumber); !ok || got.Incarnation != 10 {
+		t.Errorf("got %+v, want incarnation 10", got)
+	}
+	replaced, now := testCore(t, "a", HardState{Term: 4})
+	if out := replaced.Step(now, reply); len(out) > 0 {
+		t.Errorf("got %+v from a node that was replaced, want nothing", out)
+	}
+}
--- a/csraft/election.go
+++ b/csraft/election.go
@@ -33,7 +33,8 @@
 
 func (c *Core) tickVoter() {
 	c.fetchWhenStale()
-	if c.now.Before(c.deadline) {
+	alone := len(c.log.membership().Voters()) == 1
+	if c.now.Before(c.deadline) && !alone {
 		return
 	}
 	c.startCampaign(campaign{kind: MessagePreVote, members: c.log.membership()})
--- a/csraft/propose.go
+++ b/csraft/propose.go
@@ -183,6 +183,16 @@
 // ForgetRead drops a read that is no longer waited for.
 func (c *Core) ForgetRead(id uint64) { delete(c.reads, id) }
 
+// CanTransfer tells whether another voter is reachable.
+func (c *Core) CanTransfer() bool {
+	for _, p := range c.lead.peers {
+		if p.voter && c.reachable(p) {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Core) startTransfer() {
 	if c.role == Leader && c.lead.transferUntil.IsZero() {
 		c.lead.transferUntil = c.now.Add(c.config.Election)
