--- a/cstarget/registry.go
+++ b/cstarget/registry.go
@@ -13,9 +13,9 @@
 	minInterval    = time.Second     // shortest heartbeat interval
 	minTargetLease = 3 * time.Second // shortest target lease
 	leaseIntervals = 3               // target lease in heartbeat intervals
-	// drainInterval is the heartbeat interval of a target that is out of service, so that its drain and its preparation
-	// for another pool are seen soon. Few targets are in this state at once.
-	drainInterval = 200 * time.Millisecond
+	// minDrainInterval is the shortest heartbeat interval of a target that is out of service, so that its drain and its
+	// preparation for another pool are seen soon.
+	minDrainInterval = 200 * time.Millisecond
 	// heartbeatSize is the size in bytes of an announcement, its reply and their HTTP headers. TestHeartbeatSize checks it.
 	heartbeatSize = 900
 	heartbeatRate = 8 << 10 // largest heartbeat traffic of a node in bytes per second
@@ -168,8 +168,8 @@
 func (r *Registry) reply(rec *record, reports []TaskReport) AnnounceReply {
 	owner := r.owners[rec.id]
 	interval := r.Interval()
-	if owner.Pool != "" && !owner.Usable || rec.leaving {
-		interval = min(interval, drainInterval)
+	if r.outOfService(rec) {
+		interval = min(interval, r.drainInterval())
 	}
 	return AnnounceReply{
 		Node:     r.config.Node,
@@ -182,6 +182,24 @@
 	}
 }
 
+// outOfService tells whether a target is draining, being prepared for another pool, or lost and back.
+func (r *Registry) outOfService(rec *record) bool {
+	owner, owned := r.owners[rec.id]
+	return owned && !owner.Usable || rec.leaving
+}
+
+// drainInterval returns the heartbeat interval of a target that is out of service. It grows with their number, so that
+// many of them, for example after a partition, stay within the heartbeat traffic of the node.
+func (r *Registry) drainInterval() time.Duration {
+	count := 0
+	for _, rec := range r.records {
+		if r.outOfService(rec) {
+			count++
+		}
+	}
+	return max(minDrainInterval, time.Duration(count)*heartbeatSize*time.Second/heartbeatRate)
+}
+
 // Tick ends target leases and reports targets that became lost, left or drained.
 func (r *Registry) Tick(now time.Time) []Event {
 	at := r.since(now)
