Bound run times and follow the linter

Cause: a declared run time near the largest duration overflowed when it was multiplied; the linter reported durations multiplied by durations and a receiver name. Change: MaxRuntime for submissions and reported usage; factors are plain numbers. Conclusion: the linter reports nothing for both packages.

--- a/csfleet/maintain.go
+++ b/csfleet/maintain.go
@@ -58,7 +58,7 @@
 	if w.Period <= 0 {
 		return w.Start, true
 	}
-	return w.Start.Add(now.Sub(w.Start) / w.Period * w.Period), true
+	return w.Start.Add(now.Sub(w.Start).Truncate(w.Period)), true
 }
 
 func (p *pass) done(v *VM) bool { return !v.Maintained.IsZero() && !v.Maintained.Before(p.begin) }
--- a/csfleet/property_test.go
+++ b/csfleet/property_test.go
@@ -102,7 +102,8 @@
 		if _, removal := c.(RemoveVM); !ok && !removal {
 			w.failf("%T: VM %s vanished", c, old.ID)
 		}
-		if ok && v.Pool != old.Pool && !(handover && r.Status == OK && v.Fence == old.Fence) {
+		handed := handover && r.Status == OK && v.Fence == old.Fence
+		if ok && v.Pool != old.Pool && !handed {
 			w.failf("%T: VM %s changed pool from %s to %s", c, old.ID, old.Pool, v.Pool)
 		}
 		if ok && v.Fence < old.Fence {
--- a/cstask/record.go
+++ b/cstask/record.go
@@ -120,7 +120,7 @@
 func (u *Usage) raise(o Usage) {
 	u.CPU = max(u.CPU, o.CPU)
 	u.Memory = max(u.Memory, o.Memory)
-	u.Runtime = max(u.Runtime, o.Runtime)
+	u.Runtime = max(u.Runtime, min(o.Runtime, MaxRuntime))
 }
 
 func nanos(t time.Time) int64 {
--- a/cstask/shape.go
+++ b/cstask/shape.go
@@ -128,12 +128,12 @@
 }
 
 // restore puts the entries that were looked at back. Those whose task was leased become outdated when that commits.
-func (sh *shape) restore() {
-	for _, e := range sh.later {
-		heap.Push(sh, e)
+func (s *shape) restore() {
+	for _, e := range s.later {
+		heap.Push(s, e)
 	}
-	sh.later = sh.later[:0]
-	sh.misses = 0
+	s.later = s.later[:0]
+	s.misses = 0
 }
 
 // front orders shapes by their first entry.
--- a/cstask/submit.go
+++ b/cstask/submit.go
@@ -36,7 +36,7 @@
 
 func (c Submit) valid() bool {
 	names := len(c.ID) > 0 && len(c.ID) <= MaxName && len(c.Job) > 0 && len(c.Job) <= MaxName && len(c.Team) <= MaxName
-	sizes := c.CPU >= 0 && c.Memory >= 0 && c.Runtime >= 0 && len(c.Payload) <= MaxBlob
+	sizes := c.CPU >= 0 && c.Memory >= 0 && c.Runtime >= 0 && c.Runtime <= MaxRuntime && len(c.Payload) <= MaxBlob
 	return names && sizes && !c.Deadline.IsZero()
 }
 
--- a/cstask/supervise.go
+++ b/cstask/supervise.go
@@ -26,7 +26,7 @@
 
 // runtimeFactor returns how many times the expected run time a task may take before a step. It only counts while other
 // tasks of the pool are late, because declared run times are far from the actual ones.
-func (l rungLevel) runtimeFactor() time.Duration {
+func (l rungLevel) runtimeFactor() int64 {
 	switch l {
 	case rungThrottle:
 		return 2
@@ -102,7 +102,7 @@
 	need := r.table.need(rec)
 	full := w.FreeCPU <= 0 && exceeds(int64(x.Used.CPU), int64(need.CPU)) ||
 		w.FreeMemory <= 0 && exceeds(int64(x.Used.Memory), int64(need.Memory))
-	slow := r.late.Has(w.Pool) && x.Used.Runtime > next.runtimeFactor()*need.Runtime
+	slow := r.late.Has(w.Pool) && int64(x.Used.Runtime) > next.runtimeFactor()*int64(need.Runtime)
 	return full || slow
 }
 
--- a/cstask/table.go
+++ b/cstask/table.go
@@ -19,6 +19,8 @@
 	MaxMessage = 256      // bytes of a failure message that are kept
 	MaxBatch   = 16384    // tasks in a CancelBatch
 	MaxWorkers = 3        // different VMs that may lose or fail a task before it is set aside
+	// MaxRuntime bounds declared and reported run times, so that multiples of them do not overflow.
+	MaxRuntime = 38 * 24 * time.Hour
 	// MaxFailures sets a task aside in a pool that has fewer than MaxWorkers VMs.
 	MaxFailures = 8
 )
