Strengthen the tests of holds and of a paused leader

Cause: trials with one rule removed showed that two tests passed without the rule that they guard. Change: the large task competes with tasks whose gaps appear one by one; a leader pauses while a VM is silent. Conclusion: both tests fail without their rule and pass with it.

--- a/csfleet/planner_test.go
+++ b/csfleet/planner_test.go
@@ -234,6 +234,18 @@
 	if got := d.state("v03"); got != Serving {
 		t.Errorf("got state %d after the VM announced again, want serving", got)
 	}
+	d.now = d.now.Add(time.Minute) // the leader was suspended
+	d.muted.Add("v03")
+	for range 4 {
+		d.tick(nil)
+		if got := d.state("v03"); got != Serving {
+			t.Fatalf("got state %d within a target lease of a pause", got)
+		}
+	}
+	d.run(2)
+	if got := d.state("v03"); got != Lost {
+		t.Errorf("got state %d after a pause and a target lease, want lost", got)
+	}
 }
 
 // Guards against moves that start more often than wanted, stop half-way when the leader changes, or hold the budget when
--- a/cstask/scheduler_test.go
+++ b/cstask/scheduler_test.go
@@ -231,6 +231,10 @@
 // Guards against a stream of small tasks that takes every gap before a large task past its latest start.
 func TestSchedulerLargeTaskStarts(t *testing.T) {
 	w := newWorld(t, 3)
+	w.actual = func(id csmodel.TaskID) Usage { // gaps appear one by one
+		n := time.Duration(id[4]-'0')*7 + time.Duration(id[5]-'0')*13
+		return Usage{CPU: 1000, Memory: csmodel.GiB, Runtime: (40 + n%41) * time.Second}
+	}
 	w.submit(24, nil)
 	w.run(10 * time.Second)
 	w.submit(1, func(_ int, s *Submit) {
