--- a/cstask/scheduler_test.go
+++ b/cstask/scheduler_test.go
@@ -232,8 +232,8 @@
 func TestSchedulerLargeTaskStarts(t *testing.T) {
 	w := newWorld(t, 3)
 	w.actual = func(id csmodel.TaskID) Usage { // gaps appear one by one
-		n := time.Duration(id[4]-'0')*7 + time.Duration(id[5]-'0')*13
-		return Usage{CPU: 1000, Memory: csmodel.GiB, Runtime: (40 + n%41) * time.Second}
+		n := int(id[4]-'0')*7 + int(id[5]-'0')*13
+		return Usage{CPU: 1000, Memory: csmodel.GiB, Runtime: time.Duration(40+n%41) * time.Second}
 	}
 	w.submit(24, nil)
 	w.run(10 * time.Second)
