--- a/csnode/targets.go
+++ b/csnode/targets.go
@@ -101,7 +101,6 @@
 		a.readReplica(now)
 	case summaryOf:
 		a.remote[m.node] = m.pools
-		a.shareHealth()
 	case loadsChanged:
 		a.loads = m
 	case rehomedMessage:
@@ -202,6 +201,7 @@
 	a.handle(a.registry.Tick(now))
 	a.ticks++
 	if a.ticks%summaryTicks == 0 {
+		a.shareHealth()
 		a.summarise(now)
 	}
 	if a.ticks%reportTicks == 0 || a.news {
--- a/cstarget/holder.go
+++ b/cstarget/holder.go
@@ -58,6 +58,7 @@
 	demand map[csmodel.PoolID]csmodel.SlotDemand
 	uses   map[csmodel.VMID]TargetUse
 	homeOf map[csmodel.VMID]csmodel.NodeID
+	totals map[poolPart]int // nil after a summary changed
 }
 
 // NewHolder returns a holder without slots.
@@ -75,6 +76,7 @@
 // targets of a demanded pool; no pools stop the requests, for example when the link to the home node is lost.
 func (h *Holder) Summaries(home csmodel.NodeID, pools []csmodel.PoolSummary) {
 	h.home(home).pools = pools
+	h.totals = nil
 }
 
 // Demand replaces the demand for slots of a pool.
@@ -101,6 +103,9 @@
 // Requests returns the requests to send now: one to each home node that holds targets of a demanded pool or of the own
 // availability zone and whose renewal is due or whose demand grew.
 func (h *Holder) Requests(now time.Time) []AddressedRequest {
+	if h.totals == nil {
+		h.totals = h.countSlots()
+	}
 	var requests []AddressedRequest
 	for _, id := range csmodel.SortedKeys(h.homes) {
 		home := h.homes[id]
@@ -172,7 +177,7 @@
 		if local {
 			wanted = h.demand[s.Pool].Local
 		}
-		all := h.slots(s.Pool, local)
+		all := h.totals[poolPart{s.Pool, local}]
 		if wanted <= 0 || all <= 0 || s.Slots <= 0 {
 			continue
 		}
@@ -189,17 +194,21 @@
 	return demand, near
 }
 
-// slots returns the slots of a pool on all home nodes, in the own availability zone or in the others.
-func (h *Holder) slots(pool csmodel.PoolID, local bool) int {
-	total := 0
+// poolPart is the part of a pool in the own availability zone or in the others.
+type poolPart struct {
+	pool  csmodel.PoolID
+	local bool
+}
+
+// countSlots returns the slots of each part of each pool on all home nodes.
+func (h *Holder) countSlots() map[poolPart]int {
+	totals := map[poolPart]int{}
 	for _, home := range h.homes {
 		for _, s := range home.pools {
-			if s.Pool == pool && (s.Zone == h.config.Zone) == local {
-				total += s.Slots
-			}
+			totals[poolPart{s.Pool, s.Zone == h.config.Zone}] += s.Slots
 		}
 	}
-	return total
+	return totals
 }
 
 // grew tells whether a demand exceeds the one that was sent last.
