--- a/csnode/replication.go
+++ b/csnode/replication.go
@@ -26,9 +26,11 @@
 
 func (n *Node) openGroups(spawner actor.SpawnerContext) error {
 	region := csmodel.GroupID("region-" + string(n.settings.Region))
+	// With one region the settings need not mark global voters.
+	voters := csmodel.NewSet(n.settings.GlobalVoters()...)
 	global, err := n.openGroup(spawner, GlobalGroup, kindGlobal,
 		csrollout.NewMachine(csconfig.Configuration.Validate), n.globalHooks(),
-		func(p cssettings.Node) (member, voter bool) { return true, p.Global })
+		func(p cssettings.Node) (member, voter bool) { return true, voters.Has(p.Name) })
 	if err != nil {
 		return trace.Wrap(err, "global group")
 	}
--- a/csnode/status.go
+++ b/csnode/status.go
@@ -115,8 +115,11 @@
 func (n *Node) nodeStatus() []csapi.Node {
 	out := []csapi.Node{}
 	links := n.links.Load()
+	voters := csmodel.NewSet(n.settings.GlobalVoters()...)
 	for _, p := range n.settings.Nodes {
-		row := csapi.Node{Name: p.Name, Region: p.Region, Zone: p.Zone, Voter: p.Voter, Global: p.Global, State: csapi.Unreachable}
+		row := csapi.Node{
+			Name: p.Name, Region: p.Region, Zone: p.Zone, Voter: p.Voter, Global: voters.Has(p.Name), State: csapi.Unreachable,
+		}
 		if n.self(p.Name) {
 			row.State, row.Revision, row.Seen = csapi.Up, n.Active().Revision, n.clock.Now()
 			if n.draining.Load() {
