Restore the active configuration before the node serves

Cause: a restarted voter served HTTP before its rollout child had read the persisted configuration. Change: the node reads the configuration before it listens; the child starts from what is in force. Conclusion: the active revision no longer goes back over a restart.

--- a/csnode/node.go
+++ b/csnode/node.go
@@ -124,6 +124,7 @@
 		return trace.Wrap(err)
 	}
 	n.config = config
+	n.restoreActive()
 	web, err := n.listen()
 	if err != nil {
 		return trace.Wrap(err)
--- a/csnode/rollout.go
+++ b/csnode/rollout.go
@@ -55,22 +55,16 @@
 	}
 }
 
+// start continues with what is in force in this process: the persisted configuration, or that of a failed predecessor.
 func (a *rolloutActor) start() {
-	persisted, err := a.n.loadActive()
-	if err != nil {
-		a.n.log.Error("active configuration not read", zap.Error(err))
-	}
-	// A restarted child continues with what is in force in this process.
-	if current := a.n.Active(); current.Revision > persisted.Revision {
-		persisted = current
-	}
+	current := a.n.Active()
 	a.active = csrollout.NewActive(csrollout.ActiveOptions{
 		Self:      a.n.settings.Node,
 		Peers:     a.n.peers(""),
-		Persisted: persisted,
+		Persisted: current,
 	})
-	if persisted.Revision > 0 {
-		a.activate(csrollout.Activate{Head: persisted}, false)
+	if current.Revision > 0 {
+		a.activate(csrollout.Activate{Head: current}, false)
 	}
 	a.readReplica()
 }
@@ -162,6 +156,16 @@
 // staleAfter is the silence of a leader after which a replica is reported as stale.
 const staleAfter = 3 * time.Second
 
+// restoreActive makes the persisted configuration active before the node serves anything.
+func (n *Node) restoreActive() {
+	head, err := n.loadActive()
+	if err != nil {
+		n.log.Error("active configuration not read", zap.Error(err))
+	}
+	n.active.Store(&head)
+	n.metrics.revision.Set(float64(head.Revision))
+}
+
 func (n *Node) loadActive() (csrollout.Head, error) {
 	if n.config == nil {
 		return csrollout.Head{}, nil
--- a/csproof/exchange_test.go
+++ b/csproof/exchange_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -18,14 +19,19 @@
 	body   []byte
 }
 
-var web = &http.Client{
-	Timeout:   5 * time.Second,
-	Transport: &http.Transport{MaxIdleConnsPerHost: 128, DisableCompression: true},
-}
+const callTimeout = 5 * time.Second
+
+var web = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 128, DisableCompression: true}}
 
 // send sends one call without repetitions.
 func send(address, method, path string, headers map[string]string, body []byte) (reply, error) {
-	r, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader(body))
+	return sendWithin(callTimeout, address, method, path, headers, body)
+}
+
+func sendWithin(limit time.Duration, address, method, path string, headers map[string]string, body []byte) (reply, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
 		return reply{}, err
 	}
