Refuse at once what needs the quorum while its leader is silent

Cause: a node without a quorum answered a task submission after 10 s, but csclient waits 5 s for a response, so its caller got 'unknown' where the task had not run.

--- a/csnode/callers.go
+++ b/csnode/callers.go
@@ -172,7 +172,7 @@
 func (w *webServer) submitTask(rw http.ResponseWriter, r *http.Request) {
 	rw.Header().Set(csapi.OutcomeHeader, string(csapi.NotRun))
 	submit, ok := w.readSubmit(rw, r)
-	if !ok {
+	if !ok || w.refuseIsolated(rw, r, w.n.region) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), operatorTimeout)
--- a/csnode/operators.go
+++ b/csnode/operators.go
@@ -38,6 +38,9 @@
 		writeJSON(rw, http.StatusUnprocessableEntity, csapi.Verdict{Result: csapi.Invalid, Faults: faults(err)})
 		return
 	}
+	if w.refuseIsolated(rw, r, w.n.global) {
+		return
+	}
 	result, err := w.n.submit(r.Context(), csrollout.Submission{
 		ID: s.ID, Base: s.Base, Operator: operator, Configuration: &configuration,
 	})
@@ -119,6 +122,16 @@
 	return out
 }
 
+// refuseIsolated refuses a call as not run at once while the leader of its group is silent. A call that waits for a leader
+// would not be answered before its caller gives up, who cannot tell whether it ran.
+func (w *webServer) refuseIsolated(rw http.ResponseWriter, r *http.Request, g *csgroup.Group) bool {
+	if !w.n.stale(g) {
+		return false
+	}
+	writeGroupError(rw, r, csgroup.ErrNoLeader)
+	return true
+}
+
 // writeGroupError tells a proposal that never ran from one whose outcome is unknown.
 func writeGroupError(rw http.ResponseWriter, r *http.Request, err error) {
 	setRetry(rw, taskRetry)
@@ -235,6 +248,9 @@
 		writeJSON(rw, http.StatusOK, csapi.Drained{Drain: d, Complete: vm.State != csfleet.Draining})
 		return
 	}
+	if w.refuseIsolated(rw, r, w.n.region) {
+		return
+	}
 	result, err := w.n.proposeFleet(r.Context(), csfleet.StartReboot{VM: d.VM, Fence: vm.Fence})
 	switch {
 	case err != nil:
@@ -268,6 +284,9 @@
 }
 
 func (w *webServer) changeWave(rw http.ResponseWriter, r *http.Request, wave csmodel.WaveID, c csfleet.Command) {
+	if w.refuseIsolated(rw, r, w.n.region) {
+		return
+	}
 	result, err := w.n.proposeFleet(r.Context(), c)
 	if err != nil {
 		writeGroupError(rw, r, err)
--- a/csnode/web.go
+++ b/csnode/web.go
@@ -26,8 +26,9 @@
 	// maxConnections bounds the connections of callers, targets and operators.
 	maxConnections = 1024
 	closeTimeout   = 2 * time.Second
-	// operatorTimeout bounds the calls of operators and task calls.
-	operatorTimeout = 10 * time.Second
+	// operatorTimeout bounds the calls of operators and task calls. It is shorter than the 5 s that csclient waits for a
+	// response, so that a node without a quorum says `not run` before its caller gives up with an unknown outcome.
+	operatorTimeout = 4 * time.Second
 	// maxAnnouncement is the largest body of an announcement in bytes.
 	maxAnnouncement = 1 << 20
 )
--- a/csproof/fleet_test.go
+++ b/csproof/fleet_test.go
@@ -13,11 +13,17 @@
 	"cowslipstream.example/cowslipstream/csmodel"
 )
 
+// Size and budget of the pool that serves requests.
+const (
+	webSize   = 6
+	webBudget = 1
+)
+
 // configuration has a pool for urgent requests and deferred tasks and a spare pool. rate distinguishes revisions.
 func configuration(rate int) csconfig.Configuration {
 	return csconfig.Configuration{
 		Pools: []csconfig.Pool{
-			{Name: "web", Region: region, Size: 6, Budget: 1},
+			{Name: "web", Region: region, Size: webSize, Budget: webBudget},
 			{Name: "spare", Region: region, Size: 3, Budget: 2, Spare: true},
 		},
 		Jobs: []csconfig.Job{
@@ -67,7 +73,7 @@
 			target, err := csfake.NewTarget(csfake.TargetConfig{
 				ID: csmodel.VMID(fmt.Sprintf("%s-%d", pool.Name, i)), Zone: zone, Rack: csmodel.Rack(zone) + "-rack",
 				Pool: pool.Name, Cores: 16000, Memory: 16 * csmodel.GiB, Nodes: c.addresses(zone), Ledger: ledger,
-				Service: func(csmodel.JobID) time.Duration { return service },
+				Service: func(csmodel.JobID) time.Duration { return service }, Reboot: 200 * time.Millisecond,
 			})
 			if err != nil {
 				c.t.Fatal(err)
