--- a/csnode/operators.go
+++ b/csnode/operators.go
@@ -38,6 +38,9 @@
 		writeJSON(rw, http.StatusUnprocessableEntity, csapi.Verdict{Result: csapi.Invalid, Faults: faults(err)})
 		return
 	}
+	if w.refuseIsolated(rw, r, w.n.global) {
+		return
+	}
 	result, err := w.n.submit(r.Context(), csrollout.Submission{
 		ID: s.ID, Base: s.Base, Operator: operator, Configuration: &configuration,
 	})
@@ -119,6 +122,16 @@
 	return out
 }
 
+// refuseIsolated refuses a call as not run at once while the leader of its group is silent. A call that waits for a leader
+// would not be answered before its caller gives up, who cannot tell whether it ran.
+func (w *webServer) refuseIsolated(rw http.ResponseWriter, r *http.Request, g *csgroup.Group) bool {
+	if !w.n.stale(g) {
+		return false
+	}
+	writeGroupError(rw, r, csgroup.ErrNoLeader)
+	return true
+}
+
 // writeGroupError tells a proposal that never ran from one whose outcome is unknown.
 func writeGroupError(rw http.ResponseWriter, r *http.Request, err error) {
 	setRetry(rw, taskRetry)
@@ -141,12 +154,12 @@
 		}
 		wanted = csmodel.Revision(parsed)
 	}
-	head := w.n.latest(r.Context())
+	head, stale := w.n.latest(r.Context())
 	if head.Revision == 0 || wanted > head.Revision {
 		problem(rw, r, http.StatusNotFound, "", "no such revision")
 		return
 	}
-	out := csapi.Revision{Revision: head.Revision, Stale: w.n.stale(w.n.global)}
+	out := csapi.Revision{Revision: head.Revision, Stale: stale}
 	if wanted != 0 && wanted != head.Revision {
 		out.Revision = wanted
 	} else if head.Revision > 0 {
@@ -169,19 +182,19 @@
 	writeJSON(rw, http.StatusOK, out)
 }
 
-// latest returns the newest accepted revision: from a linearizable read, or from the replica while there is no quorum.
-func (n *Node) latest(ctx context.Context) csrollout.Head {
+// latest returns the newest accepted revision from a linearizable read. While there is no quorum it returns the newest one
+// that this node knows and reports it as stale.
+func (n *Node) latest(ctx context.Context) (head csrollout.Head, stale bool) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	var head csrollout.Head
 	err := n.readRevisions(ctx, func(m *csrollout.Machine) { head = m.Head() })
 	if err != nil {
 		n.viewRevisions(func(m *csrollout.Machine) { head = m.Head() })
 	}
 	if active := n.Active(); active.Revision > head.Revision {
-		return active
+		head = active
 	}
-	return head
+	return head, err != nil
 }
 
 // readTimeout bounds a linearizable read before the local replica is used.
@@ -235,6 +248,9 @@
 		writeJSON(rw, http.StatusOK, csapi.Drained{Drain: d, Complete: vm.State != csfleet.Draining})
 		return
 	}
+	if w.refuseIsolated(rw, r, w.n.region) {
+		return
+	}
 	result, err := w.n.proposeFleet(r.Context(), csfleet.StartReboot{VM: d.VM, Fence: vm.Fence})
 	switch {
 	case err != nil:
@@ -268,6 +284,9 @@
 }
 
 func (w *webServer) changeWave(rw http.ResponseWriter, r *http.Request, wave csmodel.WaveID, c csfleet.Command) {
+	if w.refuseIsolated(rw, r, w.n.region) {
+		return
+	}
 	result, err := w.n.proposeFleet(r.Context(), c)
 	if err != nil {
 		writeGroupError(rw, r, err)
--- a/csnode/web.go
+++ b/csnode/web.go
@@ -26,8 +26,9 @@
 	// maxConnections bounds the connections of callers, targets and operators.
 	maxConnections = 1024
 	closeTimeout   = 2 * time.Second
-	// operatorTimeout bounds the calls of operators and task calls.
-	operatorTimeout = 10 * time.Second
+	// operatorTimeout bounds the calls of operators and task calls. It is shorter than the 5 s that csclient waits for a
+	// response, so that a node without a quorum says `not run` before its caller gives up with an unknown outcome.
+	operatorTimeout = 4 * time.Second
 	// maxAnnouncement is the largest body of an announcement in bytes.
 	maxAnnouncement = 1 << 20
 )
@@ -50,7 +51,7 @@
 	}
 	w := &webServer{n: n, listener: newLimitedListener(listener, maxConnections)}
 	w.server = &http.Server{
-		Handler:           w.routes(),
+		Handler:           w.closeWhileDraining(w.routes()),
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       bodyTimeout,
 		IdleTimeout:       idleTimeout,
@@ -101,6 +102,16 @@
 	return mux
 }
 
+// closeWhileDraining makes callers give up their kept-alive connections before the node stops.
+func (w *webServer) closeWhileDraining(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if w.n.draining.Load() {
+			rw.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(rw, r)
+	})
+}
+
 type operatorHandler func(rw http.ResponseWriter, r *http.Request, operator string)
 
 // operator admits only requests with the bearer token of an operator.
