--- a/csclient/request_test.go
+++ b/csclient/request_test.go
@@ -100,7 +100,7 @@
 	f.keys = append(f.keys, key)
 	switch next {
 	case refuses, refusesInput, isUnsure, resetsBefore:
-	default:
+	default: // every other action runs the request
 		if key == "" || f.runs[key] == 0 {
 			f.runs[key]++
 		}
@@ -120,6 +120,7 @@
 	h.Set(csapi.KeyHeader, key)
 	status, body := http.StatusOK, ownBody
 	switch next {
+	case answers:
 	case refuses:
 		h.Set(csapi.OutcomeHeader, string(csapi.NotRun))
 		status = http.StatusServiceUnavailable
@@ -247,6 +248,21 @@
 	}
 }
 
+// Guards against an unknown outcome for a request that was never sent.
+func TestRequestEnded(t *testing.T) {
+	node := newFakeNode(t)
+	c := csclient.New(csclient.Options{Nodes: []string{node.address()}})
+	defer c.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for _, idempotent := range []bool{false, true} {
+		_, err := c.Request(ctx, csclient.Request{Job: "quote", Idempotent: idempotent})
+		if !errors.Is(err, csclient.ErrNotRun) || !errors.Is(err, context.Canceled) {
+			t.Errorf("got %v, want %v", err, csclient.ErrNotRun)
+		}
+	}
+}
+
 // Guards against a dead node in the list that fails requests while another node serves.
 func TestRequestDeadNode(t *testing.T) {
 	dead := newFakeNode(t)
