Report a request of a caller that closed its sending side as unknown

Cause: the handler returned without a response when the caller's side closed; net/http then sent status 200 with the preset outcome not-run, although the target ran the request (I4). TestCallerGone failed with 'status 200 reports a request as not run that runs'. Change: the handler answers unknown. The harness gives no address twice, because these tests run in parallel.

--- a/csnode/callers.go
+++ b/csnode/callers.go
@@ -78,6 +78,9 @@
 		writeOutcome(rw, r, v)
 	case <-r.Context().Done():
 		w.n.send(w.n.tree.requests, csrequest.Cancelled{ID: id})
+		// A caller that closed only its sending side still reads the response.
+		rw.Header().Set(csapi.OutcomeHeader, string(csapi.Unknown))
+		problem(rw, r, http.StatusGatewayTimeout, "", string(csrequest.ReasonCanceled))
 	}
 }
 
--- a/csproof/harness_test.go
+++ b/csproof/harness_test.go
@@ -111,11 +111,17 @@
 	return c
 }
 
+// given holds the addresses of all tests, so that none is given twice while its node is down.
+var given sync.Map
+
 // freeAddress returns an address whose port is outside the range from which the system chooses ports, so that no
 // outgoing connection takes it while its node is down.
 func freeAddress(t *testing.T) string {
 	for range 100 {
 		address := fmt.Sprintf("127.0.0.1:%d", 15000+rand.IntN(15000))
+		if _, taken := given.LoadOrStore(address, true); taken {
+			continue
+		}
 		if listener, err := net.Listen("tcp", address); err == nil {
 			_ = listener.Close()
 			return address
