--- a/csnode/deferred.go
+++ b/csnode/deferred.go
@@ -167,12 +167,15 @@
 	a.n.send(a.n.tree.targets, acknowledge{vm: m.vm, ack: cstarget.TaskAck{ID: m.key.task, Fence: m.key.fence}})
 }
 
-// startLeased starts the tasks that are leased to targets of this node and that these do not report.
+// startLeased starts the tasks that are leased to targets of this node and that these do not report. The leases of an
+// earlier incarnation end when the new one is recorded; starting them again would repeat the loss of a worker that a task
+// kills.
 func (a *deferredActor) startLeased(now time.Time) {
 	a.n.viewFleet(func(m *csfleet.Machine) {
 		for _, id := range csmodel.SortedKeys(a.targets) {
 			t := a.targets[id]
-			if now.Sub(t.heard) > targetGrace {
+			vm, known := m.VM(id)
+			if now.Sub(t.heard) > targetGrace || !known || vm.Incarnation != t.machine.Incarnation {
 				continue
 			}
 			for _, task := range m.Tasks().Leased(id) {
