Add the static and forecast policies and limit deferred work per pool

Cause: the leader ran only the reactive baseline, and a policy could move VMs but not slow deferred work. Change: policies return a plan of moves and of shares (reserved slots, capacity that running tasks give up); Static and Forecast are new; the leader applies shares through the scheduler's free capacity and throttle or checkpoint orders, and checkpoints the tasks of draining VMs. Ending a throttle reaches the target.

--- a/cscapacity/policy.go
+++ b/cscapacity/policy.go
@@ -1,5 +1,6 @@
-// Package cscapacity decides how many VMs move between pools. A policy is a deterministic state machine: the observed
-// loads and the current time go in, wanted moves come out.
+// Package cscapacity decides how the capacity of a region is divided: how many VMs move between pools, how many slots of a
+// pool deferred tasks leave free and how much of the running deferred work gives way to a burst. A policy is a
+// deterministic state machine: the observed loads and the current time go in, a plan comes out.
 package cscapacity
 
 import (
@@ -22,9 +23,15 @@
 	Lendable int
 	// Borrowed lists the serving VMs that belong to other home pools.
 	Borrowed []Borrowed
+	// Arriving lists the VMs in moves to the pool, by the pool that they leave.
+	Arriving []Borrowed
+	// Deferred is the capacity that the running deferred tasks use at full speed, in slots.
+	Deferred float64
+	// Late tells that a deferred task of the pool can no longer start in time for its deadline without more room.
+	Late bool
 }
 
-// Borrowed is a number of VMs of another home pool.
+// Borrowed is a number of VMs of another pool.
 type Borrowed struct {
 	Home csmodel.PoolID
 	VMs  int
@@ -36,8 +43,68 @@
 	VMs      int
 }
 
-// Policy decides about moves.
+// Share limits the deferred work of a pool.
+type Share struct {
+	Pool csmodel.PoolID
+	// Reserved is the number of slots that no new deferred task may take. It includes the slots in use by requests.
+	Reserved int
+	// Yield is the capacity in slots that running deferred tasks give up now.
+	Yield float64
+	// Checkpoint makes them give it up by a checkpoint and a return to the queue. Otherwise they are throttled.
+	Checkpoint bool
+}
+
+// Plan is the output of a policy. Both lists replace those of the previous plan.
+type Plan struct {
+	Moves  []Move
+	Shares []Share // of the pools that are not spare, in the order of the loads
+}
+
+// Policy decides about moves and deferred work.
 type Policy interface {
 	// Step handles the loads of all pools of a region, in the order of their names.
-	Step(now time.Time, loads []Load) []Move
+	Step(now time.Time, loads []Load) Plan
+}
+
+// used is the number of slots that requests occupy or wait for.
+func (l Load) used() int { return l.Busy + l.Queued }
+
+// perVM is the number of slots of a VM.
+func (l Load) perVM() float64 {
+	if l.VMs == 0 {
+		return 0
+	}
+	return float64(l.Slots) / float64(l.VMs)
+}
+
+// borrowed is the number of serving VMs of other home pools.
+func (l Load) borrowed() int {
+	total := 0
+	for _, b := range l.Borrowed {
+		total += b.VMs
+	}
+	return total
+}
+
+// arriving is the number of VMs in moves to the pool.
+func (l Load) arriving() int {
+	total := 0
+	for _, b := range l.Arriving {
+		total += b.VMs
+	}
+	return total
+}
+
+// giveBack returns borrowed VMs, at most count.
+func (l Load) giveBack(count int) []Move {
+	var moves []Move
+	for _, b := range l.Borrowed {
+		n := min(b.VMs, count)
+		if n <= 0 {
+			break
+		}
+		count -= n
+		moves = append(moves, Move{From: l.Pool, To: b.Home, VMs: n})
+	}
+	return moves
 }
--- a/cscapacity/reactive.go
+++ b/cscapacity/reactive.go
@@ -14,8 +14,8 @@
 	defaultHold = 10 * time.Second
 )
 
-// Reactive borrows VMs when the utilisation of a pool exceeds a threshold and returns them when it has stayed low. The zero
-// value uses the defaults.
+// Reactive borrows VMs and slows deferred tasks when the utilisation of a pool exceeds a threshold, and returns VMs when
+// it has stayed low. It is a baseline. The zero value uses the defaults.
 type Reactive struct {
 	High, Low float64
 	// Hold is the time for which the utilisation must stay low before VMs are returned.
@@ -25,28 +25,43 @@
 }
 
 // Step handles the loads of all pools.
-func (r *Reactive) Step(now time.Time, loads []Load) []Move {
+func (r *Reactive) Step(now time.Time, loads []Load) Plan {
 	r.defaults()
-	var moves []Move
-	given := map[csmodel.PoolID]int{}
+	var plan Plan
+	market := newMarket(loads)
 	for _, l := range loads {
-		if l.Spare || l.Slots == 0 {
+		if l.Spare {
 			continue
 		}
-		used := float64(l.Busy + l.Queued)
-		perVM := float64(l.Slots) / float64(l.VMs)
+		plan.Shares = append(plan.Shares, r.share(l))
+		if l.Slots == 0 {
+			continue
+		}
+		used := float64(l.used())
 		switch {
 		case used > r.High*float64(l.Slots):
 			delete(r.low, l.Pool)
-			missing := int(math.Ceil(used/(r.High*perVM))) - l.VMs
-			moves = append(moves, borrow(l.Pool, missing, loads, given)...)
+			missing := int(math.Ceil(used/(r.High*l.perVM()))) - l.VMs - l.arriving()
+			moves := market.borrow(l, missing, true, nil)
+			moves = append(moves, market.borrow(l, missing-taken(l, moves), false, idleVMs)...)
+			plan.Moves = append(plan.Moves, moves...)
 		case used < r.Low*float64(l.Slots):
-			moves = append(moves, r.giveBack(now, l, used, perVM)...)
+			plan.Moves = append(plan.Moves, r.giveBack(now, l, used)...)
 		default:
 			delete(r.low, l.Pool)
 		}
 	}
-	return moves
+	return plan
+}
+
+// share reserves what requests use now at the high utilisation.
+func (r *Reactive) share(l Load) Share {
+	reserved := min(float64(l.Slots), math.Ceil(float64(l.used())/r.High))
+	s := Share{Pool: l.Pool, Reserved: int(reserved)}
+	if float64(l.used()) > r.High*float64(l.Slots) {
+		s.Yield = l.Deferred
+	}
+	return s
 }
 
 func (r *Reactive) defaults() {
@@ -64,40 +79,15 @@
 	}
 }
 
-// borrow takes VMs of spare pools first, then of pools with little load.
-func borrow(to csmodel.PoolID, missing int, loads []Load, given map[csmodel.PoolID]int) []Move {
-	var moves []Move
-	for _, spare := range []bool{true, false} {
-		for _, l := range loads {
-			if l.Pool == to || l.Spare != spare || missing <= 0 {
-				continue
-			}
-			free := l.Lendable - given[l.Pool]
-			if !spare {
-				free = min(free, idleVMs(l)-given[l.Pool])
-			}
-			count := min(missing, free)
-			if count <= 0 {
-				continue
-			}
-			given[l.Pool] += count
-			missing -= count
-			moves = append(moves, Move{From: l.Pool, To: to, VMs: count})
-		}
-	}
-	return moves
-}
-
 // idleVMs is the number of VMs that a pool does not need at half utilisation.
 func idleVMs(l Load) int {
 	if l.VMs == 0 || l.Slots == 0 {
 		return 0
 	}
-	needed := math.Ceil(float64(l.Busy+l.Queued) * 2 * float64(l.VMs) / float64(l.Slots))
-	return l.VMs - max(1, int(needed))
+	return l.VMs - max(1, int(math.Ceil(float64(l.used())*2/l.perVM())))
 }
 
-func (r *Reactive) giveBack(now time.Time, l Load, used, perVM float64) []Move {
+func (r *Reactive) giveBack(now time.Time, l Load, used float64) []Move {
 	since, ok := r.low[l.Pool]
 	if !ok {
 		r.low[l.Pool] = now
@@ -106,15 +96,5 @@
 	if now.Sub(since) < r.Hold {
 		return nil
 	}
-	var moves []Move
-	surplus := l.VMs - int(math.Ceil(used/(r.Low*perVM)))
-	for _, b := range l.Borrowed {
-		count := min(b.VMs, surplus)
-		if count <= 0 {
-			break
-		}
-		surplus -= count
-		moves = append(moves, Move{From: l.Pool, To: b.Home, VMs: count})
-	}
-	return moves
+	return l.giveBack(l.VMs - int(math.Ceil(used/(r.Low*l.perVM()))))
 }
--- a/cscapacity/reactive_test.go
+++ b/cscapacity/reactive_test.go
@@ -28,7 +28,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			var r Reactive
 			r.Step(start, tt.loads)
-			if got := r.Step(start.Add(tt.after), tt.loads); !slices.Equal(got, tt.want) {
+			if got := r.Step(start.Add(tt.after), tt.loads).Moves; !slices.Equal(got, tt.want) {
 				t.Errorf("got %v, want %v", got, tt.want)
 			}
 		})
--- a/csfake/task.go
+++ b/csfake/task.go
@@ -143,6 +143,11 @@
 
 func (t *Target) throttleTask(w http.ResponseWriter, r *http.Request) {
 	t.control(w, r, func(k *task) {
+		if r.URL.Query().Get("off") == "true" {
+			k.slow = 1
+			k.report.CPU = taskCPU
+			return
+		}
 		k.slow = throttleFactor
 		k.report.CPU = taskCPU / throttleFactor
 	})
--- a/csnode/capacity.go
+++ b/csnode/capacity.go
@@ -30,6 +30,7 @@
 	planner   *csfleet.Planner
 	scheduler *cstask.Scheduler
 	policy    cscapacity.Policy
+	yields    *yields
 	zones     map[csmodel.NodeID]csmodel.AvailabilityZone
 	term      csmodel.Term
 	busy      bool
@@ -99,7 +100,8 @@
 func (a *capacityActor) lead(term csmodel.Term) {
 	a.term = term
 	a.planner = csfleet.NewPlanner(csfleet.PlannerOptions{Lease: lossLease})
-	a.policy = &cscapacity.Reactive{}
+	a.policy = &cscapacity.Forecast{}
+	a.yields = newYields()
 	a.scheduler = cstask.NewScheduler()
 	a.scheduler.Configure(a.n.Active().Configuration.Jobs)
 }
@@ -113,8 +115,12 @@
 	var plan csfleet.Plan
 	var actions []cstask.Action
 	a.n.viewFleet(func(m *csfleet.Machine) {
-		plan = a.planner.Plan(m, active, observations, a.wanted(now, m), now)
-		actions = a.scheduler.Tick(m.Tasks(), a.observer.workers(m), now)
+		d := a.divide(now, m)
+		plan = a.planner.Plan(m, active, observations, d.wanted, now)
+		workers := a.observer.workers(m)
+		d.reserve(workers)
+		actions = a.scheduler.Tick(m.Tasks(), workers, now)
+		actions = append(actions, a.yield(now, m, d.shares)...)
 		a.n.metrics.observeFleet(m)
 	})
 	a.waves = plan.Waves
@@ -173,7 +179,7 @@
 	for _, action := range actions {
 		switch t := action.(type) {
 		case cstask.Throttle:
-			add(order{Action: orderThrottle, VM: t.VM, Fence: t.Fence, Task: t.Task})
+			add(order{Action: orderThrottle, VM: t.VM, Fence: t.Fence, Task: t.Task, Off: t.Off})
 		case cstask.TakeCheckpoint:
 			add(order{Action: orderCheckpoint, VM: t.VM, Fence: t.Fence, Task: t.Task})
 		case cstask.Stop:
--- a/csnode/deferred.go
+++ b/csnode/deferred.go
@@ -227,6 +227,9 @@
 	a.n.background(platformTimeout, func(ctx context.Context) {
 		for _, p := range paths {
 			path := fmt.Sprintf("/tasks/%s/%s?fence=%d", url.PathEscape(string(o.Task)), p, o.Fence)
+			if o.Off {
+				path += "&off=true"
+			}
 			if err := postTarget(ctx, a.client, machine.Address, path, machine.Incarnation, nil); err != nil {
 				a.n.log.Warn("task order failed", zap.String("task", string(o.Task)), zap.String("path", p), zap.Error(err))
 				return
--- a/csnode/observer.go
+++ b/csnode/observer.go
@@ -15,6 +15,9 @@
 // observer keeps what home nodes report to the region's leader. It is rebuilt from full reports.
 type observer struct {
 	homes map[csmodel.NodeID]*homeState
+	// arrivals counts the requests of each pool since the start. A home node that returns after a long silence adds only
+	// what arrives from then on, because a jump would look like a burst.
+	arrivals map[csmodel.PoolID]uint64
 }
 
 type homeState struct {
@@ -24,10 +27,15 @@
 	loads  []poolLoad
 }
 
-func newObserver() *observer { return &observer{homes: map[csmodel.NodeID]*homeState{}} }
+func newObserver() *observer {
+	return &observer{homes: map[csmodel.NodeID]*homeState{}, arrivals: map[csmodel.PoolID]uint64{}}
+}
 
 func (o *observer) report(now time.Time, from csmodel.NodeID, r reportMessage) {
 	home, ok := o.homes[from]
+	if ok {
+		o.count(home.loads, r.Loads)
+	}
 	if !ok || r.Full {
 		home = &homeState{vms: map[csmodel.VMID]observedVM{}, synced: r.Full}
 		o.homes[from] = home
@@ -42,6 +50,16 @@
 	}
 }
 
+// count adds the arrivals between two reports of a home node. A lower count is that of a restarted process.
+func (o *observer) count(before, after []poolLoad) {
+	for _, l := range after {
+		i := slices.IndexFunc(before, func(b poolLoad) bool { return b.Pool == l.Pool })
+		if i >= 0 && l.Arrivals > before[i].Arrivals {
+			o.arrivals[l.Pool] += l.Arrivals - before[i].Arrivals
+		}
+	}
+}
+
 // located is the latest report about a VM and the home node that sent it.
 type located struct {
 	observedVM
--- a/csnode/wire.go
+++ b/csnode/wire.go
@@ -111,6 +111,8 @@
 	Incarnation csmodel.Incarnation `cbor:"5,keyasint,omitempty"`
 	// Overrun marks a stop of a task that overran.
 	Overrun bool `cbor:"6,keyasint,omitempty"`
+	// Off ends a throttle.
+	Off bool `cbor:"7,keyasint,omitempty"`
 }
 
 type orderKind uint8
--- a/cstask/scheduler.go
+++ b/cstask/scheduler.go
@@ -90,6 +90,9 @@
 	}
 }
 
+// Late tells whether the pool has a task past its latest start that did not fit in the last tick.
+func (s *Scheduler) Late(pool csmodel.PoolID) bool { return s.late.Has(pool) }
+
 // Tick returns the actions for the current state. Proposals that were not committed after a few seconds are repeated.
 func (s *Scheduler) Tick(t *Table, workers []Worker, now time.Time) []Action {
 	s.sync(t, now)
