--- a/cscapacity/forecast.go
+++ b/cscapacity/forecast.go
@@ -20,7 +20,7 @@
 	// delay of the action.
 	holdFactor = 2
 	// restartLoss is the work that a checkpointed task loses, as a time at full speed.
-	restartLoss = 5 * time.Second
+	restartLoss = time.Second
 	// settleTime is the time between two corrections of the division of spare VMs.
 	settleTime = time.Minute
 	// headroom is the part of the demand that is kept free above it.
--- a/csnode/yield.go
+++ b/csnode/yield.go
@@ -89,13 +89,9 @@
 }
 
 func (a *capacityActor) giveWay(now time.Time, tasks []cscapacity.Task, s cscapacity.Share) []cstask.Action {
-	part := cscapacity.ThrottlePart
-	if s.Checkpoint {
-		part = 1
-	}
-	slow, resume := cscapacity.Yield(tasks, s.Yield, part)
+	yield, resume := s.Tasks(tasks)
 	var actions []cstask.Action
-	for _, t := range slow {
+	for _, t := range yield {
 		if s.Checkpoint {
 			actions = append(actions, a.checkpoint(now, t.VM, t.Task, t.Fence)...)
 			continue
