Hold slots in advance only for pools in use, index the leader's observations

Cause: with 20 nodes, 3,200 targets and 101 pools a node used 9.7% of a core (the leader 46%) and 122 KB/s on its links. Holders asked every home node of their zone twice a second and got half of all pools' free slots in advance; summaries were repeated every second; the leader searched all home nodes for each VM several times per plan. Change: a pool counts as in use for 30 s after its last demand; unchanged summaries are repeated every 5 s; the observer keeps an index; a plan follows the previous one after 0.3 ms per VM, at most 1 s.

--- a/csnode/capacity.go
+++ b/csnode/capacity.go
@@ -18,6 +18,9 @@
 	// lossLease is the silence after which the planner reports a VM as lost. It covers the failover of its target to
 	// another home node.
 	lossLease = 8 * time.Second
+	// planShare is the time between two plans for each VM, which bounds the processor time of a large region's leader.
+	planShare       = 300 * time.Microsecond
+	maxPlanInterval = time.Second
 	// forgetHome is the silence after which a home node's observations are dropped.
 	forgetHome = time.Minute
 )
@@ -34,6 +37,7 @@
 	zones     map[csmodel.NodeID]csmodel.AvailabilityZone
 	term      csmodel.Term
 	busy      bool
+	next      time.Time // earliest next plan
 	waves     []csfleet.WaveProgress
 }
 
@@ -90,10 +94,11 @@
 		a.lead(status.Term)
 	}
 	a.observer.forget(now, forgetHome)
-	if a.busy {
+	if a.busy || now.Before(a.next) {
 		return
 	}
 	a.plan(now)
+	a.next = now.Add(min(maxPlanInterval, time.Duration(len(a.observer.sorted))*planShare))
 }
 
 // lead starts with a planner that has seen nothing, so that it reports no VM as lost before it could be heard.
--- a/csnode/observer.go
+++ b/csnode/observer.go
@@ -14,7 +14,9 @@
 
 // observer keeps what home nodes report to the region's leader. It is rebuilt from full reports.
 type observer struct {
-	homes map[csmodel.NodeID]*homeState
+	homes  map[csmodel.NodeID]*homeState
+	index  map[csmodel.VMID]csmodel.NodeID // home nodes; nil after a change
+	sorted []csmodel.VMID                  // keys of index
 	// arrivals counts the requests of each pool since the start. A home node that returns after a long silence adds only
 	// what arrives from then on, because a jump would look like a burst.
 	arrivals map[csmodel.PoolID]uint64
@@ -40,6 +42,10 @@
 		home = &homeState{vms: map[csmodel.VMID]observedVM{}, synced: r.Full}
 		o.homes[from] = home
 	}
+	// An unchanged VM may have two home nodes, of which the later one counts.
+	if len(r.VMs) > 0 || len(r.Gone) > 0 || r.Full {
+		o.index = nil
+	}
 	home.heard = now
 	home.loads = r.Loads
 	for _, vm := range r.VMs {
@@ -69,36 +75,44 @@
 
 // home returns the latest report about a VM.
 func (o *observer) home(id csmodel.VMID) (located, bool) {
-	var best located
-	for _, name := range csmodel.SortedKeys(o.homes) {
-		vm, ok := o.homes[name].vms[id]
-		if !ok {
-			continue
-		}
-		// A target that moved to another home node has the later report there.
-		heard := o.homes[name].heard
-		if best.node == "" || vm.Incarnation > best.Incarnation ||
-			vm.Incarnation == best.Incarnation && heard.After(best.heard) {
-			best = located{observedVM: vm, node: name, heard: heard}
-		}
+	o.refresh()
+	node, ok := o.index[id]
+	if !ok {
+		return located{}, false
 	}
-	return best, best.node != ""
+	home := o.homes[node]
+	return located{observedVM: home.vms[id], node: node, heard: home.heard}, true
 }
 
-func (o *observer) ids() []csmodel.VMID {
-	var ids []csmodel.VMID
-	for _, home := range o.homes {
-		for id := range home.vms {
-			ids = append(ids, id)
+// refresh finds the home node of each VM again after reports that added or removed VMs.
+func (o *observer) refresh() {
+	if o.index != nil {
+		return
+	}
+	o.index = map[csmodel.VMID]csmodel.NodeID{}
+	for _, name := range csmodel.SortedKeys(o.homes) {
+		for id, vm := range o.homes[name].vms {
+			known, ok := o.index[id]
+			if !ok || o.newer(name, vm, known) {
+				o.index[id] = name
+			}
 		}
 	}
-	slices.Sort(ids)
-	return slices.Compact(ids)
+	o.sorted = csmodel.SortedKeys(o.index)
+}
+
+// newer tells whether the report of a node is newer than that of the known home node. A target that moved to another home
+// node has the later report there.
+func (o *observer) newer(name csmodel.NodeID, vm observedVM, known csmodel.NodeID) bool {
+	other := o.homes[known].vms[vm.VM]
+	return vm.Incarnation > other.Incarnation ||
+		vm.Incarnation == other.Incarnation && o.homes[name].heard.After(o.homes[known].heard)
 }
 
 func (o *observer) observations() []csfleet.Observation {
 	var out []csfleet.Observation
-	for _, id := range o.ids() {
+	o.refresh()
+	for _, id := range o.sorted {
 		vm, _ := o.home(id)
 		out = append(out, csfleet.Observation{
 			VM: id, Incarnation: vm.Incarnation, Heard: vm.heard, Zone: vm.Zone, Rack: vm.Rack, Pool: vm.Pool, CPU: vm.CPU,
@@ -149,6 +163,7 @@
 	for node, home := range o.homes {
 		if now.Sub(home.heard) > after {
 			delete(o.homes, node)
+			o.index = nil
 		}
 	}
 }
--- a/csnode/targets.go
+++ b/csnode/targets.go
@@ -18,8 +18,8 @@
 	reportTicks  = 5
 	// reportRefresh is the interval of full reports, which repair what a lost message or a new leader misses.
 	reportRefresh = 10 * time.Second
-	// summaryRefresh is the interval in which unchanged summaries are repeated.
-	summaryRefresh = time.Second
+	// summaryRefresh is the interval in which unchanged summaries are repeated, for nodes that restarted.
+	summaryRefresh = 5 * time.Second
 )
 
 // targetsActor runs the registry and the grantor of this home node.
--- a/cstarget/division.go
+++ b/cstarget/division.go
@@ -12,6 +12,7 @@
 // divide renews and changes a node's leases on the targets of a pool.
 func (g *Grantor) divide(now time.Time, at time.Duration, pool csmodel.PoolID, r SlotRequest) []TargetGrant {
 	state := g.nodes[r.Node]
+	wanted, _ := state.wants(pool)
 	var usable []*record
 	var grants []TargetGrant
 	capacity := 0
@@ -24,7 +25,7 @@
 			continue
 		}
 		if g.registry.health.Quarantined(rec.id) {
-			if probe, ok := g.probe(now, at, rec, r, state.wants(pool)); ok {
+			if probe, ok := g.probe(now, at, rec, r, wanted); ok {
 				grants = append(grants, probe)
 			}
 			continue
@@ -85,18 +86,22 @@
 	return g.export(rec, l, at), true
 }
 
-// quota returns the node's share of a pool's slots: its demand where all demand fits, plus an equal part of half of what
-// remains, so that a burst needs no round trip and the other half serves new demand at once.
+// quota returns the node's share of a pool's slots: its demand where all demand fits, plus, among the nodes that use the
+// pool, an equal part of half of what remains, so that a burst needs no round trip and the other half serves new demand at
+// once.
 func (g *Grantor) quota(at time.Duration, pool csmodel.PoolID, node csmodel.NodeID, capacity int) int {
 	total := 0
 	active := 0
 	for _, state := range g.nodes {
-		if at < state.seen+SlotLease {
-			total += state.wants(pool)
+		if slots, listed := state.wants(pool); listed && at < state.seen+SlotLease {
+			total += slots
 			active++
 		}
 	}
-	wanted := g.nodes[node].wants(pool)
+	wanted, listed := g.nodes[node].wants(pool)
+	if !listed {
+		return 0
+	}
 	if total <= capacity {
 		return wanted + (capacity-total)/2/max(1, active)
 	}
--- a/cstarget/grantor.go
+++ b/cstarget/grantor.go
@@ -73,13 +73,14 @@
 	busy        []TargetUse // in the order of target ids
 }
 
-func (s *holderState) wants(pool csmodel.PoolID) int {
+// wants returns the slots that a node demands in a pool, and whether the node uses the pool at all.
+func (s *holderState) wants(pool csmodel.PoolID) (slots int, listed bool) {
 	for _, d := range s.demand {
 		if d.Pool == pool {
-			return max(0, d.Slots)
+			return max(0, d.Slots), true
 		}
 	}
-	return 0
+	return 0, false
 }
 
 func (s *holderState) busyOn(vm csmodel.VMID) int {
--- a/cstarget/holder.go
+++ b/cstarget/holder.go
@@ -16,7 +16,9 @@
 	// dispatchMargin ends a lease earlier for its holder, so that an attempt reaches the target before the slot is
 	// granted to another node.
 	dispatchMargin = 50 * time.Millisecond
-	maxUnanswered  = 8 // requests to a home node whose send time is kept
+	// interestTime is the time after its last demand for which a pool's slots are held in advance.
+	interestTime  = 30 * time.Second
+	maxUnanswered = 8 // requests to a home node whose send time is kept
 )
 
 // HolderConfig configures the holder of slots.
@@ -59,6 +61,8 @@
 	uses   map[csmodel.VMID]TargetUse
 	homeOf map[csmodel.VMID]csmodel.NodeID
 	totals map[poolPart]int // nil after a summary changed
+	// interest is the time of the last demand for each pool. It is bounded by the number of pools.
+	interest map[csmodel.PoolID]time.Time
 }
 
 // NewHolder returns a holder without slots.
@@ -69,6 +73,8 @@
 		demand: map[csmodel.PoolID]csmodel.SlotDemand{},
 		uses:   map[csmodel.VMID]TargetUse{},
 		homeOf: map[csmodel.VMID]csmodel.NodeID{},
+
+		interest: map[csmodel.PoolID]time.Time{},
 	}
 }
 
@@ -100,18 +106,24 @@
 	}
 }
 
-// Requests returns the requests to send now: one to each home node that holds targets of a demanded pool or of the own
-// availability zone and whose renewal is due or whose demand grew.
+// Requests returns the requests to send now: one to each home node that holds targets of a pool in use and whose renewal is
+// due or whose demand grew. A pool stays in use for interestTime after its last demand, so that slots are held in advance
+// only where they are likely to be needed.
 func (h *Holder) Requests(now time.Time) []AddressedRequest {
 	if h.totals == nil {
 		h.totals = h.countSlots()
 	}
+	for pool, d := range h.demand {
+		if d.Local > 0 || d.Remote > 0 {
+			h.interest[pool] = now
+		}
+	}
 	var requests []AddressedRequest
 	for _, id := range csmodel.SortedKeys(h.homes) {
 		home := h.homes[id]
-		demand, near := h.demandOf(home)
+		demand := h.demandOf(now, home)
 		held := slices.ContainsFunc(home.leases, func(l csmodel.SlotLease) bool { return now.Before(l.Until) })
-		if !near && !held && len(demand) == 0 {
+		if !held && len(demand) == 0 {
 			continue
 		}
 		urgent := !home.confirmed || grew(home.demand, demand) && !now.Before(home.last.Add(growthInterval))
@@ -165,23 +177,23 @@
 	return uses
 }
 
-// demandOf returns the part of the demand that goes to a home node, in proportion to its slots, and whether the node has
-// targets in the own availability zone.
-func (h *Holder) demandOf(home *homeState) ([]PoolDemand, bool) {
+// demandOf returns the part of the demand that goes to a home node, in proportion to its slots. A pool in use with targets
+// in the own availability zone is listed even without demand.
+func (h *Holder) demandOf(now time.Time, home *homeState) []PoolDemand {
 	var demand []PoolDemand
-	near := false
 	for _, s := range home.pools {
 		local := s.Zone == h.config.Zone
-		near = near || local
 		wanted := h.demand[s.Pool].Remote
 		if local {
 			wanted = h.demand[s.Pool].Local
 		}
+		last, known := h.interest[s.Pool]
+		ahead := local && known && now.Sub(last) < interestTime
 		all := h.totals[poolPart{s.Pool, local}]
-		if wanted <= 0 || all <= 0 || s.Slots <= 0 {
+		if wanted <= 0 && !ahead || all <= 0 || s.Slots <= 0 {
 			continue
 		}
-		part := (wanted*s.Slots + all - 1) / all
+		part := (max(0, wanted)*s.Slots + all - 1) / all
 		i, found := slices.BinarySearchFunc(demand, s.Pool, func(d PoolDemand, p csmodel.PoolID) int {
 			return cmp.Compare(d.Pool, p)
 		})
@@ -191,7 +203,7 @@
 		}
 		demand = slices.Insert(demand, i, PoolDemand{Pool: s.Pool, Slots: part})
 	}
-	return demand, near
+	return demand
 }
 
 // poolPart is the part of a pool in the own availability zone or in the others.
