--- a/cmd/csbench/policies.go
+++ b/cmd/csbench/policies.go
@@ -24,7 +24,7 @@
 
 type policiesCommand struct {
 	*app
-	Profiles []string `long:"profile" choice:"first" choice:"second" choice:"design" description:"installation (default: first and second)"`
+	Profiles []string `long:"profile" choice:"first" choice:"second" choice:"tenth" description:"installation (default: first and second)"`
 	Policies []string `long:"policy" choice:"static" choice:"lent" choice:"reactive" choice:"forecast" description:"policy (default: all)"`
 	Faults   string   `long:"faults" choice:"calm" choice:"wave" choice:"both" default:"both" description:"runs without or with the wave of faults"`
 	Seeds    int      `long:"seeds" default:"20" description:"number of seeds"`
--- a/cscapacity/rates.go
+++ b/cscapacity/rates.go
@@ -12,13 +12,16 @@
 	serviceWindow = 2 * time.Minute
 	peakHalf      = 5 * time.Minute // half-life of the remembered burst peak
 	startRatio    = 2.0             // fast rate in multiples of the slow one at which a burst starts
-	endRatio      = 0.75            // and below which it ends
+	endRatio      = 1.25            // and below which it ends, so that a lasting load becomes the normal one
 	minBurst      = 2.0             // slots of demand below which no burst starts
 	burstWeight   = 0.3             // weight of the newest burst in the learned length and interval
 	// drainTime is the time in which a queue should be served.
 	drainTime = 2.0
-	// minService bounds the learned service time, which divides nothing but must not be zero.
-	minService = 0.001
+	// priorService in seconds, with the weight of priorRequests, stands for the service time before requests were seen.
+	priorService  = 0.25
+	priorRequests = 4.0
+	// priorLength is the length in seconds that the first burst is expected to have. It lets a new leader use spare VMs.
+	priorLength = 15.0
 	// maxGap bounds the interval of bursts that are still expected, in multiples of the mean interval.
 	maxGap = 3.0
 )
@@ -26,6 +29,7 @@
 // rates is the forecast of one pool. Its size does not depend on the load.
 type rates struct {
 	known      bool
+	since      time.Time
 	last       time.Time
 	arrivals   uint64
 	fast, slow float64 // requests per second
@@ -48,15 +52,22 @@
 	}
 	r.arrivals = l.Arrivals
 	r.last = now
-	if !r.known || step <= 0 {
+	if !r.known {
 		r.known = true
+		r.since = now
+		return
+	}
+	if step <= 0 {
 		return
 	}
 	r.fast += weight(step, fastWindow) * (came/step - r.fast)
-	r.slow += weight(step, slowWindow) * (came/step - r.slow)
+	// The window grows with the age of the forecast. Otherwise the slow rate would start near zero and the first load of a
+	// new leader would look like a burst.
+	age := max(fastWindow, min(slowWindow, now.Sub(r.since)))
+	r.slow += weight(step, age) * (came/step - r.slow)
 	r.learnService(l, step, came)
 	r.peak *= math.Exp2(-step / peakHalf.Seconds())
-	r.followBurst(now, r.demand(l))
+	r.followBurst(now, r.demand(l), float64(l.Slots))
 }
 
 func weight(step float64, window time.Duration) float64 {
@@ -75,10 +86,7 @@
 
 // service is the learned service time in seconds.
 func (r *rates) service() float64 {
-	if r.came < 1 {
-		return minService
-	}
-	return max(minService, r.busy/r.came)
+	return (r.busy + priorService*priorRequests) / (r.came + priorRequests)
 }
 
 // demand is the number of slots that the present arrivals need, with those that serve the queue in time.
@@ -86,11 +94,13 @@
 	return max(float64(l.Busy), r.fast*r.service()) + float64(l.Queued)*r.service()/drainTime
 }
 
-func (r *rates) followBurst(now time.Time, demand float64) {
+// followBurst tells bursts by the rise of the rate, or by a demand that exceeds the slots.
+func (r *rates) followBurst(now time.Time, demand, slots float64) {
+	short := demand > slots
 	switch {
-	case !r.bursting && r.fast > startRatio*r.slow && demand > minBurst:
+	case !r.bursting && demand > minBurst && (short || r.fast > startRatio*r.slow):
 		r.begin(now)
-	case r.bursting && r.fast < endRatio*r.slow:
+	case r.bursting && !short && r.fast < endRatio*r.slow:
 		r.end(now)
 	}
 	if r.bursting {
@@ -128,8 +138,12 @@
 	if !r.bursting {
 		return 0
 	}
+	length := r.length
+	if length == 0 {
+		length = priorLength
+	}
 	elapsed := now.Sub(r.began).Seconds()
-	return max(r.length-elapsed, elapsed/2)
+	return max(length-elapsed, elapsed/2)
 }
 
 // recurring tells whether bursts come regularly enough to expect the next one.
--- a/csdemo/scenario.go
+++ b/csdemo/scenario.go
@@ -34,7 +34,7 @@
 // Load of the demo.
 const (
 	quoteRate    = 40.0 // requests per second
-	burstFactor  = 6
+	burstFactor  = 10   // the burst demands more slots than the pool has
 	orderRate    = 15.0 // requests per second
 	taskCount    = 40
 	taskRuntime  = 800 * time.Millisecond
