--- a/Makefile
+++ b/Makefile
@@ -20,4 +20,5 @@
 	gofmt -w .
 
 bench:
-	go run ./cmd/csbench
+	go run ./cmd/csbench slopes
+	go run ./cmd/csbench memory
--- a/cmd/csbench/app.go
+++ b/cmd/csbench/app.go
@@ -30,6 +30,7 @@
 	return []command{
 		{"policies", "Measure the capacity policies", policiesUsage, &policiesCommand{app: a}},
 		{"slopes", "Measure bytes and processor time per item", slopesUsage, &slopesCommand{app: a}},
+		{"memory", "Measure the resident size of a node", memoryUsage, &memoryCommand{app: a}},
 	}
 }
 
