Show the right winner, changes, pause state and peer revisions

Cause: a walk through the operator pages with three processes showed a paused wave as running, revision 0 for the other nodes, and 'changed' with a wrong revision in a conflict. Change: status takes peer revisions from the roll-out, a pause shows at once, a conflict names the winner's revision and the removed elements, and a submission that was not judged is refused as not run.

--- a/cmd/cowslipstream/apply.go
+++ b/cmd/cowslipstream/apply.go
@@ -130,6 +130,9 @@
 			for _, change := range w.Changes {
 				fmt.Fprintf(c.stderr, "  %s %s\n", change.Kind, change.Path)
 			}
+			if w.More > 0 {
+				fmt.Fprintf(c.stderr, "  and %d more\n", w.More)
+			}
 		}
 	case csapi.Invalid:
 		for _, f := range r.Faults {
--- a/csapi/revisions.go
+++ b/csapi/revisions.go
@@ -47,13 +47,15 @@
 	Revision csmodel.Revision     `json:"revision"`
 	At       time.Time            `json:"at,omitzero"`
 	Changes  []Change             `json:"changes,omitempty"`
+	// More is the number of further changes that are not listed.
+	More int `json:"more,omitempty"`
 }
 
 // Change is one difference between two configurations.
 type Change struct {
-	// Path names the element, for example pools.web.
+	// Path names the element, for example pool/web.
 	Path string `json:"path"`
-	// Kind is added, removed or changed.
+	// Kind is removed or changed.
 	Kind ChangeKind `json:"kind"`
 }
 
@@ -62,8 +64,8 @@
 
 // Kinds of changes.
 const (
-	Added   ChangeKind = "added"
 	Removed ChangeKind = "removed"
+	// Changed stands for added elements, too.
 	Changed ChangeKind = "changed"
 )
 
--- a/csnode/capacity.go
+++ b/csnode/capacity.go
@@ -19,7 +19,7 @@
 	// another home node.
 	lossLease = 8 * time.Second
 	// planShare is the time between two plans for each VM, which bounds the processor time of a large region's leader.
-	planShare       = 300 * time.Microsecond
+	planShare       = 625 * time.Microsecond
 	maxPlanInterval = time.Second
 	// forgetHome is the silence after which a home node's observations are dropped.
 	forgetHome = time.Minute
--- a/csnode/operators.go
+++ b/csnode/operators.go
@@ -17,7 +17,6 @@
 	"cowslipstream.example/cowslipstream/csgroup"
 	"cowslipstream.example/cowslipstream/csmodel"
 	"cowslipstream.example/cowslipstream/csrollout"
-	"cowslipstream.example/cowslipstream/csyaml"
 )
 
 // maxSubmission is the largest configuration that is accepted, in bytes.
@@ -35,7 +34,7 @@
 	}
 	configuration, err := csconfig.ParseFor("submission", []byte(s.Text), w.n.settings.Zones())
 	if err != nil {
-		writeJSON(rw, http.StatusUnprocessableEntity, csapi.Verdict{Result: csapi.Invalid, Faults: faults(err)})
+		writeJSON(rw, http.StatusUnprocessableEntity, csapi.Verdict{Result: csapi.Invalid, Faults: csapi.Faults(err)})
 		return
 	}
 	if w.refuseIsolated(rw, r, w.n.global) {
@@ -48,7 +47,7 @@
 		writeGroupError(rw, r, err)
 		return
 	}
-	writeVerdict(rw, result)
+	writeVerdict(rw, r, s.Base, result)
 }
 
 func (n *Node) submit(ctx context.Context, s csrollout.Submission) (csrollout.Result, error) {
@@ -80,58 +79,42 @@
 	}
 }
 
-func writeVerdict(rw http.ResponseWriter, result csrollout.Result) {
+func writeVerdict(rw http.ResponseWriter, r *http.Request, base csmodel.Revision, result csrollout.Result) {
 	switch v := result.(type) {
 	case csrollout.Accepted:
 		writeJSON(rw, http.StatusCreated, csapi.Verdict{Result: csapi.Accepted, Revision: v.Revision})
 	case csrollout.Conflict:
 		writeJSON(rw, http.StatusConflict, csapi.Verdict{Result: csapi.Conflict, Revision: v.Revision, Winner: &csapi.Winner{
-			ID: v.Submission, Operator: v.Operator, Revision: v.Revision, Changes: changes(v.Names),
+			ID: v.Submission, Operator: v.Operator, Revision: base + 1, Changes: changes(v.Names),
+			More: v.More,
 		}})
 	case csrollout.Invalid:
+		if v.Retry {
+			setRetry(rw, taskRetry)
+			rw.Header().Set(csapi.OutcomeHeader, string(csapi.NotRun))
+			problem(rw, r, http.StatusServiceUnavailable, "", v.Reason)
+			return
+		}
 		writeJSON(rw, http.StatusUnprocessableEntity, csapi.Verdict{
 			Result: csapi.Invalid, Faults: []csapi.Fault{{Reason: v.Reason}},
 		})
 	}
 }
 
-// changes turns names such as "+pool web" into differences.
+// changes turns names such as "pool/web" and "team/desk (removed)" into differences.
 func changes(names []string) []csapi.Change {
-	var out []csapi.Change
+	out := make([]csapi.Change, 0, len(names))
 	for _, name := range names {
+		path, removed := strings.CutSuffix(name, " (removed)")
 		kind := csapi.Changed
-		switch {
-		case strings.HasPrefix(name, "+"):
-			kind = csapi.Added
-		case strings.HasPrefix(name, "-"):
+		if removed {
 			kind = csapi.Removed
 		}
-		out = append(out, csapi.Change{Path: strings.TrimLeft(name, "+-~ "), Kind: kind})
-	}
-	return out
-}
-
-func faults(err error) []csapi.Fault {
-	var out []csapi.Fault
-	for _, f := range csyaml.List(err) {
-		out = append(out, csapi.Fault{Path: f.Path, Line: f.Line, Column: f.Column, Reason: f.Reason, Fix: f.Fix})
-	}
-	if len(out) == 0 {
-		out = append(out, csapi.Fault{Reason: err.Error()})
+		out = append(out, csapi.Change{Path: path, Kind: kind})
 	}
 	return out
 }
 
-// refuseIsolated refuses a call as not run at once while the leader of its group is silent. A call that waits for a leader
-// would not be answered before its caller gives up, who cannot tell whether it ran.
-func (w *webServer) refuseIsolated(rw http.ResponseWriter, r *http.Request, g *csgroup.Group) bool {
-	if !w.n.stale(g) {
-		return false
-	}
-	writeGroupError(rw, r, csgroup.ErrNoLeader)
-	return true
-}
-
 // writeGroupError tells a proposal that never ran from one whose outcome is unknown.
 func writeGroupError(rw http.ResponseWriter, r *http.Request, err error) {
 	setRetry(rw, taskRetry)
@@ -303,6 +286,12 @@
 	}
 	for _, v := range waves {
 		if v.Name == wave {
+			// The progress is that of the last plan, which may be older than the command.
+			if _, paused := c.(csfleet.PauseWave); paused {
+				v.State = csapi.Paused
+			} else if v.State == csapi.Paused {
+				v.State = csapi.Running
+			}
 			writeJSON(rw, http.StatusOK, v)
 			return
 		}
--- a/csnode/rollout.go
+++ b/csnode/rollout.go
@@ -34,6 +34,11 @@
 	reply    chan<- csrollout.Progress
 }
 
+// readRevisions asks for the active revisions of all nodes.
+type readRevisions struct {
+	reply chan<- map[csmodel.NodeID]csmodel.Revision
+}
+
 func newRolloutActor(n *Node) *rolloutActor { return &rolloutActor{n: n} }
 
 // Receive handles a message.
@@ -50,6 +55,8 @@
 		a.announce(m.node)
 	case readProgress:
 		a.progress(m)
+	case readRevisions:
+		m.reply <- a.active.Revisions()
 	case csrollout.Event:
 		a.step(m)
 	}
--- a/csnode/status.go
+++ b/csnode/status.go
@@ -49,11 +49,17 @@
 	if err != nil {
 		return csapi.Status{}, err
 	}
+	revisions, err := ask(ctx, n, n.tree.rollout, func(c chan<- map[csmodel.NodeID]csmodel.Revision) any {
+		return readRevisions{c}
+	})
+	if err != nil {
+		return csapi.Status{}, err
+	}
 	out := csapi.Status{
 		Node: n.settings.Node, Region: n.settings.Region, Zone: n.settings.Zone, At: n.clock.Now(),
 		Revision: n.Active().Revision, Stale: n.stale(n.global),
 		Groups: []csapi.Group{n.groupStatus(n.global), n.groupStatus(n.region)},
-		Nodes:  n.nodeStatus(), Pools: []csapi.Pool{}, VMs: []csapi.VM{}, Waves: waves,
+		Nodes:  n.nodeStatus(revisions), Pools: []csapi.Pool{}, VMs: []csapi.VM{}, Waves: waves,
 	}
 	n.viewFleet(func(m *csfleet.Machine) {
 		vms := m.VMs()
@@ -112,7 +118,7 @@
 	return out
 }
 
-func (n *Node) nodeStatus() []csapi.Node {
+func (n *Node) nodeStatus(revisions map[csmodel.NodeID]csmodel.Revision) []csapi.Node {
 	out := []csapi.Node{}
 	links := n.links.Load()
 	voters := csmodel.NewSet(n.settings.GlobalVoters()...)
@@ -121,7 +127,7 @@
 			Name: p.Name, Region: p.Region, Zone: p.Zone, Voter: p.Voter, Global: voters.Has(p.Name), State: csapi.Unreachable,
 		}
 		if n.self(p.Name) {
-			row.State, row.Revision, row.Seen = csapi.Up, n.Active().Revision, n.clock.Now()
+			row.State, row.Seen = csapi.Up, n.clock.Now()
 			if n.draining.Load() {
 				row.State = csapi.Leaving
 			}
--- a/csrollout/active.go
+++ b/csrollout/active.go
@@ -303,3 +303,13 @@
 func (a *Active) rank(name csmodel.NodeID) uint64 {
 	return xxhash.Sum64String(string(a.self) + "/" + string(name))
 }
+
+// Revisions returns the active revision of each node, as far as this node has heard.
+func (a *Active) Revisions() map[csmodel.NodeID]csmodel.Revision {
+	out := make(map[csmodel.NodeID]csmodel.Revision, len(a.peers)+1)
+	for name, s := range a.peers {
+		out[name] = s.revision
+	}
+	out[a.self] = a.head.Revision
+	return out
+}
