Count an added voter at once, and answer 503 before the first configuration

Cause: TestVoterReplaced (a voter loses its folder, is replaced, and the leader is killed as soon as both survivors list the new incarnation as a voter) found two faults. (2) A node without a configuration refused requests with 400 or 404, which callers take for final. Change: (1) the voters before a change must agree only where the change removes one; a majority of the new voters overlaps with each majority of the old ones. csraft has TestAddedVoterCounts, which failed before. (2) Such a node answers 503 'not run' with Retry-After. A request with a key is still looked up first.

--- a/csnode/callers.go
+++ b/csnode/callers.go
@@ -195,6 +195,11 @@
 }
 
 func (w *webServer) readSubmit(rw http.ResponseWriter, r *http.Request) (cstask.Submit, bool) {
+	if w.n.Active().Revision == 0 {
+		setRetry(rw, taskRetry)
+		problem(rw, r, http.StatusServiceUnavailable, "", string(csrequest.ReasonUnready))
+		return cstask.Submit{}, false
+	}
 	name := csmodel.JobID(r.PathValue(csapi.JobParameter))
 	job, found := findJob(w.n.Active().Configuration, name)
 	if !found || job.Class != csconfig.Deferred {
--- a/csproof/fleet_test.go
+++ b/csproof/fleet_test.go
@@ -35,6 +35,15 @@
 	}
 }
 
+// text returns a configuration as operators submit it.
+func text(rate int) string {
+	out, err := csconfig.Print(configuration(rate))
+	if err != nil {
+		panic(err) // the configurations of the tests can be encoded
+	}
+	return string(out)
+}
+
 // apply submits a configuration on the newest revision until it is accepted.
 func (c *cluster) apply(n *node, rate int) csmodel.Revision {
 	c.t.Helper()
--- a/csproof/harness_test.go
+++ b/csproof/harness_test.go
@@ -279,6 +279,18 @@
 	})
 }
 
+// split returns the nodes in a zone and the others.
+func (c *cluster) split(zone csmodel.AvailabilityZone) (in, out []*node) {
+	for _, n := range c.nodes {
+		if n.Zone == zone {
+			in = append(in, n)
+		} else {
+			out = append(out, n)
+		}
+	}
+	return in, out
+}
+
 // cutZone cuts a zone off from the others: what leaves it, what enters it, or both.
 func (c *cluster) cutZone(zone csmodel.AvailabilityZone, leaving, entering bool) {
 	for pair, l := range c.links {
--- a/csproof/operators_test.go
+++ b/csproof/operators_test.go
@@ -14,7 +14,6 @@
 	"github.com/anishathalye/porcupine"
 
 	"cowslipstream.example/cowslipstream/csapi"
-	"cowslipstream.example/cowslipstream/csconfig"
 	"cowslipstream.example/cowslipstream/csmodel"
 )
 
@@ -79,8 +78,7 @@
 		}
 		return result{revision: read.Revision, head: read.ID}, true
 	}
-	text, _ := csconfig.Print(configuration(int(c.base%7) + len(c.id)))
-	body, _ := json.Marshal(csapi.Submission{ID: c.id, Base: c.base, Text: string(text)})
+	body, _ := json.Marshal(csapi.Submission{ID: c.id, Base: c.base, Text: text(int(c.base%7) + len(c.id))})
 	r, err := sendWithin(limit, n.Listen, http.MethodPost, csapi.RevisionsPath, headers, body)
 	var v csapi.Verdict
 	if err != nil || r.status >= http.StatusInternalServerError || json.Unmarshal(r.body, &v) != nil {
@@ -148,16 +146,16 @@
 }
 
 // watchRevisions reports nodes whose active revision decreases, also over a restart. It ends with the returned function.
-func (c *cluster) watchRevisions() func() {
+func watchRevisions(t *testing.T, nodes []*node) func() {
 	end := make(chan struct{})
 	var watchers sync.WaitGroup
-	for _, n := range c.nodes {
+	for _, n := range nodes {
 		watchers.Go(func() {
 			newest := 0.0
 			for {
 				got := n.metric("configuration_revision")
 				if got >= 0 && got < newest {
-					c.t.Errorf("%s went from revision %v to %v", n.Name, newest, got)
+					t.Errorf("%s went from revision %v to %v", n.Name, newest, got)
 				}
 				newest = max(newest, got)
 				select {
@@ -184,7 +182,7 @@
 	if err != nil || first != 1 {
 		t.Fatal(first, err)
 	}
-	stop := c.watchRevisions()
+	stop := watchRevisions(t, c.nodes)
 	h := &history{start: time.Now()}
 	end := make(chan struct{})
 	var operators, readers sync.WaitGroup
--- a/csproof/partition_test.go
+++ b/csproof/partition_test.go
@@ -100,15 +100,9 @@
 	}{{"two-way", true, true}, {"one-way", true, false}} {
 		t.Run(tt.name, func(t *testing.T) {
 			leader := c.leader()
-			cutOff := &side{name: tt.name + "-isolated", tally: newTally()}
-			rest := &side{name: tt.name + "-rest", tally: newTally()}
-			for _, n := range c.nodes {
-				if n.Zone == leader.Zone {
-					cutOff.nodes = append(cutOff.nodes, n)
-				} else {
-					rest.nodes = append(rest.nodes, n)
-				}
-			}
+			isolated, others := c.split(leader.Zone)
+			cutOff := &side{name: tt.name + "-isolated", tally: newTally(), nodes: isolated}
+			rest := &side{name: tt.name + "-rest", tally: newTally(), nodes: others}
 			end := make(chan struct{})
 			var load sync.WaitGroup
 			load.Go(func() { cutOff.run(end) })
--- a/csraft/core_test.go
+++ b/csraft/core_test.go
@@ -113,6 +113,30 @@
 	testChanges(t, c, now)
 }
 
+// TestAddedVoterCounts guards against a group without a leader after the loss of the one that added a voter: c is lost, the
+// commit of the addition of b is not known, and a majority of the voters before it is gone.
+func TestAddedVoterCounts(t *testing.T) {
+	learner := testMembers.with(Member{Node: "b", Incarnation: 2})
+	var entries []Entry
+	for i, m := range []Membership{learner, learner.with(Member{Node: "b", Incarnation: 2, Voter: true})} {
+		data, err := EncodeMembership(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		entries = append(entries, Entry{Term: 1, Index: csmodel.Index(i + 2), Kind: EntryMembership, Data: data})
+	}
+	c, now := testCore(t, "a", HardState{Term: 1}, entries...)
+	now = now.Add(time.Second)
+	c.Step(now, Tick{})
+	for _, k := range []MessageKind{MessagePreVoteReply, MessageVoteReply} {
+		c.Step(now, Receive{Message: Message{Kind: k, From: "b", Incarnation: 2, Term: 2}})
+	}
+	c.Step(now, Receive{Message: Message{Kind: MessageAppendReply, From: "b", Incarnation: 2, Term: 2, Index: 4, Round: 1}})
+	if c.commit != 4 || !c.Leading(now) {
+		t.Errorf("got role %v, commit %d, leading %v; want a leader that committed 4", c.role, c.commit, c.Leading(now))
+	}
+}
+
 // testChanges guards against membership changes that lose the quorum: c leads, b is reachable and c is not.
 func testChanges(t *testing.T, c *Core, now time.Time) {
 	tests := []struct {
--- a/csraft/leader.go
+++ b/csraft/leader.go
@@ -271,16 +271,23 @@
 	}
 }
 
-// deciding returns the memberships whose majorities the leader needs. While a change is not committed, both the old and
-// the new voters must agree: a leader must not commit the removal of a voter that is needed for the quorum it removes.
+// deciding returns the memberships whose majorities the leader needs. While the removal of a voter is not committed, both
+// the old and the new voters must agree: a leader must not commit the removal of a voter that is needed for the quorum it
+// removes. An added voter counts at once, so that the group survives the loss of the leader that added it: a majority of
+// the new voters overlaps with each majority of the old ones.
 func (c *Core) deciding() []Membership {
-	out := []Membership{c.log.membership()}
-	if before, ok := c.log.uncommittedChange(c.commit); ok && len(before.Voters()) > 0 {
+	after := c.log.membership()
+	out := []Membership{after}
+	if before, ok := c.log.uncommittedChange(c.commit); ok && removesVoter(before, after) {
 		out = append(out, before)
 	}
 	return out
 }
 
+func removesVoter(before, after Membership) bool {
+	return slices.ContainsFunc(before.Voters(), func(v Member) bool { return !after.voter(v.Node, v.Incarnation) })
+}
+
 // majority returns the highest value that a majority of the voters has reached.
 func majority[T any](c *Core, m Membership, own T, of func(*peer) T, compare func(T, T) int) T {
 	var values []T
--- a/csrequest/arrive.go
+++ b/csrequest/arrive.go
@@ -41,6 +41,8 @@
 		r.refuse(req, ReasonSize, 0)
 	case a.Key != "":
 		r.arriveKeyed(now, req, a)
+	case !r.configured:
+		r.refuse(req, ReasonUnready, time.Second)
 	case !a.Idempotent:
 		r.refuse(req, ReasonKey, 0)
 	default:
@@ -122,6 +124,10 @@
 
 // admit puts a request into its queue, or refuses it as not run.
 func (r *Router) admit(now time.Time, req *request) {
+	if !r.configured {
+		r.refuse(req, ReasonUnready, time.Second)
+		return
+	}
 	if req.job == nil {
 		r.refuse(req, ReasonJob, 0)
 		return
--- a/csrequest/outcome.go
+++ b/csrequest/outcome.go
@@ -53,6 +53,7 @@
 	ReasonWait     Reason = "expected wait exceeds timeout"
 	ReasonTimeout  Reason = "timeout"
 	ReasonDrain    Reason = "node is draining"
+	ReasonUnready  Reason = "node does not know the configuration yet"
 	ReasonStopped  Reason = "node stopped"
 	ReasonCanceled Reason = "cancelled by caller"
 	ReasonTarget   Reason = "target failed"
--- a/csrequest/router.go
+++ b/csrequest/router.go
@@ -60,9 +60,11 @@
 	sequence uint64
 	budget   float64 // retries and hedges that may be sent now
 	draining bool
-	stats    Stats
-	now      time.Time // of the last event
-	out      []Command
+	// configured is false until the first configuration: then no job is known, and an unknown one is no final refusal.
+	configured bool
+	stats      Stats
+	now        time.Time // of the last event
+	out        []Command
 }
 
 // noTeam stands for all teams that are not configured.
@@ -166,6 +168,7 @@
 }
 
 func (r *Router) configure(now time.Time, c Configure) {
+	r.configured = true
 	jobs := make(map[csmodel.JobID]*jobState, len(c.Configuration.Jobs))
 	for _, j := range c.Configuration.Jobs {
 		job, ok := r.jobs[j.Name]
