--- a/csnode/operators.go
+++ b/csnode/operators.go
@@ -115,6 +115,16 @@
 	return out
 }
 
+// refuseIsolated refuses a call as not run at once while the leader of its group is silent. A call that waits for a leader
+// would not be answered before its caller gives up, who cannot tell whether it ran.
+func (w *webServer) refuseIsolated(rw http.ResponseWriter, r *http.Request, g *csgroup.Group) bool {
+	if !w.n.stale(g) {
+		return false
+	}
+	writeGroupError(rw, r, csgroup.ErrNoLeader)
+	return true
+}
+
 // writeGroupError tells a proposal that never ran from one whose outcome is unknown.
 func writeGroupError(rw http.ResponseWriter, r *http.Request, err error) {
 	setRetry(rw, taskRetry)
