Tell nodes at once when links come up or down and when a drain has ended

Cause: a node kept the summaries of an unreachable home node and asked it for slots; after a link was restored it waited up to 5 s for the next summary; the slots of a drained node came back only when their leases ended. Change: summaries are dropped with the link and sent when it is up; a drained node releases its slots at the end of its drain. Reports of net/http on the standard logger, which can hold bytes of bodies, are dropped.

--- a/csnode/node.go
+++ b/csnode/node.go
@@ -146,7 +146,6 @@
 func (n *Node) Drain(ctx context.Context) error {
 	n.draining.Store(true)
 	n.send(n.tree.requests, beginDrain{})
-	n.broadcast(kindLeaving, nil, "leaving")
 	noticed := n.clock.Now().Add(drainNotice)
 	tick := n.clock.NewTicker(drainPoll)
 	defer tick.Stop()
@@ -156,6 +155,8 @@
 			return trace.Wrap(err)
 		}
 		if idle && n.waiters.count() == 0 && !n.clock.Now().Before(noticed) {
+			// Nothing is in flight, so the others can use this node's slots at once.
+			n.broadcast(kindLeaving, nil, "leaving")
 			n.log.Info("node drained")
 			return nil
 		}
--- a/csnode/serve.go
+++ b/csnode/serve.go
@@ -16,6 +16,8 @@
 
 // Serve runs a node until the context ends, then drains and stops it.
 func Serve(ctx context.Context, settings cssettings.Settings, log *zap.Logger) error {
+	// net/http reports some faults of peers to the standard logger, with parts of their bytes.
+	defer zap.RedirectStdLog(log.WithOptions(zap.IncreaseLevel(zap.WarnLevel)))()
 	if settings.Memory > 0 {
 		debug.SetMemoryLimit(int64(settings.Memory))
 	}
--- a/csnode/targets.go
+++ b/csnode/targets.go
@@ -106,7 +106,9 @@
 	case rehomedMessage:
 		a.registry.Rehomed(m.VM, m.Incarnation, m.Sequence)
 	case nodeLeaving:
-		delete(a.remote, m.node)
+		a.registry.Grantor().Release(m.node)
+	case peerUp:
+		a.summarySent = time.Time{}
 	case acknowledge:
 		a.registry.Acknowledge(m.vm, m.ack)
 	case readTargets:
--- a/csnode/transport.go
+++ b/csnode/transport.go
@@ -38,8 +38,8 @@
 		Peers:       peers,
 		Clock:       n.clock,
 		Handle:      n.receive,
-		Up:          func(p csmodel.NodeID, _ csmodel.Incarnation) { n.send(n.tree.rollout, peerUp{p}) },
-		Down:        func(p csmodel.NodeID) { n.send(n.tree.requests, peerDown{p}) },
+		Up:          func(p csmodel.NodeID, _ csmodel.Incarnation) { n.linkUp(p) },
+		Down:        n.linkDown,
 		Log:         n.log,
 	})
 	if err != nil {
@@ -49,6 +49,17 @@
 	return nil
 }
 
+func (n *Node) linkUp(p csmodel.NodeID) {
+	n.send(n.tree.rollout, peerUp{p})
+	n.send(n.tree.targets, peerUp{p})
+}
+
+// linkDown drops what is known of the targets of a node until it is heard again. Leases that it granted stay valid.
+func (n *Node) linkDown(p csmodel.NodeID) {
+	n.send(n.tree.requests, peerDown{p})
+	n.applySummary(p, nil)
+}
+
 type (
 	peerUp   struct{ node csmodel.NodeID }
 	peerDown struct{ node csmodel.NodeID }
@@ -135,6 +146,7 @@
 		return forward(payload, func(m []order) { n.send(n.tree.deferred, orders{m}) })
 	case kindLeaving:
 		n.send(n.tree.targets, nodeLeaving{from})
+		n.applySummary(from, nil)
 		return nil
 	case kindRehomed:
 		return forward(payload, func(m rehomedMessage) { n.send(n.tree.targets, m) })
