Use one CBOR codec

Cause: five packages built the same encoder and decoder, with different limits and strictness. Conclusion: one place decides what a replica accepts.

--- a/csconfig/cbor.go
+++ b/csconfig/cbor.go
@@ -6,41 +6,17 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/fxamacker/cbor/v2"
-)
-
-// maxListItems bounds the lists of a decoded configuration or delta.
-const maxListItems = 1 << 16
-
-var cborEncoding, cborDecoding = cborModes()
 
-// cborModes returns the codec of configurations. Times keep their nanoseconds.
-func cborModes() (cbor.EncMode, cbor.DecMode) {
-	o := cbor.CoreDetEncOptions()
-	o.Time = cbor.TimeRFC3339NanoUTC
-	e, err := o.EncMode()
-	if err != nil {
-		panic(err)
-	}
-	d, err := cbor.DecOptions{
-		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
-		IndefLength:      cbor.IndefLengthForbidden,
-		TagsMd:           cbor.TagsForbidden,
-		MaxArrayElements: maxListItems,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return e, d
-}
+	"cowslipstream.example/cowslipstream/cscodec"
+)
 
 // Encode returns the CBOR form.
-func (d Delta) Encode() ([]byte, error) { return cborEncoding.Marshal(d) }
+func (d Delta) Encode() ([]byte, error) { return cscodec.Marshal(d) }
 
 // DecodeDelta reads the CBOR form.
 func DecodeDelta(data []byte) (Delta, error) {
 	var d Delta
-	if err := cborDecoding.Unmarshal(data, &d); err != nil {
+	if err := cscodec.Unmarshal(data, &d); err != nil {
 		return Delta{}, fmt.Errorf("decode delta: %w", err)
 	}
 	return d, nil
@@ -66,12 +42,12 @@
 }
 
 // Encode returns the CBOR form of the canonical configuration: equal configurations have equal forms.
-func (c Configuration) Encode() ([]byte, error) { return cborEncoding.Marshal(c.Canonical()) }
+func (c Configuration) Encode() ([]byte, error) { return cscodec.Marshal(c.Canonical()) }
 
 // DecodeConfiguration reads the CBOR form.
 func DecodeConfiguration(data []byte) (Configuration, error) {
 	var c Configuration
-	if err := cborDecoding.Unmarshal(data, &c); err != nil {
+	if err := cscodec.Unmarshal(data, &c); err != nil {
 		return Configuration{}, fmt.Errorf("decode configuration: %w", err)
 	}
 	return c.Canonical(), nil
--- a/csconfig/delta.go
+++ b/csconfig/delta.go
@@ -8,6 +8,7 @@
 	"reflect"
 	"slices"
 
+	"cowslipstream.example/cowslipstream/cscodec"
 	"cowslipstream.example/cowslipstream/csmodel"
 )
 
@@ -83,8 +84,8 @@
 	if reflect.DeepEqual(a, b) {
 		return true
 	}
-	x, errX := cborEncoding.Marshal(a)
-	y, errY := cborEncoding.Marshal(b)
+	x, errX := cscodec.Marshal(a)
+	y, errY := cscodec.Marshal(b)
 	return errX == nil && errY == nil && bytes.Equal(x, y)
 }
 
--- a/csfleet/codec.go
+++ b/csfleet/codec.go
@@ -4,8 +4,7 @@
 	"errors"
 	"fmt"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"cowslipstream.example/cowslipstream/cscodec"
 	"cowslipstream.example/cowslipstream/cstask"
 )
 
@@ -53,27 +52,6 @@
 func (ResumeWave) kind() commandKind   { return kindResumeWave }
 func (Tasks) kind() commandKind        { return kindTasks }
 
-var (
-	encoder = newEncoder()
-	decoder = newDecoder()
-)
-
-func newEncoder() cbor.EncMode {
-	m, err := cbor.EncOptions{Sort: cbor.SortCanonical, Time: cbor.TimeRFC3339Nano}.EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return m
-}
-
-func newDecoder() cbor.DecMode {
-	m, err := cbor.DecOptions{}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return m
-}
-
 // encodedTasks is the encoded form of Tasks.
 type encodedTasks struct {
 	Commands [][]byte `cbor:"1,keyasint"`
@@ -89,7 +67,7 @@
 		}
 		body = e
 	}
-	data, err := encoder.Marshal(body)
+	data, err := cscodec.Marshal(body)
 	if err != nil {
 		return nil, err
 	}
@@ -155,7 +133,7 @@
 
 func decode[C Command](body []byte) (Command, error) {
 	var c C
-	if err := decoder.Unmarshal(body, &c); err != nil {
+	if err := cscodec.Unmarshal(body, &c); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrEncoding, err)
 	}
 	return c, nil
@@ -163,7 +141,7 @@
 
 func decodeTasks(body []byte) (Command, error) {
 	var e encodedTasks
-	if err := decoder.Unmarshal(body, &e); err != nil {
+	if err := cscodec.Unmarshal(body, &e); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrEncoding, err)
 	}
 	c := Tasks{Commands: make([]cstask.Command, 0, len(e.Commands))}
@@ -178,7 +156,7 @@
 }
 
 func encodeResult(r Result) []byte {
-	data, err := encoder.Marshal(r)
+	data, err := cscodec.Marshal(r)
 	if err != nil {
 		return nil // unreachable: a Result holds only integers and times within four-digit years
 	}
@@ -188,7 +166,7 @@
 // DecodeResult parses the response of Machine.Apply.
 func DecodeResult(data []byte) (Result, error) {
 	var r Result
-	if err := decoder.Unmarshal(data, &r); err != nil {
+	if err := cscodec.Unmarshal(data, &r); err != nil {
 		return Result{}, fmt.Errorf("%w: %w", ErrEncoding, err)
 	}
 	return r, nil
--- a/csfleet/snapshot.go
+++ b/csfleet/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"cowslipstream.example/cowslipstream/cscodec"
 	"cowslipstream.example/cowslipstream/csconfig"
 	"cowslipstream.example/cowslipstream/csmodel"
 )
@@ -42,13 +43,13 @@
 	for _, id := range csmodel.SortedKeys(m.waves) {
 		s.Waves = append(s.Waves, *m.waves[id])
 	}
-	return encoder.Marshal(s)
+	return cscodec.Marshal(s)
 }
 
 // Restore replaces the machine with a snapshot. The machine must not be used after an error.
 func (m *Machine) Restore(data []byte) error {
 	var s snapshot
-	if err := decoder.Unmarshal(data, &s); err != nil {
+	if err := cscodec.Unmarshal(data, &s); err != nil {
 		return fmt.Errorf("%w: %w", ErrEncoding, err)
 	}
 	tasks := m.tasks
--- a/csnode/wire.go
+++ b/csnode/wire.go
@@ -3,8 +3,7 @@
 import (
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
+	"cowslipstream.example/cowslipstream/cscodec"
 	"cowslipstream.example/cowslipstream/cslink"
 	"cowslipstream.example/cowslipstream/csmodel"
 	"cowslipstream.example/cowslipstream/csrequest"
@@ -130,20 +129,8 @@
 	grantMessage = cstarget.SlotGrant
 )
 
-// Limits of decoded messages keep a faulty peer from using much memory.
-var decoder = must(cbor.DecOptions{MaxNestedLevels: 16, MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 16}.DecMode())
-
-var encoder = must(cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode())
-
-func must[T any](v T, err error) T {
-	if err != nil {
-		panic(err)
-	}
-	return v
-}
-
 func encode(v any) []byte {
-	b, err := encoder.Marshal(v)
+	b, err := cscodec.Marshal(v)
 	if err != nil {
 		panic(err) // every message type of this package can be encoded
 	}
@@ -152,6 +139,6 @@
 
 func decode[T any](b []byte) (T, error) {
 	var v T
-	err := decoder.Unmarshal(b, &v)
+	err := cscodec.Unmarshal(b, &v)
 	return v, err
 }
--- a/csrollout/codec.go
+++ b/csrollout/codec.go
@@ -5,8 +5,8 @@
 	"fmt"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/fxamacker/cbor/v2"
 
+	"cowslipstream.example/cowslipstream/cscodec"
 	"cowslipstream.example/cowslipstream/csconfig"
 )
 
@@ -20,30 +20,9 @@
 	typeInvalid
 )
 
-var encoding, decoding = modes()
-
-// modes returns the codec of log entries, snapshots and updates. Times keep their nanoseconds.
-func modes() (cbor.EncMode, cbor.DecMode) {
-	o := cbor.CoreDetEncOptions()
-	o.Time = cbor.TimeRFC3339NanoUTC
-	e, err := o.EncMode()
-	if err != nil {
-		panic(err)
-	}
-	d, err := cbor.DecOptions{
-		DupMapKey:   cbor.DupMapKeyEnforcedAPF,
-		IndefLength: cbor.IndefLengthForbidden,
-		TagsMd:      cbor.TagsForbidden,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return e, d
-}
-
 func decode[T any](data []byte, what string) (T, error) {
 	var v T
-	if err := decoding.Unmarshal(data, &v); err != nil {
+	if err := cscodec.Unmarshal(data, &v); err != nil {
 		var zero T
 		return zero, fmt.Errorf("decode %s: %w", what, err)
 	}
@@ -51,7 +30,7 @@
 }
 
 // EncodeSubmission returns the data of a log entry.
-func EncodeSubmission(s Submission) ([]byte, error) { return encoding.Marshal(s) }
+func EncodeSubmission(s Submission) ([]byte, error) { return cscodec.Marshal(s) }
 
 // DecodeSubmission reads the data of a log entry.
 func DecodeSubmission(data []byte) (Submission, error) { return decode[Submission](data, "submission") }
@@ -65,7 +44,7 @@
 	case Conflict:
 		kind = typeConflict
 	}
-	body, err := encoding.Marshal(r)
+	body, err := cscodec.Marshal(r)
 	return append([]byte{kind}, body...), err
 }
 
@@ -98,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return encoding.Marshal(headForm{Step: h.Step, Configuration: data})
+	return cscodec.Marshal(headForm{Step: h.Step, Configuration: data})
 }
 
 // UnmarshalCBOR reads the CBOR form and checks the digest.
@@ -119,13 +98,13 @@
 }
 
 // EncodeHead returns the persisted form of the active configuration.
-func EncodeHead(h Head) ([]byte, error) { return encoding.Marshal(h) }
+func EncodeHead(h Head) ([]byte, error) { return cscodec.Marshal(h) }
 
 // DecodeHead reads the persisted form and checks its digest.
 func DecodeHead(data []byte) (Head, error) { return decode[Head](data, "active configuration") }
 
 // EncodeUpdate returns the form of an update that is sent to a peer.
-func EncodeUpdate(u Update) ([]byte, error) { return encoding.Marshal(u) }
+func EncodeUpdate(u Update) ([]byte, error) { return cscodec.Marshal(u) }
 
 // DecodeUpdate reads the form of an update that a peer sent.
 func DecodeUpdate(data []byte) (Update, error) { return decode[Update](data, "update") }
--- a/csrollout/machine.go
+++ b/csrollout/machine.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"cowslipstream.example/cowslipstream/cscodec"
 	"cowslipstream.example/cowslipstream/csconfig"
 	"cowslipstream.example/cowslipstream/csmodel"
 	"cowslipstream.example/cowslipstream/csraft"
@@ -199,7 +200,7 @@
 
 // Snapshot returns the encoded state.
 func (m *Machine) Snapshot() ([]byte, error) {
-	return encoding.Marshal(snapshot{Head: m.head, Steps: m.history.steps, Results: m.results.records})
+	return cscodec.Marshal(snapshot{Head: m.head, Steps: m.history.steps, Results: m.results.records})
 }
 
 // Restore replaces the state with a snapshot.
--- a/cstask/codec.go
+++ b/cstask/codec.go
@@ -4,7 +4,7 @@
 	"errors"
 	"fmt"
 
-	"github.com/fxamacker/cbor/v2"
+	"cowslipstream.example/cowslipstream/cscodec"
 )
 
 // ErrEncoding reports a command or snapshot that cannot be decoded.
@@ -41,33 +41,9 @@
 func (Expire) kind() commandKind      { return kindExpire }
 func (Configure) kind() commandKind   { return kindConfigure }
 
-var (
-	encoder = newEncoder()
-	decoder = newDecoder()
-)
-
-func newEncoder() cbor.EncMode {
-	m, err := cbor.EncOptions{Sort: cbor.SortCanonical, Time: cbor.TimeRFC3339Nano}.EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return m
-}
-
-// maxElements admits snapshots with more tasks than the library's default of 131,072 elements.
-const maxElements = 1 << 24
-
-func newDecoder() cbor.DecMode {
-	m, err := cbor.DecOptions{MaxArrayElements: maxElements, MaxMapPairs: maxElements}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return m
-}
-
 // Encode returns the kind byte of a command followed by its CBOR form.
 func Encode(c Command) ([]byte, error) {
-	body, err := encoder.Marshal(c)
+	body, err := cscodec.Marshal(c)
 	if err != nil {
 		return nil, err
 	}
@@ -111,7 +87,7 @@
 
 func decode[C Command](body []byte) (Command, error) {
 	var c C
-	if err := decoder.Unmarshal(body, &c); err != nil {
+	if err := cscodec.Unmarshal(body, &c); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrEncoding, err)
 	}
 	return c, nil
--- a/cstask/snapshot.go
+++ b/cstask/snapshot.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 
+	"cowslipstream.example/cowslipstream/cscodec"
 	"cowslipstream.example/cowslipstream/csmodel"
 )
 
@@ -104,13 +105,13 @@
 			s.Sizes = append(s.Sizes, savedSizes{Job: id, Updated: z.updated, CPU: pack(z.cpu), Memory: pack(z.memory), Runtime: pack(z.runtime)})
 		}
 	}
-	return encoder.Marshal(s)
+	return cscodec.Marshal(s)
 }
 
 // Restore replaces the table with a snapshot. The table is unchanged when it returns an error.
 func (t *Table) Restore(data []byte) error {
 	var s snapshot
-	if err := decoder.Unmarshal(data, &s); err != nil {
+	if err := cscodec.Unmarshal(data, &s); err != nil {
 		return fmt.Errorf("%w: %w", ErrEncoding, err)
 	}
 	t.reset(s.Limits)
