--- a/csproof/harness_test.go
+++ b/csproof/harness_test.go
@@ -111,13 +111,20 @@
 	return c
 }
 
+// taken holds the addresses that were chosen, because they are free again until their node starts.
+var taken = csmodel.NewSet[string]()
+
 // freeAddress returns an address whose port is outside the range from which the system chooses ports, so that no
 // outgoing connection takes it while its node is down.
 func freeAddress(t *testing.T) string {
 	for range 100 {
 		address := fmt.Sprintf("127.0.0.1:%d", 15000+rand.IntN(15000))
+		if taken.Has(address) {
+			continue
+		}
 		if listener, err := net.Listen("tcp", address); err == nil {
 			_ = listener.Close()
+			taken.Add(address)
 			return address
 		}
 	}
--- a/csproof/operators_test.go
+++ b/csproof/operators_test.go
@@ -173,7 +173,7 @@
 }
 
 // Guards against two winners on one base, a resent submission that is decided anew, a read of an old revision, and a
-// revision that goes back, while leaders are killed and restarted or isolated (I8, F6, F7, F9).
+// revision that goes back, while leaders are killed and restarted, isolated, or stopped for a while (I8, F6, F7, F9).
 func TestOperatorsRace(t *testing.T) {
 	c := newCluster(t, 1)
 	first := c.apply(c.nodes[0], 1)
@@ -192,21 +192,27 @@
 	for i, n := range c.nodes {
 		readers.Go(func() { h.read(operatorCount+i, n, end) })
 	}
-	for i, after := range []csmodel.Revision{10, 20, 30} {
+	faults := []struct {
+		after          csmodel.Revision
+		strike, repair func(leader *node)
+	}{
+		{10, func(l *node) { l.stop(syscall.SIGKILL) }, (*node).start},
+		{20, func(l *node) { c.cutZone(l.Zone, true, true) }, func(l *node) {
+			eventually(t, ample, "stale mark", func() bool { return l.metric("configuration_stale") == 1 })
+			c.heal()
+		}},
+		{30, func(l *node) { l.signal(syscall.SIGSTOP) }, func(l *node) { l.signal(syscall.SIGCONT) }},
+	}
+	for _, f := range faults {
 		leader := c.leader()
-		waitRevision(t, ample, after, leader)
-		fault, repair := func() { leader.stop(syscall.SIGKILL) }, leader.start
-		if i == 1 {
-			fault, repair = func() { c.cutZone(leader.Zone, true, true) }, c.heal
-		}
-		fault()
+		waitRevision(t, ample, f.after, leader)
+		f.strike(leader)
 		eventually(t, ample, "submissions without the leader", func() bool {
-			return slices.ContainsFunc(c.nodes, func(n *node) bool { return n.metric("configuration_revision") > float64(after)+5 })
+			return slices.ContainsFunc(c.nodes, func(n *node) bool {
+				return n != leader && n.metric("configuration_revision") > float64(f.after)+5
+			})
 		})
-		if i == 1 {
-			eventually(t, ample, "stale mark", func() bool { return leader.metric("configuration_stale") == 1 })
-		}
-		repair()
+		f.repair(leader)
 	}
 	operators.Wait()
 	close(end)
