--- a/csproof/harness_test.go
+++ b/csproof/harness_test.go
@@ -65,15 +65,17 @@
 // cluster is a set of entry nodes, each in its own process. The node with the smaller name dials, so there is one link
 // for each pair.
 type cluster struct {
-	t     *testing.T
+	t     testing.TB
 	nodes []*node
 	links map[[2]csmodel.NodeID]*link
+	// memory is the memory limit in the settings. The race detector needs more than the default.
+	memory csmodel.Bytes
 }
 
 // node is one entry node over all its processes.
 type node struct {
 	cssettings.Node
-	t      *testing.T
+	t      testing.TB
 	folder string
 	client *csclient.Client // operator, for this node only
 	cmd    *exec.Cmd
@@ -81,18 +83,15 @@
 }
 
 // newCluster starts nodes in the availability zones a, b, c and waits for leaders. The first node of each is a voter.
-func newCluster(t *testing.T, perZone int) *cluster {
+func newCluster(t testing.TB, perZone int) *cluster {
 	t.Helper()
-	c := &cluster{t: t, links: map[[2]csmodel.NodeID]*link{}}
+	c := &cluster{t: t, links: map[[2]csmodel.NodeID]*link{}, memory: 512 * csmodel.MiB}
 	for i := range perZone {
 		for _, zone := range []csmodel.AvailabilityZone{"a", "b", "c"} {
-			name := csmodel.NodeID(fmt.Sprintf("%s-%d", zone, i+1))
-			n := &node{t: t, folder: filepath.Join(t.TempDir(), string(name)), Node: cssettings.Node{
-				Name: name, Region: region, Zone: zone, Listen: freeAddress(t), Link: freeAddress(t), Voter: i == 0,
-			}}
-			n.client = csclient.New(csclient.Options{Nodes: []string{n.Listen}, Token: token, Team: "team"})
-			t.Cleanup(n.client.Close)
-			c.nodes = append(c.nodes, n)
+			c.add(cssettings.Node{
+				Name: csmodel.NodeID(fmt.Sprintf("%s-%d", zone, i+1)), Region: region, Zone: zone,
+				Listen: freeAddress(t), Link: freeAddress(t), Voter: i == 0,
+			})
 		}
 	}
 	for _, a := range c.nodes {
@@ -102,13 +101,25 @@
 			}
 		}
 	}
+	c.startAll()
+	return c
+}
+
+func (c *cluster) add(settings cssettings.Node) {
+	n := &node{t: c.t, folder: filepath.Join(c.t.TempDir(), string(settings.Name)), Node: settings}
+	n.client = csclient.New(csclient.Options{Nodes: []string{n.Listen}, Token: token, Team: "team"})
+	c.t.Cleanup(n.client.Close)
+	c.nodes = append(c.nodes, n)
+}
+
+// startAll starts the processes and waits for leaders.
+func (c *cluster) startAll() {
 	for _, n := range c.nodes {
 		c.writeSettings(n, secret)
 		n.start()
-		t.Cleanup(n.clean)
+		c.t.Cleanup(n.clean)
 	}
 	c.waitLeaders()
-	return c
 }
 
 // given holds the addresses of all tests, so that none is given twice while its node is down.
@@ -116,7 +127,7 @@
 
 // freeAddress returns an address whose port is outside the range from which the system chooses ports, so that no
 // outgoing connection takes it while its node is down.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	for range 100 {
 		address := fmt.Sprintf("127.0.0.1:%d", 15000+rand.IntN(15000))
 		if _, taken := given.LoadOrStore(address, true); taken {
@@ -135,9 +146,9 @@
 func (c *cluster) writeSettings(n *node, secret string) {
 	s := cssettings.Settings{
 		Node: n.Name, Region: n.Region, Zone: n.Zone, Listen: n.Listen, Link: n.Link, Secret: secret,
-		Tokens: []cssettings.Token{{Operator: "operator", Token: token}}, Memory: 512 * csmodel.MiB, Log: cssettings.LevelInfo,
+		Tokens: []cssettings.Token{{Operator: "operator", Token: token}}, Memory: c.memory, Log: cssettings.LevelInfo,
 	}
-	if n.Voter {
+	if n.Voter || n.Global {
 		s.Folder = filepath.Join(n.folder, "data")
 	}
 	for _, p := range c.nodes {
@@ -333,7 +344,7 @@
 }
 
 // eventually waits for a condition.
-func eventually(t *testing.T, limit time.Duration, what string, condition func() bool) {
+func eventually(t testing.TB, limit time.Duration, what string, condition func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(limit); !condition(); time.Sleep(poll) {
 		if time.Now().After(deadline) {
--- a/csproof/proxy_test.go
+++ b/csproof/proxy_test.go
@@ -22,7 +22,7 @@
 // link carries the connections from one node to another. A listener with a fixed address hands each new connection to the
 // current proxy, so that a proxy with silenced connections can be replaced while these stay open.
 type link struct {
-	t        *testing.T
+	t        testing.TB
 	listener net.Listener
 	upstream string
 	server   *toxiproxy.ApiServer
@@ -32,7 +32,7 @@
 	all     []*toxiproxy.Proxy
 }
 
-func newLink(t *testing.T, upstream string) *link {
+func newLink(t testing.TB, upstream string) *link {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
