--- a/csnode/status.go
+++ b/csnode/status.go
@@ -125,6 +125,7 @@
 	for _, p := range n.settings.Nodes {
 		row := csapi.Node{
 			Name: p.Name, Region: p.Region, Zone: p.Zone, Voter: p.Voter, Global: voters.Has(p.Name), State: csapi.Unreachable,
+			Revision: revisions[p.Name],
 		}
 		if n.self(p.Name) {
 			row.State, row.Seen = csapi.Up, n.clock.Now()
