--- a/csproof/deferred_test.go
+++ b/csproof/deferred_test.go
@@ -176,7 +176,7 @@
 func TestCancellationFlood(t *testing.T) {
 	t.Parallel()
 	const total = 20_000
-	f := newFleet(t, 1, urgent(6), func(c *csfake.TargetConfig) { c.Runtime = 500 * time.Millisecond })
+	f := newFleet(t, 1, urgent(6), func(c *csfake.TargetConfig) { c.Runtime = 4 * time.Second })
 	states := make([]csapi.TaskState, total)
 	each := func(workers int, do func(client *csclient.Client, ctx context.Context, i int) error) time.Duration {
 		began := time.Now()
@@ -200,7 +200,7 @@
 	}
 	id := func(i int) csmodel.TaskID { return csmodel.TaskID(fmt.Sprintf("flood-%d", i)) }
 	deadline := time.Now().Add(time.Hour)
-	submitting := each(64, func(client *csclient.Client, ctx context.Context, i int) error {
+	submitting := each(256, func(client *csclient.Client, ctx context.Context, i int) error {
 		_, err := client.Submit(ctx, csclient.Task{ID: id(i), Job: "report", Deadline: deadline})
 		if err == nil && i%10 == 0 {
 			_, err = f.nodes[i%3].task(id(i)) // which may not have applied the submission
@@ -208,7 +208,7 @@
 		return err
 	})
 	order := rand.New(rand.NewPCG(1, 1)).Perm(total)
-	cancelling := each(128, func(client *csclient.Client, ctx context.Context, i int) error {
+	cancelling := each(256, func(client *csclient.Client, ctx context.Context, i int) error {
 		task, err := client.Cancel(ctx, id(order[i]))
 		states[order[i]] = task.State
 		return err
