--- a/csproof/rollout_test.go
+++ b/csproof/rollout_test.go
@@ -14,7 +14,7 @@
 const leaderTarget = 2 * time.Second
 
 // activeAfter returns the times from a start until a revision is active on each of the nodes.
-func activeAfter(t *testing.T, revision csmodel.Revision, start time.Time, nodes []*node) []time.Duration {
+func activeAfter(revision csmodel.Revision, start time.Time, nodes []*node) []time.Duration {
 	took := make([]time.Duration, len(nodes))
 	var all sync.WaitGroup
 	for i, n := range nodes {
@@ -50,7 +50,7 @@
 	measure := func(nodes []*node) []time.Duration {
 		rate++
 		start := time.Now()
-		return activeAfter(t, c.apply(nodes[0], rate), start, nodes)
+		return activeAfter(c.apply(nodes[0], rate), start, nodes)
 	}
 	var plain, cut, healed, killed, elections []time.Duration
 	for range 20 {
@@ -66,7 +66,7 @@
 		}
 		c.heal()
 		newest := csmodel.Revision(rest[0].metric("configuration_revision"))
-		healed = append(healed, activeAfter(t, newest, time.Now(), isolated)...)
+		healed = append(healed, activeAfter(newest, time.Now(), isolated)...)
 	}
 	report(t, "roll-out beside a cut zone", cut, rolloutTarget)
 	report(t, "roll-out to the zone after the cut", healed, rolloutTarget)
