--- a/csnode/deferred.go
+++ b/csnode/deferred.go
@@ -33,8 +33,8 @@
 	// maxReportBatch and reportOverhead keep a batch of reports below the size of an entry, in bytes.
 	maxReportBatch = 512 << 10
 	reportOverhead = 256
-	// scanInterval is the shortest time between two readings of the leases after a change of the replica; the next tick
-	// catches up. Reading them after each of thousands of changes per second kept the replica from applying more.
+	// scanInterval is the shortest time between two readings of the replica after changes of it; the next tick catches up.
+	// Reading it after each of thousands of changes per second kept the replica from applying more.
 	scanInterval = 50 * time.Millisecond
 )
 
