Apply committed entries of the group under one lock

Cause: each applied entry took the lock of the replica on its own and made the targets and deferred actors read the replica again, which competed for the same lock. 45,000 entries spent 21 to 25 s in the lock (trial with the race detector); a flood of 20,000 cancellations took 39 s. Change: up to 64 entries are applied under one lock. Conclusion: readers no longer throttle the replica.

--- a/csgroup/replica.go
+++ b/csgroup/replica.go
@@ -31,20 +31,39 @@
 	f(r.machine)
 }
 
-// apply executes one entry. It reports fresh as false for a duplicate, whose result is the first one.
-func (r *replica) apply(e csraft.Entry) (result []byte, fresh bool, err error) {
+// applied is an entry with its result. fresh is false for a duplicate, whose result is the first one.
+type applied struct {
+	csraft.Entry
+	result []byte
+	fresh  bool
+	err    error
+}
+
+// apply executes entries. It takes the lock once, because readers that come in between cost more than an entry.
+func (r *replica) apply(entries []csraft.Entry) []applied {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	out := make([]applied, 0, len(entries))
+	for _, e := range entries {
+		if e.Index > r.applied {
+			out = append(out, r.applyOne(e))
+		}
+	}
+	return out
+}
+
+func (r *replica) applyOne(e csraft.Entry) applied {
+	a := applied{Entry: e}
 	if e.Kind == csraft.EntryNormal {
 		var known bool
-		result, known, err = r.sessions.Result(e.Proposal)
-		if fresh = !known && err == nil; fresh {
-			result = r.machine.Apply(e)
-			r.sessions.Record(e, result)
+		a.result, known, a.err = r.sessions.Result(e.Proposal)
+		if a.fresh = !known && a.err == nil; a.fresh {
+			a.result = r.machine.Apply(e)
+			r.sessions.Record(e, a.result)
 		}
 	}
 	r.applied = e.Index
-	return result, fresh, err
+	return a
 }
 
 // result returns the result of a proposal that was applied.
--- a/csgroup/runner.go
+++ b/csgroup/runner.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -252,31 +253,35 @@
 	}
 }
 
+// applyBatch is the number of entries that are applied while readers wait.
+const applyBatch = 64
+
 // apply executes committed entries, ends the calls of this node and, on the leader, tells other nodes their results.
 func (r *runner) apply(entries []csraft.Entry) {
 	results := map[csmodel.NodeID][]csraft.Proposal{}
-	leader := r.core.Role() == csraft.Leader
-	for _, e := range entries {
-		if e.Index <= r.group.replica.applied {
-			continue
-		}
-		result, fresh, err := r.group.replica.apply(e)
-		r.sinceCount++
-		r.sinceBytes += csmodel.Bytes(len(e.Data))
-		if f := r.o.Observe.Applied; fresh && f != nil {
-			f(e, result)
-		}
-		switch {
-		case err != nil || e.Proposal.Node == "":
-		case e.Proposal.Node == r.o.Config.Self:
-			r.calls.resolve(e.Proposal, result, nil)
-		case leader:
-			results[e.Proposal.Node] = append(results[e.Proposal.Node], csraft.Proposal{ID: e.Proposal, Data: result})
+	for batch := range slices.Chunk(entries, applyBatch) {
+		for _, a := range r.group.replica.apply(batch) {
+			r.applied(a, results)
 		}
 	}
 	r.sendResults(results)
 }
 
+func (r *runner) applied(a applied, results map[csmodel.NodeID][]csraft.Proposal) {
+	r.sinceCount++
+	r.sinceBytes += csmodel.Bytes(len(a.Data))
+	if f := r.o.Observe.Applied; a.fresh && f != nil {
+		f(a.Entry, a.result)
+	}
+	switch node := a.Proposal.Node; {
+	case a.err != nil || node == "":
+	case node == r.o.Config.Self:
+		r.calls.resolve(a.Proposal, a.result, nil)
+	case r.core.Role() == csraft.Leader:
+		results[node] = append(results[node], csraft.Proposal{ID: a.Proposal, Data: a.result})
+	}
+}
+
 func (r *runner) sendResults(results map[csmodel.NodeID][]csraft.Proposal) {
 	for _, n := range csmodel.SortedKeys(results) {
 		for _, part := range csraft.SplitProposals(results[n], r.o.Config.Batch) {
