Answer task calls from the decision and record reports in batches

Cause: tests of deferred tasks found that - a submission through a follower was answered with an empty task while its replica was behind, so clients took it as unknown and sent it again; - a cancellation could be answered with the state from before it (2 of 20,000 'leased to its caller', cancelled on all replicas), and a task that was just accepted with 404; - a node in a cut zone held a submission for 10 s, longer than clients wait, so they saw unknown in place of not run; - a task that kills its worker was started again on the new incarnation under the old lease (10 workers killed, not 3); - the leases were read again after each applied entry (53% of the CPU time of a node), and each report of a target was an entry of its own; - the status never showed a quarantined VM. Change: submissions and cancellations are answered from the result of the command, reads of an unknown id ask the leader, task calls end after 4 s, leases of an earlier incarnation are not started, the targets and deferred actors read the replica at most every 50 ms during changes, the reports of an announcement are one entry, the status shows the quarantine.

--- a/csapi/status.go
+++ b/csapi/status.go
@@ -97,6 +97,7 @@
 	State VMState                  `json:"state"`
 	Fence csmodel.Fence            `json:"fence"`
 	// Serviced is when the VM was last maintained.
-	Serviced    time.Time `json:"serviced,omitzero"`
-	Quarantined bool      `json:"quarantined,omitempty"`
+	Serviced time.Time `json:"serviced,omitzero"`
+	// Quarantined is known on the node that the VM's target announces to.
+	Quarantined bool `json:"quarantined,omitempty"`
 }
--- a/csnode/callers.go
+++ b/csnode/callers.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"math"
 	"net/http"
 	"strconv"
@@ -14,13 +15,19 @@
 	"cowslipstream.example/cowslipstream/csfleet"
 	"cowslipstream.example/cowslipstream/csgroup"
 	"cowslipstream.example/cowslipstream/csmodel"
+	"cowslipstream.example/cowslipstream/csraft"
 	"cowslipstream.example/cowslipstream/csrequest"
 	"cowslipstream.example/cowslipstream/cstarget"
 	"cowslipstream.example/cowslipstream/cstask"
 )
 
-// taskRetry is the Retry-After of a task submission that was not accepted.
-const taskRetry = time.Second
+const (
+	// taskRetry is the Retry-After of a task submission that was not accepted.
+	taskRetry = time.Second
+	// taskTimeout bounds the submission and cancellation of a task. It is below the 5 s after which csclient turns to the
+	// next node, so that a caller of an isolated node learns that its task was not accepted.
+	taskTimeout = 4 * time.Second
+)
 
 func (w *webServer) issueKeys(rw http.ResponseWriter, r *http.Request) {
 	count := 1
@@ -178,7 +185,7 @@
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), operatorTimeout)
+	ctx, cancel := context.WithTimeout(r.Context(), taskTimeout)
 	defer cancel()
 	results, err := w.n.proposeTasks(ctx, submit)
 	switch {
@@ -191,7 +198,9 @@
 		problem(rw, r, http.StatusServiceUnavailable, csapi.NoLeader, err.Error())
 	case len(results) == 1 && results[0].Status.Accepted():
 		rw.Header().Set(csapi.OutcomeHeader, string(csapi.Answer))
-		writeJSON(rw, http.StatusAccepted, w.n.task(submit.ID))
+		t := w.n.decided(submit.ID, results[0])
+		t.Job, t.Team, t.Deadline, t.Accepted = submit.Job, submit.Team, submit.Deadline, results[0].Accepted
+		writeJSON(rw, http.StatusAccepted, t)
 	default:
 		writeRefusedTask(rw, r, results)
 	}
@@ -243,11 +252,23 @@
 }
 
 func (w *webServer) readTask(rw http.ResponseWriter, r *http.Request) {
-	w.writeTask(rw, r, csmodel.TaskID(r.PathValue(csapi.TaskParameter)))
+	id := csmodel.TaskID(r.PathValue(csapi.TaskParameter))
+	t := w.n.task(id)
+	if t.State == "" {
+		// The replica may be behind the acceptance of the task.
+		ctx, cancel := context.WithTimeout(r.Context(), readTimeout)
+		defer cancel()
+		if err := w.n.region.Read(ctx, func(csraft.Machine) {}); err != nil {
+			setRetry(rw, taskRetry)
+			problem(rw, r, http.StatusServiceUnavailable, csapi.NoLeader, err.Error())
+			return
+		}
+		t = w.n.task(id)
+	}
+	writeTask(rw, r, t)
 }
 
-func (w *webServer) writeTask(rw http.ResponseWriter, r *http.Request, id csmodel.TaskID) {
-	t := w.n.task(id)
+func writeTask(rw http.ResponseWriter, r *http.Request, t csapi.Task) {
 	if t.State == "" {
 		problem(rw, r, http.StatusNotFound, csapi.UnknownTask, "no task has this id")
 		return
@@ -257,14 +278,28 @@
 
 func (w *webServer) cancelTask(rw http.ResponseWriter, r *http.Request) {
 	id := csmodel.TaskID(r.PathValue(csapi.TaskParameter))
-	ctx, cancel := context.WithTimeout(r.Context(), operatorTimeout)
+	ctx, cancel := context.WithTimeout(r.Context(), taskTimeout)
 	defer cancel()
-	if _, err := w.n.proposeTasks(ctx, cstask.Cancel{ID: id}); err != nil {
+	results, err := w.n.proposeTasks(ctx, cstask.Cancel{ID: id})
+	if err != nil || len(results) != 1 {
 		setRetry(rw, taskRetry)
-		problem(rw, r, http.StatusServiceUnavailable, csapi.NoLeader, err.Error())
+		problem(rw, r, http.StatusServiceUnavailable, csapi.NoLeader, fmt.Sprintf("no decision: %v", err))
 		return
 	}
-	w.writeTask(rw, r, id)
+	writeTask(rw, r, w.n.decided(id, results[0]))
+}
+
+// decided returns a task as a command left it. The local replica may not have applied the command yet.
+func (n *Node) decided(id csmodel.TaskID, r cstask.Result) csapi.Task {
+	t := n.task(id)
+	t.ID = id
+	if state := taskStates[r.State]; !t.State.Final() || state.Final() {
+		t.State = state
+	}
+	if t.State != csapi.Leased {
+		t.Worker = ""
+	}
+	return t
 }
 
 // task reads a task from the local replica. Its state is empty where there is no such task.
--- a/csnode/deferred.go
+++ b/csnode/deferred.go
@@ -30,6 +30,12 @@
 	targetGrace = 3 * time.Second
 	// checkpointInterval is the shortest time between two recorded checkpoints of a running task.
 	checkpointInterval = 5 * time.Second
+	// maxReportBatch and reportOverhead keep a batch of reports below the size of an entry, in bytes.
+	maxReportBatch = 512 << 10
+	reportOverhead = 256
+	// scanInterval is the shortest time between two readings of the replica after changes of it; the next tick catches up.
+	// Reading it after each of thousands of changes per second kept the replica from applying more.
+	scanInterval = 50 * time.Millisecond
 )
 
 // deferredActor starts leased tasks on the targets of this home node and proposes what the targets report.
@@ -39,6 +45,7 @@
 	targets map[csmodel.VMID]*taskTarget
 	busy    map[attemptKey]bool // proposals and calls in flight
 	overrun map[attemptKey]bool // tasks stopped because they overran
+	scanned time.Time           // when the leases were last read
 }
 
 type taskTarget struct {
@@ -64,10 +71,10 @@
 	targetGone struct{ vm csmodel.VMID }
 	orders     struct{ orders []order }
 	settled    struct {
-		key attemptKey
-		vm  csmodel.VMID
-		// ended acknowledges the report to the target.
-		ended bool
+		vm   csmodel.VMID
+		keys []attemptKey
+		// ended are the attempts whose report is acknowledged to the target.
+		ended []attemptKey
 	}
 )
 
@@ -95,7 +102,11 @@
 		}
 	case settled:
 		a.settle(m)
-	case replicaChanged, tick:
+	case replicaChanged:
+		if now.Sub(a.scanned) >= scanInterval {
+			a.startLeased(now)
+		}
+	case tick:
 		a.startLeased(now)
 	}
 }
@@ -110,69 +121,108 @@
 	t.sequence = m.sequence
 	t.heard = now
 	t.reports = map[attemptKey]cstarget.TaskReport{}
+	var b reportBatch
 	for _, r := range m.reports {
 		key := attemptKey{r.ID, r.Fence}
 		t.reports[key] = r
-		a.propose(now, t, key, r)
+		command := a.command(now, t, key, r)
+		if command == nil {
+			continue
+		}
+		if b.bytes+len(r.Result)+len(r.Checkpoint) > maxReportBatch {
+			a.propose(m.machine.VM, b)
+			b = reportBatch{}
+		}
+		b.add(key, r, command)
+		a.busy[key] = true
+	}
+	a.propose(m.machine.VM, b)
+}
+
+// reportBatch is what one entry of the region's group records of an announcement. With an entry for each task, thousands
+// of reports kept cancellations waiting for minutes.
+type reportBatch struct {
+	commands []cstask.Command
+	keys     []attemptKey
+	ended    []attemptKey
+	bytes    int
+}
+
+func (b *reportBatch) add(key attemptKey, r cstarget.TaskReport, c cstask.Command) {
+	b.commands = append(b.commands, c)
+	b.keys = append(b.keys, key)
+	b.bytes += len(r.Result) + len(r.Checkpoint) + reportOverhead
+	if r.State != cstarget.TaskRunning {
+		b.ended = append(b.ended, key)
 	}
 }
 
-// propose turns a report of a target into a command for the region's group.
-func (a *deferredActor) propose(now time.Time, t *taskTarget, key attemptKey, r cstarget.TaskReport) {
+func (a *deferredActor) propose(vm csmodel.VMID, b reportBatch) {
+	if len(b.commands) == 0 {
+		return
+	}
+	a.n.background(proposeLimit, func(ctx context.Context) {
+		m := settled{vm: vm, keys: b.keys}
+		if _, err := a.n.proposeTasks(ctx, b.commands...); err == nil {
+			m.ended = b.ended
+		}
+		a.n.send(a.n.tree.deferred, m)
+	})
+}
+
+// command turns a report of a target into a command for the region's group, or nil where there is nothing to record.
+func (a *deferredActor) command(now time.Time, t *taskTarget, key attemptKey, r cstarget.TaskReport) cstask.Command {
+	if a.busy[key] {
+		return nil
+	}
 	used := cstask.Usage{CPU: r.CPU, Memory: r.Memory}
 	if begun, ok := t.started[key]; ok {
 		used.Runtime = now.Sub(begun)
 	}
-	var command cstask.Command
 	switch r.State {
 	case cstarget.TaskFinished:
-		command = cstask.Finish{ID: r.ID, Fence: r.Fence, Result: r.Result, Used: used}
+		return cstask.Finish{ID: r.ID, Fence: r.Fence, Result: r.Result, Used: used}
 	case cstarget.TaskFailed:
-		command = cstask.Fail{ID: r.ID, Fence: r.Fence, Message: string(r.Result), Used: used}
+		return cstask.Fail{ID: r.ID, Fence: r.Fence, Message: string(r.Result), Used: used}
 	case cstarget.TaskStopped:
-		command = cstask.Checkpoint{
-			ID: r.ID, Fence: r.Fence, Sequence: t.sequence, Data: r.Checkpoint, Release: true, Used: used,
-		}
 		if a.overrun[key] {
-			command = cstask.Fail{ID: r.ID, Fence: r.Fence, Message: "overrun", Overrun: true, Used: used}
+			return cstask.Fail{ID: r.ID, Fence: r.Fence, Message: "overrun", Overrun: true, Used: used}
+		}
+		return cstask.Checkpoint{
+			ID: r.ID, Fence: r.Fence, Sequence: t.sequence, Data: r.Checkpoint, Release: true, Used: used,
 		}
 	case cstarget.TaskRunning:
 		if len(r.Checkpoint) == 0 || now.Sub(t.saved[key]) < checkpointInterval {
-			return
+			return nil
 		}
 		t.saved[key] = now
-		command = cstask.Checkpoint{ID: r.ID, Fence: r.Fence, Sequence: t.sequence, Data: r.Checkpoint, Used: used}
+		return cstask.Checkpoint{ID: r.ID, Fence: r.Fence, Sequence: t.sequence, Data: r.Checkpoint, Used: used}
 	default:
-		return
+		return nil
 	}
-	if a.busy[key] {
-		return
-	}
-	a.busy[key] = true
-	vm := t.machine.VM
-	ended := r.State != cstarget.TaskRunning
-	a.n.background(proposeLimit, func(ctx context.Context) {
-		_, err := a.n.proposeTasks(ctx, command)
-		a.n.send(a.n.tree.deferred, settled{key: key, vm: vm, ended: ended && err == nil})
-	})
 }
 
 // settle ends a proposal. The table decided in any case, so a stale report needs no repetition either.
 func (a *deferredActor) settle(m settled) {
-	delete(a.busy, m.key)
-	if !m.ended {
-		return
+	for _, key := range m.keys {
+		delete(a.busy, key)
+	}
+	for _, key := range m.ended {
+		delete(a.overrun, key)
+		a.n.send(a.n.tree.targets, acknowledge{vm: m.vm, ack: cstarget.TaskAck{ID: key.task, Fence: key.fence}})
 	}
-	delete(a.overrun, m.key)
-	a.n.send(a.n.tree.targets, acknowledge{vm: m.vm, ack: cstarget.TaskAck{ID: m.key.task, Fence: m.key.fence}})
 }
 
-// startLeased starts the tasks that are leased to targets of this node and that these do not report.
+// startLeased starts the tasks that are leased to targets of this node and that these do not report. The leases of an
+// earlier incarnation end when the new one is recorded; starting them again would repeat the loss of a worker that a task
+// kills.
 func (a *deferredActor) startLeased(now time.Time) {
+	a.scanned = now
 	a.n.viewFleet(func(m *csfleet.Machine) {
 		for _, id := range csmodel.SortedKeys(a.targets) {
 			t := a.targets[id]
-			if now.Sub(t.heard) > targetGrace {
+			vm, known := m.VM(id)
+			if now.Sub(t.heard) > targetGrace || !known || vm.Incarnation != t.machine.Incarnation {
 				continue
 			}
 			for _, task := range m.Tasks().Leased(id) {
@@ -249,7 +299,7 @@
 		if err := a.n.platform.Reboot(ctx, machine); err != nil {
 			a.n.log.Warn("reboot failed", zap.String("vm", string(o.VM)), zap.Error(err))
 		}
-		a.n.send(a.n.tree.deferred, settled{key: key, vm: o.VM})
+		a.n.send(a.n.tree.deferred, settled{vm: o.VM, keys: []attemptKey{key}})
 	})
 }
 
--- a/csnode/status.go
+++ b/csnode/status.go
@@ -14,6 +14,7 @@
 	"cowslipstream.example/cowslipstream/csraft"
 	"cowslipstream.example/cowslipstream/csrequest"
 	"cowslipstream.example/cowslipstream/csrollout"
+	"cowslipstream.example/cowslipstream/cstarget"
 )
 
 // stale tells whether the leader of a group has been silent for staleAfter.
@@ -49,6 +50,16 @@
 	if err != nil {
 		return csapi.Status{}, err
 	}
+	targets, err := ask(ctx, n, n.tree.targets, func(c chan<- []cstarget.Target) any { return readTargets{c} })
+	if err != nil {
+		return csapi.Status{}, err
+	}
+	quarantined := csmodel.Set[csmodel.VMID]{}
+	for _, t := range targets {
+		if t.Quarantined {
+			quarantined.Add(t.ID)
+		}
+	}
 	out := csapi.Status{
 		Node: n.settings.Node, Region: n.settings.Region, Zone: n.settings.Zone, At: n.clock.Now(),
 		Revision: n.Active().Revision, Stale: n.stale(n.global),
@@ -63,7 +74,7 @@
 		for _, vm := range vms {
 			out.VMs = append(out.VMs, csapi.VM{
 				ID: vm.ID, Home: vm.Home, Pool: vm.Pool, Zone: vm.Zone, Rack: vm.Rack, State: vmStates[vm.State],
-				Fence: vm.Fence, Serviced: vm.Maintained,
+				Fence: vm.Fence, Serviced: vm.Maintained, Quarantined: quarantined.Has(vm.ID),
 			})
 		}
 	})
--- a/csnode/targets.go
+++ b/csnode/targets.go
@@ -31,7 +31,9 @@
 	remote   map[csmodel.NodeID][]csmodel.PoolSummary
 	loads    loadsChanged
 	ticks    int
-	news     bool // a move or maintenance waits for the next report
+	scanned  time.Time // when the replica was last read
+	behind   bool      // the replica has changed since
+	news     bool      // a move or maintenance waits for the next report
 
 	summary     uint64 // hash of the summaries sent last
 	summarySent time.Time
@@ -98,7 +100,10 @@
 	case cstarget.SlotRequest:
 		a.n.deliverGrant(m.Node, a.registry.Grantor().Request(now, m))
 	case replicaChanged:
-		a.readReplica(now)
+		a.behind = true
+		if now.Sub(a.scanned) >= scanInterval {
+			a.readReplica(now)
+		}
 	case summaryOf:
 		a.remote[m.node] = m.pools
 		a.shareHealth()
@@ -146,6 +151,8 @@
 }
 
 func (a *targetsActor) readReplica(now time.Time) {
+	a.scanned = now
+	a.behind = false
 	targets := a.registry.Targets()
 	a.n.viewFleet(func(f *csfleet.Machine) {
 		for _, t := range targets {
@@ -199,6 +206,9 @@
 }
 
 func (a *targetsActor) tick(now time.Time) {
+	if a.behind {
+		a.readReplica(now)
+	}
 	a.handle(a.registry.Tick(now))
 	a.ticks++
 	if a.ticks%summaryTicks == 0 {
