--- a/csproof/deferred_test.go
+++ b/csproof/deferred_test.go
@@ -175,7 +175,7 @@
 // thousands arrive while tasks finish (F4).
 func TestCancellationFlood(t *testing.T) {
 	const total = 20_000
-	f := newFleet(t, 1, urgent(6), func(c *csfake.TargetConfig) { c.Cores = 2000 })
+	f := newFleet(t, 1, urgent(6), func(c *csfake.TargetConfig) { c.Cores, c.Runtime = 2000, 2*time.Second })
 	states := make([]csapi.TaskState, total)
 	each := func(workers int, do func(client *csclient.Client, ctx context.Context, i int) error) time.Duration {
 		began := time.Now()
@@ -206,6 +206,10 @@
 		}
 		return err
 	})
+	eventually(t, ample, "a finished task", func() bool {
+		left := f.nodes[0].unfinished()
+		return left >= 0 && left < total
+	})
 	order := rand.New(rand.NewPCG(1, 1)).Perm(total)
 	cancelling := each(256, func(client *csclient.Client, ctx context.Context, i int) error {
 		task, err := client.Cancel(ctx, id(order[i]))
