--- a/csnode/status.go
+++ b/csnode/status.go
@@ -50,6 +50,12 @@
 	if err != nil {
 		return csapi.Status{}, err
 	}
+	revisions, err := ask(ctx, n, n.tree.rollout, func(c chan<- map[csmodel.NodeID]csmodel.Revision) any {
+		return readRevisions{c}
+	})
+	if err != nil {
+		return csapi.Status{}, err
+	}
 	targets, err := ask(ctx, n, n.tree.targets, func(c chan<- []cstarget.Target) any { return readTargets{c} })
 	if err != nil {
 		return csapi.Status{}, err
