Promote a replaced voter while the leader is under load

Cause: a learner was promoted only at a tick at which it had every committed entry. Change: the learner must have what was committed at the last tick. The new test TestPromotionUnderLoad of csraft failed before.

--- a/csraft/change.go
+++ b/csraft/change.go
@@ -14,8 +14,11 @@
 	return p != nil && !p.contact.IsZero() && c.now.Sub(p.contact) < c.config.Lease
 }
 
-// caughtUp tells whether the member has every committed entry.
-func (c *Core) caughtUp(p *peer) bool { return c.reachable(p) && p.match >= c.commit }
+// caughtUp tells whether the member has every entry that was committed at the last tick. Under load there is always one
+// that was committed since, and waiting for a moment without one delayed the promotion of a replaced voter by up to 30 s.
+func (c *Core) caughtUp(p *peer) bool {
+	return c.reachable(p) && c.lead.settled >= c.lead.first && p.match >= c.lead.settled
+}
 
 // changed returns the membership after a change by an operator.
 func (c *Core) changed(m Membership, o Change) (Membership, error) {
--- a/csraft/core_test.go
+++ b/csraft/core_test.go
@@ -137,6 +137,36 @@
 	}
 }
 
+// TestPromotionUnderLoad guards against a replaced voter that is never promoted, because the leader commits something
+// between any two acknowledgements.
+func TestPromotionUnderLoad(t *testing.T) {
+	data, err := EncodeMembership(testMembers.with(Member{Node: "b", Incarnation: 2}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, now := testCore(t, "a", HardState{Term: 1}, Entry{Term: 1, Index: 2, Kind: EntryMembership, Data: data})
+	now = now.Add(time.Second)
+	c.Step(now, Tick{})
+	for _, k := range []MessageKind{MessagePreVoteReply, MessageVoteReply} {
+		c.Step(now, Receive{Message: Message{Kind: k, From: "c", Incarnation: 1, Term: 2}})
+	}
+	ack := Message{Kind: MessageAppendReply, Term: 2}
+	for range 10 {
+		seen := c.log.lastIndex() // by the learner, which has no part in the commit
+		c.Step(now, Propose{Proposals: []Proposal{{Data: []byte("x")}}})
+		ack.Round = c.lead.round
+		ack.From, ack.Incarnation, ack.Index = "c", 1, c.log.lastIndex()
+		c.Step(now, Receive{Message: ack})
+		ack.From, ack.Incarnation, ack.Index = "b", 2, seen
+		c.Step(now, Receive{Message: ack})
+		now = now.Add(50 * time.Millisecond)
+		c.Step(now, Tick{})
+	}
+	if !c.log.membership().voter("b", 2) {
+		t.Errorf("not promoted in 10 ticks: %+v, commit %d, match %d", c.log.membership(), c.commit, c.lead.peers["b"].match)
+	}
+}
+
 // testChanges guards against membership changes that lose the quorum: c leads, b is reachable and c is not.
 func testChanges(t *testing.T, c *Core, now time.Time) {
 	tests := []struct {
--- a/csraft/leader.go
+++ b/csraft/leader.go
@@ -29,6 +29,7 @@
 	backlog       csmodel.Bytes
 	reads         []waitingRead
 	transferUntil time.Time
+	settled       csmodel.Index // commit at the last tick
 }
 
 // peer is what the leader knows of another member.
@@ -194,6 +195,7 @@
 		}
 	}
 	c.maintainMembers()
+	c.lead.settled = c.commit
 }
 
 func (c *Core) onAppendReply(m Message) {
