Refuse a reboot of another incarnation at the fake target

The order to reboot is repeated until the new incarnation is known. The fake target ignored the incarnation in it, so a repetition rebooted the new incarnation, which was then given work while it was down (trial with logged reboots). Change: the fake target refuses the order with 409.

--- a/csfake/target.go
+++ b/csfake/target.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/gravitational/trace"
 	"github.com/jonboulle/clockwork"
 
+	"cowslipstream.example/cowslipstream/csdispatch"
 	"cowslipstream.example/cowslipstream/csmodel"
 )
 
@@ -163,7 +165,13 @@
 		t.Leave()
 		w.WriteHeader(http.StatusNoContent)
 	})
-	mux.HandleFunc("POST /reboot", func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("POST /reboot", func(w http.ResponseWriter, r *http.Request) {
+		// A repeated or late order must not reboot the new incarnation, which serves again.
+		of := r.Header.Get(csdispatch.HeaderIncarnation)
+		if of != "" && of != strconv.FormatUint(uint64(t.Incarnation()), 10) {
+			w.WriteHeader(http.StatusConflict)
+			return
+		}
 		w.WriteHeader(http.StatusNoContent)
 		_ = http.NewResponseController(w).Flush() // the connection is closed by the reboot
 		t.Reboot()
