--- a/csmeasure/result.go
+++ b/csmeasure/result.go
@@ -87,10 +87,11 @@
 	f := Figure{Min: math.Inf(1), Max: math.Inf(-1)}
 	for _, r := range results {
 		v := value(r)
-		f.Mean += v / float64(len(results))
+		f.Mean += v
 		f.Min = min(f.Min, v)
 		f.Max = max(f.Max, v)
 	}
+	f.Mean /= float64(len(results))
 	for _, r := range results {
 		f.Deviation += (value(r) - f.Mean) * (value(r) - f.Mean)
 	}
