--- a/cmd/cowslipstream/app.go
+++ b/cmd/cowslipstream/app.go
@@ -57,6 +57,8 @@
 func (a *app) commands() []command {
 	return []command{
 		{"serve", "Run an entry node", serveUsage, &serveCommand{app: a}},
+		{"store", "Run a store on the platform", storeUsage, &storeCommand{app: a}},
+		{"entry", "Run an entry on the platform", entryUsage, &entryCommand{app: a}},
 		{"demo", "Run a whole installation in one process", demoUsage, &demoCommand{app: a}},
 		{"check", "Check a settings or configuration file", checkUsage, &checkCommand{app: a}},
 		{"apply", "Submit a configuration", applyUsage, &applyCommand{app: a}},
--- /dev/null
+++ b/cmd/cowslipstream/roles.go
@@ -0,0 +1,244 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
+
+	"cowslipstream.example/cowslipstream/cslog"
+	"cowslipstream.example/cowslipstream/internal/base/csclock"
+	"cowslipstream.example/cowslipstream/internal/node/csentry"
+	"cowslipstream.example/cowslipstream/internal/node/csstore"
+	"cowslipstream.example/cowslipstream/internal/work/csrun"
+	"cowslipstream.example/cowslipstream/platform"
+)
+
+const (
+	logLines = 4096 // some seconds of a busy leader
+	// memoryShare is the part of the process's memory limit that the Go runtime aims to stay below.
+	memoryShare = 0.6
+	// headerTimeout bounds the time in which a client sends the head of a request.
+	headerTimeout = 5 * time.Second
+	// stopMargin is the part of the grace period that is left for closing files and connections.
+	stopMargin = 1500 * time.Millisecond
+	// unreadyNoticed is the time until the platform sends no new connections: two checks, one per second.
+	unreadyNoticed = 2500 * time.Millisecond
+
+	// settingsPoll is how often the settings file is compared, because it may change without a signal.
+	settingsPoll = time.Second
+)
+
+// Timing of the leader. Leases cover a change of the leader: election timeout, catching up and a first look.
+const (
+	runLease    = 5 * time.Second
+	callTimeout = 800 * time.Millisecond
+	lookSpacing = 100 * time.Millisecond
+	lookWait    = time.Second
+)
+
+const storeUsage = `Runs a store on the platform until it is stopped: replicated state, and on
+the leader the running of jobs. The platform names the settings file.`
+
+const entryUsage = `Runs an entry on the platform until it is stopped: it takes requests of
+client accounts. The platform names the settings file.`
+
+type storeCommand struct {
+	*app
+	LogLevel string `long:"log" value-name:"LEVEL" description:"least level of log lines" default:"info"`
+}
+
+type entryCommand struct {
+	*app
+	LogLevel string `long:"log" value-name:"LEVEL" description:"least level of log lines" default:"info"`
+}
+
+// process is what both roles share.
+type process struct {
+	settings platform.Settings
+	log      *zap.Logger
+	ring     *cslog.Ring
+	registry *prometheus.Registry
+	link     net.Listener
+}
+
+func (a *app) newProcess(level string) (*process, error) {
+	settings, err := platform.LoadSettings()
+	if err != nil {
+		return nil, &usageError{cause: err}
+	}
+	p := &process{settings: settings, ring: cslog.NewRing(a.stdout, logLines), registry: prometheus.NewRegistry()}
+	p.log, err = cslog.New(level, p.ring)
+	if err != nil {
+		return nil, &usageError{cause: err}
+	}
+	if settings.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory)))
+	}
+	p.link, err = net.Listen("tcp", settings.LinkAddress()) //nolint:noctx // bound for the life of the process
+	if err != nil {
+		return nil, trace.Wrap(err, "link address")
+	}
+	p.log.Info("starting", zap.String("version", readVersion().Version), zap.String("node", settings.Node), zap.String("zone", string(settings.Zone)),
+		zap.Strings("seeds", settings.Seeds), zap.Bool("first", settings.First), zap.Int("pid", os.Getpid()))
+	p.serve(settings.MetricsAddress(), p.metrics())
+	return p, nil
+}
+
+func (p *process) metrics() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{}))
+	return mux
+}
+
+// serve starts a server that runs until the process ends or the server is shut down.
+func (p *process) serve(address string, h http.Handler) *http.Server {
+	s := &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: headerTimeout}
+	go func() {
+		if err := s.ListenAndServe(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			p.log.Error("server ended", zap.String("address", address), zap.Error(err))
+		}
+	}()
+	return s
+}
+
+// watchSettings logs changes of the settings file. Only a start applies them: addresses and folders do not change while
+// a process runs, and seeds are used to find the group once.
+func (p *process) watchSettings(ctx context.Context) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	ticker := time.NewTicker(settingsPoll)
+	defer ticker.Stop()
+	seen := p.settings.Seeds
+	for {
+		asked := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			asked = true
+		case <-ticker.C:
+		}
+		s, err := platform.LoadSettings()
+		if err != nil {
+			p.log.Warn("settings not reloaded", zap.Bool("signal", asked), zap.Error(err))
+			continue
+		}
+		if asked || !equalStrings(seen, s.Seeds) {
+			p.log.Info("settings reloaded", zap.Bool("signal", asked), zap.Strings("seeds", s.Seeds))
+			seen = s.Seeds
+		}
+	}
+}
+
+func equalStrings(a, b []string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *process) close(reason string) {
+	p.log.Info("stopped", zap.String("reason", reason))
+	p.ring.Close()
+}
+
+// Execute runs the subcommand.
+func (c *storeCommand) Execute([]string) error {
+	p, err := c.newProcess(c.LogLevel)
+	if err != nil {
+		return err
+	}
+	go p.watchSettings(c.ctx)
+	s := p.settings
+	client := platform.NewClient()
+	store, err := csstore.New(csstore.Options{
+		IP: s.IP, Seeds: s.Seeds, First: s.First, Folder: s.Folder, Losses: s.Losses, Listener: p.link,
+		PeerAddress: s.PeerAddress, Retention: s.Retention, Workers: client, Clock: csclock.NewBoot(),
+		Log: p.log, Registry: p.registry,
+		Timing: csrun.Timing{
+			Lease: min(runLease, s.LongestLease*9/10), LongestLease: s.LongestLease, Beat: s.Beat,
+			CallTimeout: callTimeout, LookSpacing: lookSpacing, LookWait: lookWait,
+		},
+	})
+	if err != nil {
+		p.log.Error("not started", zap.Error(err))
+		p.close("failed start")
+		return trace.Wrap(err)
+	}
+	server := p.serve(s.Control, platform.ControlHandler(store, s.ControlAddress, p.log))
+	<-c.ctx.Done()
+	p.log.Info("stopping", zap.Duration("grace", s.Grace))
+	store.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), stopMargin)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		p.log.Warn("connections cut", zap.Error(err))
+	}
+	p.close("signal")
+	return nil
+}
+
+// Execute runs the subcommand.
+func (c *entryCommand) Execute([]string) error {
+	p, err := c.newProcess(c.LogLevel)
+	if err != nil {
+		return err
+	}
+	go p.watchSettings(c.ctx)
+	s := p.settings
+	entry, err := csentry.New(csentry.Options{
+		IP: s.IP, Seeds: s.Seeds, Listener: p.link, PeerAddress: s.PeerAddress, Clock: csclock.NewBoot(),
+		Log: p.log, Registry: p.registry,
+	})
+	if err != nil {
+		p.log.Error("not started", zap.Error(err))
+		p.close("failed start")
+		return trace.Wrap(err)
+	}
+	draining := func() bool { return c.ctx.Err() != nil }
+	p.serve(s.Ready, platform.ReadyHandler(entry, draining))
+	front := p.serve(s.Callers, closing(platform.FrontHandler(entry), draining))
+	<-c.ctx.Done()
+	p.log.Info("stopping", zap.Duration("grace", s.Grace))
+	p.drain(front)
+	entry.Close()
+	p.close("signal")
+	return nil
+}
+
+// drain goes on serving until the platform has stopped sending new connections, then waits for the open requests.
+func (p *process) drain(front *http.Server) {
+	time.Sleep(min(unreadyNoticed, p.settings.Grace/2))
+	limit := max(p.settings.Grace/2-stopMargin, stopMargin)
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	if err := front.Shutdown(ctx); err != nil {
+		p.log.Warn("connections cut", zap.Error(err))
+	}
+}
+
+// closing asks clients to leave their connection after an answer while the process drains.
+func closing(h http.Handler, draining func() bool) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if draining() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
--- a/cslink/handshake.go
+++ b/cslink/handshake.go
@@ -208,11 +208,17 @@
 	case h.Channel >= channels:
 		return nil, fmt.Errorf("%w: channel %d", ErrProtocol, h.Channel)
 	}
-	p := l.peers[h.From]
+	p := l.peer(h.From)
+	if p == nil && l.options.Admit != nil && l.options.Admit(h.From) {
+		if err := l.join(Peer{Node: h.From}, false); err != nil {
+			return nil, err
+		}
+		p = l.peer(h.From)
+	}
 	if p == nil {
 		return nil, fmt.Errorf("%w: %q", ErrUnknownPeer, h.From)
 	}
-	if h.From >= l.options.Self {
+	if p.dials.Load() && h.From >= l.options.Self {
 		return nil, fmt.Errorf("%w: the node with the smaller name dials", ErrProtocol)
 	}
 	return p.links[h.Channel], nil
--- a/cslink/links.go
+++ b/cslink/links.go
@@ -33,6 +33,7 @@
 	clock    clockwork.Clock
 	log      *zap.Logger
 	instance uint64
+	known    sync.RWMutex // peers
 	peers    map[csmodel.NodeID]*peer
 	listener *listener
 	server   *http.Server
@@ -49,6 +50,7 @@
 // peer is one other node.
 type peer struct {
 	address string
+	dials   atomic.Bool // this node opens the sockets
 	links   [channels]*link
 }
 
@@ -113,30 +115,87 @@
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	for _, p := range o.Peers {
 		if p.Node != o.Self {
-			l.add(p)
+			l.add(p, o.Self < p.Node)
 		}
 	}
 	l.server = l.newServer()
 	return l
 }
 
-func (l *Links) add(p Peer) {
+func (l *Links) add(p Peer, dials bool) *peer {
 	n := &peer{address: p.Address}
+	n.dials.Store(dials)
 	for c := range n.links {
 		n.links[c] = newLink(l, p.Node, Channel(c))
 	}
 	l.peers[p.Node] = n
+	return n
 }
 
-func (l *Links) start() {
-	for name, p := range l.peers {
-		for _, k := range p.links {
-			l.running.Go(k.dispatch)
-			if l.options.Self < name {
-				l.running.Go(k.dial)
-			}
+// AddPeer adds a peer that this node dials, whichever name is smaller. It does nothing where the peer is known.
+func (l *Links) AddPeer(p Peer) error {
+	if p.Node == l.options.Self {
+		return ErrUnknownPeer
+	}
+	return l.join(p, true)
+}
+
+// Redial makes this node dial a listed peer whatever its name. It is for a node that the peer does not list.
+func (l *Links) Redial(node csmodel.NodeID) error {
+	if !l.enter() {
+		return ErrClosed
+	}
+	defer l.running.Done()
+	l.known.Lock()
+	defer l.known.Unlock()
+	p := l.peers[node]
+	if p == nil {
+		return ErrUnknownPeer
+	}
+	if p.dials.Swap(true) {
+		return nil
+	}
+	for _, k := range p.links {
+		l.running.Go(k.dial)
+	}
+	return nil
+}
+
+// join adds a peer while the links run.
+func (l *Links) join(p Peer, dials bool) error {
+	if !l.enter() {
+		return ErrClosed
+	}
+	defer l.running.Done()
+	l.known.Lock()
+	defer l.known.Unlock()
+	if l.peers[p.Node] == nil {
+		l.run(l.add(p, dials))
+	}
+	return nil
+}
+
+// run starts the goroutines of a peer.
+func (l *Links) run(p *peer) {
+	for _, k := range p.links {
+		l.running.Go(k.dispatch)
+		if p.dials.Load() {
+			l.running.Go(k.dial)
 		}
 	}
+}
+
+// peer returns a peer, or nil where it is not known.
+func (l *Links) peer(name csmodel.NodeID) *peer {
+	l.known.RLock()
+	defer l.known.RUnlock()
+	return l.peers[name]
+}
+
+func (l *Links) start() {
+	for _, p := range l.peers {
+		l.run(p)
+	}
 	ticker := l.clock.NewTicker(paceInterval)
 	l.running.Go(func() { l.pace(ticker) })
 	l.running.Go(func() { _ = l.server.Serve(l.listener) }) // always an error; Close ends it
@@ -156,6 +215,8 @@
 }
 
 func (l *Links) sweep(now time.Time) {
+	l.known.RLock()
+	defer l.known.RUnlock()
 	for _, p := range l.peers {
 		for _, k := range p.links {
 			k.pace(now)
@@ -188,7 +249,7 @@
 // non-empty supersede key takes the place of a queued one with the same key, which is then never delivered, unless it
 // has already been written to the current socket.
 func (l *Links) Send(to csmodel.NodeID, channel Channel, kind Kind, payload []byte, supersede string) error {
-	p := l.peers[to]
+	p := l.peer(to)
 	switch {
 	case p == nil:
 		return ErrUnknownPeer
@@ -202,6 +263,8 @@
 
 // Peers returns the state of each peer in ascending order of names.
 func (l *Links) Peers() []PeerStatus {
+	l.known.RLock()
+	defer l.known.RUnlock()
 	out := make([]PeerStatus, 0, len(l.peers))
 	for _, name := range csmodel.SortedKeys(l.peers) {
 		out = append(out, l.status(name))
@@ -211,7 +274,10 @@
 
 func (l *Links) status(name csmodel.NodeID) PeerStatus {
 	p := l.peers[name]
-	s := PeerStatus{Node: name, Address: l.address(name), Incarnation: p.links[Control].incarnation()}
+	l.mu.Lock()
+	address := p.address
+	l.mu.Unlock()
+	s := PeerStatus{Node: name, Address: address, Incarnation: p.links[Control].incarnation()}
 	for c, k := range p.links {
 		s.Channels[c] = k.status()
 	}
@@ -236,23 +302,34 @@
 func (l *Links) Refused() uint64 { return l.refused.Load() + l.listener.refused.Load() }
 
 func (l *Links) address(node csmodel.NodeID) string {
+	p := l.peer(node)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.peers[node].address
+	return p.address
 }
 
 // SetAddress changes where a peer is dialed from the next connection on.
 func (l *Links) SetAddress(node csmodel.NodeID, address string) error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	p := l.peers[node]
+	p := l.peer(node)
 	if p == nil {
 		return ErrUnknownPeer
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	p.address = address
 	return nil
 }
 
+func (l *Links) closeLinks() {
+	l.known.RLock()
+	defer l.known.RUnlock()
+	for _, p := range l.peers {
+		for _, k := range p.links {
+			k.close()
+		}
+	}
+}
+
 // Close closes all sockets and the listener and waits until no handler runs.
 func (l *Links) Close() error {
 	l.mu.Lock()
@@ -264,11 +341,7 @@
 	}
 	l.cancel()
 	err := l.server.Close()
-	for _, p := range l.peers {
-		for _, k := range p.links {
-			k.close()
-		}
-	}
+	l.closeLinks()
 	l.running.Wait()
 	return err
 }
--- a/cslink/options.go
+++ b/cslink/options.go
@@ -82,6 +82,9 @@
 	Listener net.Listener
 	// Peers lists the other nodes. An entry for Self is ignored.
 	Peers []Peer
+	// Admit tells whether a node that is not listed may connect. It becomes a peer that this node does not dial. Nil
+	// admits none.
+	Admit func(csmodel.NodeID) bool
 	// Clock drives heartbeats, deadlines and reconnects. Nil selects the real clock.
 	Clock clockwork.Clock
 	// Handle receives messages, one at a time for each peer and channel. The payload belongs to the handler. While it
--- a/csraft/change.go
+++ b/csraft/change.go
@@ -132,6 +132,9 @@
 	if voterChanges(before, next) == 0 {
 		next = c.promote(before, next)
 	}
+	if voterChanges(before, next) == 0 {
+		next = c.retire(before, next)
+	}
 	if sameMembers(before, next) || c.checkChange(before, next) != nil {
 		return
 	}
@@ -157,7 +160,8 @@
 	configured := c.config.voters()
 	for _, a := range before.Members {
 		p := c.lead.peers[a.Node]
-		if a.Voter || p == nil || p.volatile || before.excluded(a) || !slices.Contains(configured, a.Node) {
+		wanted := slices.Contains(configured, a.Node) || c.short(before)
+		if a.Voter || p == nil || p.volatile || before.excluded(a) || !wanted {
 			continue
 		}
 		promoted := next.with(Member{Node: a.Node, Incarnation: a.Incarnation, Voter: true})
@@ -168,6 +172,44 @@
 	return next
 }
 
+// short tells whether fewer than the wanted number of voters were heard lately.
+func (c *Core) short(m Membership) bool {
+	heard := 0
+	for _, v := range m.Voters() {
+		if !c.lost(v) {
+			heard++
+		}
+	}
+	return heard < c.config.Voters
+}
+
+// lost tells whether a voter was silent for so long that another node takes its place.
+func (c *Core) lost(v Member) bool {
+	p := c.lead.peers[v.Node]
+	if v.Node == c.config.Self || p == nil {
+		return false
+	}
+	last := p.contact
+	if last.Before(c.lead.since) {
+		last = c.lead.since
+	}
+	return c.now.Sub(last) >= c.config.Replace
+}
+
+// retire removes a lost voter once its replacement votes.
+func (c *Core) retire(before, next Membership) Membership {
+	voters := before.Voters()
+	if c.config.Voters == 0 || len(voters) <= c.config.Voters {
+		return next
+	}
+	for _, v := range voters {
+		if c.lost(v) {
+			return next.without(v.Node)
+		}
+	}
+	return next
+}
+
 func sameMembers(a, b Membership) bool {
 	return slices.Equal(a.Members, b.Members) && slices.Equal(a.Excluded, b.Excluded)
 }
--- a/csraft/election.go
+++ b/csraft/election.go
@@ -156,7 +156,7 @@
 		c.joinAt = c.now.Add(joinEvery)
 		c.sendJoins()
 	}
-	if c.log.empty() && !c.detached && !c.config.Volatile {
+	if c.log.empty() && !c.detached && !c.config.Volatile && !c.config.Join {
 		c.form()
 	}
 	c.fetchWhenStale()
--- a/csraft/event.go
+++ b/csraft/event.go
@@ -17,6 +17,7 @@
 	DefaultLease     = 1200 * time.Millisecond
 	DefaultHeartbeat = 300 * time.Millisecond
 	DefaultForget    = 10 * time.Minute
+	DefaultReplace   = 5 * time.Second
 	DefaultTrailing  = 1000 // entries
 	DefaultBatch     = 256 * csmodel.KiB
 	DefaultBacklog   = 8 * csmodel.MiB
@@ -41,7 +42,13 @@
 	Incarnation csmodel.Incarnation
 	// Members lists the configured nodes. Incarnations are ignored. The configured voters form the group, and the leader
 	// promotes their new incarnations when caught up.
-	Members   []Member
+	Members []Member
+	// Join makes a node with an empty folder wait for a group that exists instead of forming one.
+	Join bool
+	// Voters is the number of voters that the leader restores from caught-up learners after a voter was silent for
+	// Replace. Zero keeps the configured voters.
+	Voters    int
+	Replace   time.Duration
 	Election  time.Duration // least time without a leader before a node asks for votes, and until it grants one
 	Jitter    time.Duration // random part added to Election
 	Lease     time.Duration // below Election: how long an acknowledged heartbeat lets the leader decide
@@ -83,6 +90,7 @@
 	c.Lease = or(c.Lease, DefaultLease)
 	c.Heartbeat = or(c.Heartbeat, DefaultHeartbeat)
 	c.Forget = or(c.Forget, DefaultForget)
+	c.Replace = or(c.Replace, DefaultReplace)
 	c.Trailing = or(c.Trailing, DefaultTrailing)
 	c.Batch = or(c.Batch, DefaultBatch)
 	c.Backlog = or(c.Backlog, DefaultBacklog)
--- /dev/null
+++ b/internal/node/csentry/entry.go
@@ -0,0 +1,281 @@
+// Package csentry is a process that takes the requests of client accounts and passes them on to the leader. It holds no
+// state that has to survive.
+package csentry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"cowslipstream.example/cowslipstream/cslink"
+	"cowslipstream.example/cowslipstream/csmodel"
+	"cowslipstream.example/cowslipstream/internal/node/csrpc"
+)
+
+const (
+	linkHeartbeat = 300 * time.Millisecond
+	linkSilence   = 1000 * time.Millisecond // an open connection without a byte is replaced
+	// askInterval is how often the entry asks who leads.
+	askInterval = 400 * time.Millisecond
+	askTimeout  = 800 * time.Millisecond
+	// staleLeader is the time without an answer of the leader after which the entry does not call itself ready. The
+	// platform checks once per second and needs two misses.
+	staleLeader = 1500 * time.Millisecond
+	// search is how long a request waits for a leader. Requests that are refused later than a quarter of the shortest
+	// objective of 600 ms would have been better off at another entry.
+	search      = 140 * time.Millisecond
+	searchPause = 20 * time.Millisecond
+	// retryAfter tells a client account when a new leader can be expected: the election timeout and a margin.
+	retryAfter = time.Second
+)
+
+// Options configure an entry.
+type Options struct {
+	IP          string
+	Seeds       []string // IP addresses of stores
+	Listener    net.Listener
+	PeerAddress func(ip string) string
+	Clock       clockwork.Clock
+	Log         *zap.Logger
+	Registry    prometheus.Registerer
+}
+
+// Entry is one entry. Use New.
+type Entry struct {
+	options  Options
+	log      *zap.Logger
+	links    *cslink.Links
+	calls    *csrpc.Caller
+	opened   chan struct{}
+	cancel   context.CancelFunc
+	requests *prometheus.CounterVec
+	latency  prometheus.Histogram
+
+	mu     sync.Mutex
+	leader csmodel.NodeID
+	term   csmodel.Term
+	seen   time.Time // last answer of a leader with a configuration
+}
+
+// New starts the entry.
+func New(o Options) (*Entry, error) {
+	e := &Entry{
+		options: o, log: o.Log, opened: make(chan struct{}),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cowslipstream_requests_total", Help: "Requests of client accounts, by result.",
+		}, []string{"result"}),
+		latency: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "cowslipstream_request_seconds", Help: "Time from a request to its answer.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
+		}),
+	}
+	o.Registry.MustRegister(e.requests, e.latency)
+	var peers []cslink.Peer
+	for _, ip := range o.Seeds {
+		peers = append(peers, cslink.Peer{Node: csrpc.StoreNode(ip), Address: o.PeerAddress(ip)})
+	}
+	links, err := cslink.New(cslink.Options{
+		Self: csrpc.EntryNode(o.IP), Incarnation: csmodel.Incarnation(o.Clock.Now().UnixMicro()), Secret: csrpc.LinkKey,
+		Listener: o.Listener, Peers: peers, Handle: e.receive, Log: o.Log,
+		Up:        func(n csmodel.NodeID, _ csmodel.Incarnation) { e.up(n) },
+		Down:      e.down,
+		Heartbeat: linkHeartbeat, Silence: linkSilence,
+	})
+	if err != nil {
+		return nil, err
+	}
+	e.links = links
+	e.calls = csrpc.New(links, nil)
+	close(e.opened)
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancel = cancel
+	go e.watch(ctx)
+	return e, nil
+}
+
+func (e *Entry) up(n csmodel.NodeID) {
+	<-e.opened
+	e.calls.Up(n)
+	e.log.Info("link up", zap.String("peer", string(n)))
+}
+
+func (e *Entry) down(n csmodel.NodeID) {
+	<-e.opened
+	e.calls.Down(n)
+	e.log.Warn("link down", zap.String("peer", string(n)))
+}
+
+func (e *Entry) receive(from csmodel.NodeID, kind cslink.Kind, payload []byte) {
+	<-e.opened
+	if _, err := e.calls.Receive(from, kind, payload); err != nil {
+		e.log.Warn("malformed message", zap.String("peer", string(from)), zap.Uint8("kind", uint8(kind)), zap.Error(err))
+	}
+}
+
+// watch asks who leads.
+func (e *Entry) watch(ctx context.Context) {
+	ticker := e.options.Clock.NewTicker(askInterval)
+	defer ticker.Stop()
+	for {
+		e.ask(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+		}
+	}
+}
+
+// ask asks the leader, or all stores where none is known.
+func (e *Entry) ask(ctx context.Context) {
+	to := e.calls.Peers()
+	if leader := e.current(); leader != "" && e.calls.Connected(leader) {
+		to = []csmodel.NodeID{leader}
+	}
+	var all sync.WaitGroup
+	for _, n := range to {
+		all.Go(func() { e.askOne(ctx, n) })
+	}
+	all.Wait()
+}
+
+func (e *Entry) askOne(ctx context.Context, n csmodel.NodeID) {
+	limited, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	b, err := e.calls.Call(limited, n, csrpc.MethodLeader, nil)
+	if err != nil {
+		e.forget(n)
+		return
+	}
+	a, err := csrpc.Decode[csrpc.LeaderAnswer](b)
+	if err != nil {
+		e.log.Warn("malformed answer", zap.String("peer", string(n)), zap.Error(err))
+		return
+	}
+	if a.Leader == n && a.Ready {
+		e.mu.Lock()
+		e.seen = e.options.Clock.Now()
+		e.mu.Unlock()
+	}
+	if a.Leader == "" {
+		e.forget(n)
+		return
+	}
+	e.learn(a.Leader, a.Term)
+}
+
+// learn takes over a leader of the same term or a later one.
+func (e *Entry) learn(leader csmodel.NodeID, term csmodel.Term) {
+	e.mu.Lock()
+	changed := leader != "" && leader != e.leader && term >= e.term
+	if changed {
+		e.leader, e.term = leader, term
+	}
+	e.mu.Unlock()
+	if !changed {
+		return
+	}
+	e.log.Info("leader changed", zap.String("leader", string(leader)), zap.Uint64("term", uint64(term)))
+	ip, ok := csrpc.StoreIP(leader)
+	if !ok {
+		return
+	}
+	if err := e.links.AddPeer(cslink.Peer{Node: leader, Address: e.options.PeerAddress(ip)}); err != nil {
+		e.log.Warn("leader not added", zap.String("peer", string(leader)), zap.Error(err))
+	}
+}
+
+func (e *Entry) forget(n csmodel.NodeID) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.leader == n {
+		e.leader = ""
+	}
+}
+
+func (e *Entry) current() csmodel.NodeID {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leader
+}
+
+// Ready tells whether the entry can serve client accounts.
+func (e *Entry) Ready() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.seen.IsZero() && e.options.Clock.Now().Sub(e.seen) < staleLeader
+}
+
+// Do passes a request on to the leader. The context holds the deadline of the client account.
+func (e *Entry) Do(ctx context.Context, r csrpc.JobRequest) csrpc.JobAnswer {
+	started := e.options.Clock.Now()
+	a := e.do(ctx, started, csrpc.Encode(r))
+	after := e.options.Clock.Now().Sub(started)
+	e.latency.Observe(after.Seconds())
+	e.requests.WithLabelValues(resultNames[a.Result]).Inc()
+	if a.Result >= csrpc.ResultRefused {
+		e.log.Info("request not served", zap.String("host", r.Host), zap.String("path", r.Path), zap.Uint8("action", uint8(r.Action)),
+			zap.String("result", resultNames[a.Result]), zap.String("leader", string(e.current())), zap.Duration("after", after))
+	}
+	return a
+}
+
+var resultNames = [...]string{
+	csrpc.ResultDone: "done", csrpc.ResultNoQueue: "no_queue", csrpc.ResultNoJob: "no_job", csrpc.ResultRefused: "refused",
+	csrpc.ResultInvalid: "invalid", csrpc.ResultNoConfig: "no_config", csrpc.ResultMoved: "no_leader",
+	csrpc.ResultUnknown: "unknown",
+}
+
+// do tries the known leader until one answers. A request that was sent without an answer is not sent again: it may have
+// been carried out, and only the client account may repeat it.
+func (e *Entry) do(ctx context.Context, started time.Time, payload []byte) csrpc.JobAnswer {
+	for {
+		if leader := e.current(); leader != "" {
+			b, err := e.calls.Call(ctx, leader, csrpc.MethodJob, payload)
+			if errors.Is(err, csrpc.ErrNoAnswer) {
+				return csrpc.JobAnswer{Result: csrpc.ResultUnknown}
+			}
+			if err == nil {
+				a, err := csrpc.Decode[csrpc.JobAnswer](b)
+				if err != nil {
+					e.log.Warn("malformed answer", zap.String("peer", string(leader)), zap.Error(err))
+					return csrpc.JobAnswer{Result: csrpc.ResultUnknown}
+				}
+				if a.Result != csrpc.ResultMoved {
+					return a
+				}
+				e.moved(leader, a.Leader)
+			}
+		}
+		if ctx.Err() != nil || e.options.Clock.Now().Sub(started) > search {
+			return csrpc.JobAnswer{Result: csrpc.ResultMoved, Retry: retryAfter}
+		}
+		e.options.Clock.Sleep(searchPause)
+	}
+}
+
+// moved follows a hint of a store that does not lead.
+func (e *Entry) moved(from, to csmodel.NodeID) {
+	if to == "" || to == from {
+		e.forget(from)
+		return
+	}
+	e.mu.Lock()
+	term := e.term
+	e.mu.Unlock()
+	e.learn(to, term)
+}
+
+// Close stops the entry.
+func (e *Entry) Close() {
+	e.cancel()
+	if err := e.links.Close(); err != nil {
+		e.log.Warn("links closed", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/node/csrpc/rpc.go
@@ -0,0 +1,177 @@
+// Package csrpc makes calls between the system's processes over their links.
+package csrpc
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"cowslipstream.example/cowslipstream/cslink"
+	"cowslipstream.example/cowslipstream/csmodel"
+)
+
+// Errors of Call. Test with errors.Is.
+var (
+	// ErrUnsent reports a call that never reached the peer.
+	ErrUnsent = errors.New("csrpc: not sent")
+	// ErrNoAnswer reports a call that may have been carried out.
+	ErrNoAnswer = errors.New("csrpc: no answer")
+	// ErrCodec reports bytes that are not a call or an answer.
+	ErrCodec = errors.New("csrpc: undecodable")
+)
+
+// Method selects what a call does.
+type Method uint8
+
+// Kinds of link messages. Other kinds belong to the owner of the links.
+const (
+	KindCall   cslink.Kind = 0x10
+	KindAnswer cslink.Kind = 0x11
+)
+
+// Sender queues a message for a peer.
+type Sender interface {
+	Send(to csmodel.NodeID, channel cslink.Channel, kind cslink.Kind, payload []byte, supersede string) error
+}
+
+// Handler answers a call of a peer. It runs in its own goroutine.
+type Handler func(from csmodel.NodeID, m Method, payload []byte) []byte
+
+type envelope struct {
+	_       struct{} `cbor:",toarray"`
+	ID      uint64
+	Method  Method
+	Payload []byte
+}
+
+// Caller makes and answers calls. Use New.
+type Caller struct {
+	sender  Sender
+	handler Handler
+	slots   chan struct{}
+
+	mu      sync.Mutex
+	last    uint64
+	waiting map[uint64]chan []byte
+	up      csmodel.Set[csmodel.NodeID]
+}
+
+// maxCalls bounds the calls that are answered at once; more wait in the links' queues, which are bounded by bytes.
+const maxCalls = 1024
+
+// New returns a caller. A nil handler answers no calls.
+func New(s Sender, h Handler) *Caller {
+	return &Caller{
+		sender: s, handler: h, slots: make(chan struct{}, maxCalls),
+		waiting: map[uint64]chan []byte{}, up: csmodel.NewSet[csmodel.NodeID](),
+	}
+}
+
+// Up and Down tell which peers are connected. Calls to others are refused, so that they are not delivered later.
+func (c *Caller) Up(n csmodel.NodeID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.up.Add(n)
+}
+
+// Down tells that a peer is not connected.
+func (c *Caller) Down(n csmodel.NodeID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.up.Delete(n)
+}
+
+// Connected tells whether a peer is connected.
+func (c *Caller) Connected(n csmodel.NodeID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.up.Has(n)
+}
+
+// Peers returns the connected peers in ascending order.
+func (c *Caller) Peers() []csmodel.NodeID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return csmodel.SortedKeys(c.up)
+}
+
+// Call sends a call and waits for its answer until the context ends.
+func (c *Caller) Call(ctx context.Context, to csmodel.NodeID, m Method, payload []byte) ([]byte, error) {
+	answer := make(chan []byte, 1)
+	c.mu.Lock()
+	if !c.up.Has(to) {
+		c.mu.Unlock()
+		return nil, ErrUnsent
+	}
+	c.last++
+	id := c.last
+	c.waiting[id] = answer
+	c.mu.Unlock()
+	defer c.forget(id)
+	b, err := cbor.Marshal(envelope{ID: id, Method: m, Payload: payload})
+	if err != nil {
+		return nil, errors.Join(ErrUnsent, err)
+	}
+	if err := c.sender.Send(to, cslink.Control, KindCall, b, ""); err != nil {
+		return nil, errors.Join(ErrUnsent, err)
+	}
+	select {
+	case b := <-answer:
+		return b, nil
+	case <-ctx.Done():
+		return nil, errors.Join(ErrNoAnswer, ctx.Err())
+	}
+}
+
+func (c *Caller) forget(id uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.waiting, id)
+}
+
+// Receive takes in a message of a link. It reports false for kinds that are not its own.
+func (c *Caller) Receive(from csmodel.NodeID, kind cslink.Kind, payload []byte) (bool, error) {
+	if kind != KindCall && kind != KindAnswer {
+		return false, nil
+	}
+	var e envelope
+	if err := cbor.Unmarshal(payload, &e); err != nil {
+		return true, errors.Join(ErrCodec, err)
+	}
+	if kind == KindAnswer {
+		c.deliver(e)
+		return true, nil
+	}
+	if c.handler == nil {
+		return true, nil
+	}
+	c.slots <- struct{}{}
+	go func() {
+		defer func() { <-c.slots }()
+		c.answer(from, e)
+	}()
+	return true, nil
+}
+
+func (c *Caller) deliver(e envelope) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w := c.waiting[e.ID]; w != nil {
+		select {
+		case w <- e.Payload:
+		default: // a second answer
+		}
+	}
+}
+
+func (c *Caller) answer(from csmodel.NodeID, e envelope) {
+	e.Payload = c.handler(from, e.Method, e.Payload)
+	b, err := cbor.Marshal(e)
+	if err != nil {
+		return // an envelope of bytes always encodes
+	}
+	// The caller's deadline covers an answer that a full queue drops.
+	_ = c.sender.Send(from, cslink.Control, KindAnswer, b, "")
+}
--- /dev/null
+++ b/internal/node/csstore/store.go
@@ -0,0 +1,287 @@
+// Package csstore is a process that holds the replicated state. The one that leads runs the jobs.
+package csstore
+
+import (
+	"context"
+	"errors"
+	"net"
+	"path/filepath"
+	"sync/atomic"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/gravitational/trace"
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"cowslipstream.example/cowslipstream/csdisk"
+	"cowslipstream.example/cowslipstream/csgroup"
+	"cowslipstream.example/cowslipstream/cslink"
+	"cowslipstream.example/cowslipstream/cslog"
+	"cowslipstream.example/cowslipstream/csmodel"
+	"cowslipstream.example/cowslipstream/csraft"
+	"cowslipstream.example/cowslipstream/internal/node/csrpc"
+	"cowslipstream.example/cowslipstream/internal/work/csjob"
+	"cowslipstream.example/cowslipstream/internal/work/csrun"
+)
+
+// Timing of the group. The election timeout is a third of the contact time of the platform's pages, so that a new leader
+// acts well within it; a heartbeat costs one small message for each store.
+const (
+	electionTimeout = 1000 * time.Millisecond
+	electionJitter  = 300 * time.Millisecond
+	leaderLease     = 800 * time.Millisecond
+	heartbeat       = 200 * time.Millisecond
+)
+
+// Links between processes.
+const (
+	linkHeartbeat = 300 * time.Millisecond
+	linkSilence   = 1000 * time.Millisecond // an open connection without a byte is replaced
+	kindRaft      = cslink.Kind(1)
+	// largeMessage is the size in bytes above which a message of the group uses the data channel.
+	largeMessage = 16 << 10
+)
+
+// ErrUnavailable reports that no leader could be reached. Nothing was changed.
+var ErrUnavailable = errors.New("csstore: no leader reachable")
+
+// Options configure a store.
+type Options struct {
+	IP          string   // of this machine
+	Seeds       []string // IP addresses of stores
+	First       bool     // the whole system starts for the first time
+	Folder      string
+	Losses      int // stores that may be lost at once
+	Listener    net.Listener
+	PeerAddress func(ip string) string // where another store listens for links
+	Retention   time.Duration          // of ended jobs
+	Timing      csrun.Timing
+	Workers     csrun.Workers
+	Fleet       csrun.Fleet // may be nil
+	Clock       clockwork.Clock
+	Log         *zap.Logger
+	Registry    prometheus.Registerer
+}
+
+// Store is one store. Use New.
+type Store struct {
+	options Options
+	self    csmodel.NodeID
+	log     *zap.Logger
+	system  *actor.ActorSystem
+	disk    *csdisk.OS
+	group   *csgroup.Group
+	links   atomic.Pointer[cslink.Links]
+	calls   *csrpc.Caller
+	leader  *csrun.Leader
+	opened  chan struct{} // closed when group, links and leader are set
+}
+
+// New opens the folder and starts the store.
+func New(o Options) (*Store, error) {
+	s := &Store{options: o, self: csrpc.StoreNode(o.IP), log: o.Log, opened: make(chan struct{})}
+	disk, err := csdisk.OpenOS(filepath.Join(o.Folder, "group"))
+	if err != nil {
+		return nil, trace.Wrap(err, "data folder")
+	}
+	s.disk = disk
+	quiet := o.Log.WithOptions(zap.IncreaseLevel(zap.WarnLevel))
+	s.system = actor.NewActorSystem(cslog.Actors(quiet), actor.WithDeadLetterRequestLogging(false))
+	s.calls = csrpc.New(sender{s}, s.answer)
+	s.leader = csrun.New(csrun.Options{
+		State: replica{s}, Workers: o.Workers, Clock: o.Clock, Log: o.Log.Named("run"),
+		Metrics: csrun.NewMetrics(o.Registry), Timing: o.Timing, Spawner: s.system.Root, Fleet: o.Fleet,
+	})
+	if err := s.openGroup(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if err := s.openLinks(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	close(s.opened)
+	return s, nil
+}
+
+func (s *Store) openGroup() error {
+	var members []csraft.Member
+	for _, ip := range s.options.Seeds {
+		members = append(members, csraft.Member{Node: csrpc.StoreNode(ip), Voter: true})
+	}
+	group, err := csgroup.New(csgroup.Options{
+		Config: csraft.Config{
+			Group: "jobs", Self: s.self, Members: members, Join: !s.options.First,
+			Voters:   max(len(members), 2*s.options.Losses+1),
+			Election: electionTimeout, Jitter: electionJitter, Lease: leaderLease, Heartbeat: heartbeat,
+			Seed: uint64(time.Now().UnixNano()),
+		},
+		Machine: &csjob.Table{Retention: s.options.Retention},
+		Disk:    s.disk,
+		Clock:   s.options.Clock,
+		Send:    s.sendRaft,
+		Spawner: s.system.Root,
+		Observe: csgroup.Observe{
+			Applied:  func(csraft.Entry, []byte) { s.leader.Changed() },
+			Restored: func(csmodel.Index) { s.leader.Changed() },
+			Lead:     func(t csmodel.Term) { s.leader.Lead(t) },
+			Follow:   s.follow,
+			Error:    func(err error) { s.log.Error("group failed", zap.Error(err)) },
+		},
+	})
+	s.group = group
+	return err
+}
+
+func (s *Store) follow(t csmodel.Term, leader csmodel.NodeID) {
+	s.log.Info("leader changed", zap.Uint64("term", uint64(t)), zap.String("leader", string(leader)))
+	s.leader.Follow()
+}
+
+func (s *Store) openLinks() error {
+	var peers []cslink.Peer
+	for _, ip := range s.options.Seeds {
+		peers = append(peers, cslink.Peer{Node: csrpc.StoreNode(ip), Address: s.options.PeerAddress(ip)})
+	}
+	links, err := cslink.New(cslink.Options{
+		Self: s.self, Incarnation: csmodel.Incarnation(s.options.Clock.Now().UnixMicro()), Secret: csrpc.LinkKey,
+		Listener: s.options.Listener, Peers: peers, Admit: csrpc.Known, Handle: s.receive,
+		Up: s.linkUp, Down: s.linkDown, Log: s.log, Heartbeat: linkHeartbeat, Silence: linkSilence,
+	})
+	if err != nil {
+		return err
+	}
+	s.links.Store(links)
+	return s.dialSeeds(links)
+}
+
+// dialSeeds makes a store that is no seed dial the seeds, which do not know it.
+func (s *Store) dialSeeds(links *cslink.Links) error {
+	for _, ip := range s.options.Seeds {
+		if ip == s.options.IP {
+			return nil
+		}
+	}
+	for _, ip := range s.options.Seeds {
+		if err := links.Redial(csrpc.StoreNode(ip)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Store) linkUp(n csmodel.NodeID, _ csmodel.Incarnation) {
+	s.calls.Up(n)
+	s.log.Info("link up", zap.String("peer", string(n)))
+}
+
+func (s *Store) linkDown(n csmodel.NodeID) {
+	s.calls.Down(n)
+	s.log.Warn("link down", zap.String("peer", string(n)))
+}
+
+// sender makes the links usable before they are opened.
+type sender struct{ store *Store }
+
+func (o sender) Send(to csmodel.NodeID, channel cslink.Channel, kind cslink.Kind, payload []byte, key string) error {
+	links := o.store.links.Load()
+	if links == nil {
+		return cslink.ErrClosed
+	}
+	return links.Send(to, channel, kind, payload, key)
+}
+
+func (s *Store) sendRaft(to csmodel.NodeID, m csraft.Message) {
+	payload, err := csraft.EncodeMessage(m)
+	if err != nil {
+		s.log.Error("group message not encoded", zap.Error(err))
+		return
+	}
+	channel := cslink.Control
+	if len(payload) > largeMessage {
+		channel = cslink.Data
+	}
+	err = sender{s}.Send(to, channel, kindRaft, payload, "")
+	if errors.Is(err, cslink.ErrUnknownPeer) {
+		s.meet(to)
+	}
+	// The group repeats what is lost, so a full queue needs no action.
+	if err != nil {
+		s.log.Debug("group message dropped", zap.String("peer", string(to)), zap.Error(err))
+	}
+}
+
+// meet adds a store that became a member while this one ran. The one with the smaller name dials.
+func (s *Store) meet(n csmodel.NodeID) {
+	links := s.links.Load()
+	ip, ok := csrpc.StoreIP(n)
+	if links == nil || !ok || s.self > n {
+		return
+	}
+	if err := links.AddPeer(cslink.Peer{Node: n, Address: s.options.PeerAddress(ip)}); err != nil {
+		s.log.Warn("store not added", zap.String("peer", string(n)), zap.Error(err))
+	}
+}
+
+func (s *Store) receive(from csmodel.NodeID, kind cslink.Kind, payload []byte) {
+	<-s.opened
+	taken, err := s.calls.Receive(from, kind, payload)
+	if taken && err == nil {
+		return
+	}
+	if err == nil && kind == kindRaft {
+		var m csraft.Message
+		if m, err = csraft.DecodeMessage(payload); err == nil {
+			s.group.Receive(from, m)
+			return
+		}
+	}
+	s.log.Warn("malformed message", zap.String("peer", string(from)), zap.Uint8("kind", uint8(kind)), zap.Error(err))
+}
+
+// Close hands over the leadership and stops the store.
+func (s *Store) Close() {
+	if err := s.group.Close(); err != nil {
+		s.log.Warn("group closed", zap.Error(err))
+	}
+	if err := s.links.Load().Close(); err != nil {
+		s.log.Warn("links closed", zap.Error(err))
+	}
+	s.system.Shutdown()
+	if err := s.disk.Close(); err != nil {
+		s.log.Warn("data folder closed", zap.Error(err))
+	}
+}
+
+// replica is the group as the leader of the runs uses it.
+type replica struct{ store *Store }
+
+func (r replica) View(f func(*csjob.Table)) {
+	r.store.group.View(func(m csraft.Machine) {
+		if t, ok := m.(*csjob.Table); ok {
+			f(t)
+		}
+	})
+}
+
+func (r replica) Read(ctx context.Context, f func(*csjob.Table)) error {
+	return r.store.group.Read(ctx, func(m csraft.Machine) {
+		if t, ok := m.(*csjob.Table); ok {
+			f(t)
+		}
+	})
+}
+
+func (r replica) Propose(ctx context.Context, c csjob.Command) (csjob.Verdict, error) {
+	b, err := c.Encode()
+	if err != nil {
+		return csjob.Refused, err
+	}
+	result, err := r.store.group.Propose(ctx, b)
+	if err != nil {
+		return csjob.Refused, err
+	}
+	return csjob.ParseVerdict(result), nil
+}
+
+func (r replica) Leading() bool { return r.store.group.Status().Leading }
--- /dev/null
+++ b/internal/work/csjob/read.go
@@ -0,0 +1,116 @@
+package csjob
+
+import (
+	"slices"
+
+	"cowslipstream.example/cowslipstream/csmodel"
+)
+
+// Changes increases with every change of the table.
+func (t *Table) Changes() uint64 { return t.changes }
+
+// Config returns the configuration in force, or nil where there is none.
+func (t *Table) Config() *Config { return t.state.Config }
+
+// Route returns the queue of a request by the configuration in force, or nil.
+func (t *Table) Route(host, path string) *Queue { return t.routing.find(host, path) }
+
+// Queue returns a queue of the configuration in force, or nil.
+func (t *Table) Queue(k QueueKey) *Queue {
+	for _, q := range t.routing[k.Host] {
+		if q.Key == k {
+			return q
+		}
+	}
+	return nil
+}
+
+// queueOf returns the newest settings of the queue of a job, which may be out of force.
+func (t *Table) queueOf(j *Job) Queue { return t.state.Queues[queueName(j.Submission.Queue)] }
+
+// QueueOf returns the newest settings of the queue of a job. The queue may have left the configuration since.
+func (t *Table) QueueOf(j *Job) Queue { return t.queueOf(j) }
+
+// Job returns a job, or nil.
+func (t *Table) Job(id ID) *Job { return t.state.Jobs[id] }
+
+// Active returns the jobs that are not final or have open runs, in order of acceptance. The caller must not change it.
+func (t *Table) Active() []*Job { return t.active }
+
+// Pending returns the number of jobs of a queue that have not started.
+func (t *Table) Pending(k QueueKey) int {
+	n := 0
+	for _, j := range t.active {
+		if j.Submission.Queue == k && j.State == Queued {
+			n++
+		}
+	}
+	return n
+}
+
+// Target returns a target, and false where it is not known.
+func (t *Table) Target(id TargetID) (Target, bool) {
+	o, ok := t.state.Targets[id]
+	return o, ok
+}
+
+// Targets returns all targets in ascending order of their names.
+func (t *Table) Targets() []Target {
+	out := make([]Target, 0, len(t.state.Targets))
+	for _, id := range csmodel.SortedKeys(t.state.Targets) {
+		out = append(out, t.state.Targets[id])
+	}
+	return out
+}
+
+// TasksOn returns the tasks with open runs on a life of a target, in order of their names.
+func (t *Table) TasksOn(l Life) []TaskKey {
+	out := make([]TaskKey, 0, len(t.runs[l]))
+	for k := range t.runs[l] {
+		out = append(out, k)
+	}
+	slices.SortFunc(out, compareTasks)
+	return out
+}
+
+// Busy tells whether a life of a target has open runs.
+func (t *Table) Busy(l Life) bool { return len(t.runs[l]) > 0 }
+
+// BusyLives returns the lives with open runs.
+func (t *Table) BusyLives() []Life {
+	out := make([]Life, 0, len(t.runs))
+	for l := range t.runs {
+		out = append(out, l)
+	}
+	return out
+}
+
+func compareTasks(a, b TaskKey) int {
+	switch {
+	case a.Job != b.Job && a.Job < b.Job:
+		return -1
+	case a.Job != b.Job:
+		return 1
+	case a.Occurrence != b.Occurrence:
+		return a.Occurrence - b.Occurrence
+	case a.Step != b.Step:
+		return a.Step - b.Step
+	default:
+		return a.Index - b.Index
+	}
+}
+
+// Wave returns a wave, or nil.
+func (t *Table) Wave(id csmodel.WaveID) *WaveState { return t.state.Waves[id] }
+
+// Waves returns the waves in ascending order of their names.
+func (t *Table) Waves() []*WaveState {
+	out := make([]*WaveState, 0, len(t.state.Waves))
+	for _, id := range csmodel.SortedKeys(t.state.Waves) {
+		out = append(out, t.state.Waves[id])
+	}
+	return out
+}
+
+// VMOrders returns the orders to the platform that are in progress.
+func (t *Table) VMOrders() map[csmodel.VMID]VMOrder { return t.state.VMs }
--- /dev/null
+++ b/internal/work/csplan/plan.go
@@ -0,0 +1,265 @@
+// Package csplan decides which tasks run on which targets. It has no state, clock or network of its own.
+package csplan
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"cowslipstream.example/cowslipstream/csmodel"
+	"cowslipstream.example/cowslipstream/internal/work/csjob"
+)
+
+// lateFactor is the multiple of its objective after which a job has no value left, from the platform's rules on credit.
+const lateFactor = 3
+
+// Slot is a target that can take tasks.
+type Slot struct {
+	Life   csjob.Life
+	Zone   csmodel.AvailabilityZone
+	Free   csjob.Room
+	Rack   string
+	Labels []string
+	// Cool is false where the target should take a task only if no other one can.
+	Cool bool
+	// Spread counts the open runs of each step, by occurrence.
+	Spread map[StepKey]int
+}
+
+// StepKey names a step of an occurrence of a job.
+type StepKey struct {
+	Job        csjob.ID
+	Occurrence int
+	Step       int
+}
+
+// Estimator predicts how long a task of a step runs.
+type Estimator interface {
+	Duration(csjob.QueueKey, csjob.Step) time.Duration
+}
+
+// Chain returns the predicted time from now until an occurrence of a job is done, if each step ran at once.
+func Chain(e Estimator, j *csjob.Job, occurrence int) time.Duration {
+	ends := make([]time.Duration, len(j.Submission.Steps))
+	longest := time.Duration(0)
+	for i, s := range j.Submission.Steps {
+		for _, a := range s.After {
+			ends[i] = max(ends[i], ends[a])
+		}
+		if j.Left[occurrence][i] > 0 {
+			ends[i] += e.Duration(j.Submission.Queue, s)
+		}
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// whole returns the predicted time of the whole occurrence from its start.
+func whole(e Estimator, j *csjob.Job) time.Duration {
+	ends := make([]time.Duration, len(j.Submission.Steps))
+	longest := time.Duration(0)
+	for i, s := range j.Submission.Steps {
+		for _, a := range s.After {
+			ends[i] = max(ends[i], ends[a])
+		}
+		ends[i] += e.Duration(j.Submission.Queue, s)
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// urgency orders the work of a pool.
+type urgency struct {
+	class    urgencyClass
+	priority int
+	latest   time.Time // latest start that meets the objective
+	order    csmodel.Index
+}
+
+type urgencyClass uint8
+
+// Classes of work, the most urgent one first.
+const (
+	lasting  urgencyClass = iota // earns with every second
+	timely                       // can still meet its objective
+	late                         // has missed its objective
+	hopeless                     // has no value left, but is owed an end
+)
+
+func compareUrgency(a, b urgency) int {
+	return cmp.Or(
+		cmp.Compare(a.class, b.class),
+		a.latest.Compare(b.latest),
+		cmp.Compare(a.priority, b.priority),
+		cmp.Compare(a.order, b.order),
+	)
+}
+
+// Objective returns when an occurrence has to be done to be on time, and when it loses the rest of its value.
+func Objective(e Estimator, q csjob.Queue, j *csjob.Job, occurrence int) (onTime, worthless time.Time) {
+	start := j.Accepted
+	if due := j.Submission.Due(occurrence); due.After(start) {
+		start = due
+	}
+	d := q.Objective + time.Duration(max(1, q.Stretch)*float64(whole(e, j)))
+	return start.Add(d), start.Add(lateFactor * d)
+}
+
+// rank tells how urgent an occurrence is.
+func rank(now time.Time, e Estimator, q csjob.Queue, j *csjob.Job, occurrence int, step csjob.Step) urgency {
+	u := urgency{priority: q.Priority, order: j.Order}
+	if step.Lasting {
+		return u
+	}
+	onTime, worthless := Objective(e, q, j, occurrence)
+	chain := Chain(e, j, occurrence)
+	u.latest = onTime.Add(-chain)
+	switch {
+	case !u.latest.Before(now):
+		u.class = timely
+	case worthless.Add(-chain).After(now):
+		u.class = late
+	default:
+		u.class = hopeless
+	}
+	return u
+}
+
+// Work is a step of an occurrence with tasks that wait.
+type Work struct {
+	Job     *csjob.Job
+	Key     StepKey
+	Step    csjob.Step
+	urgency urgency
+}
+
+// Late tells whether the work has missed its objective.
+func (w *Work) Late() bool { return w.urgency.class >= late }
+
+// Waiting returns the steps that may run now, the most urgent first.
+func Waiting(now time.Time, e Estimator, q csjob.Queue, jobs []*csjob.Job) []Work {
+	var out []Work
+	for _, j := range jobs {
+		if j.State.Final() {
+			continue
+		}
+		for o := range j.Left {
+			if j.Submission.Due(o).After(now) {
+				break // later occurrences are due later
+			}
+			for s, step := range j.Submission.Steps {
+				if j.Ready(o, s) {
+					out = append(out, Work{
+						Job: j, Key: StepKey{j.Submission.ID, o, s}, Step: step, urgency: rank(now, e, q, j, o, step),
+					})
+				}
+			}
+		}
+	}
+	return out
+}
+
+// Sort puts the most urgent work first.
+func Sort(w []Work) {
+	slices.SortStableFunc(w, func(a, b Work) int { return compareUrgency(a.urgency, b.urgency) })
+}
+
+// Placement is a task and the slot that takes it.
+type Placement struct {
+	Task csjob.TaskKey
+	Slot *Slot
+}
+
+// maxFailedSteps bounds the steps that are tried after the first one that does not fit, so that a long backlog costs
+// little.
+const maxFailedSteps = 40
+
+// Place assigns waiting tasks to slots and takes their room. taken tells of tasks that are on their way already.
+func Place(work []Work, slots []*Slot, taken func(csjob.TaskKey) bool) []Placement {
+	var out []Placement
+	failed := 0
+	for i := range work {
+		placed, all := placeStep(&work[i], slots, taken)
+		out = append(out, placed...)
+		if !all {
+			failed++
+		}
+		if failed > maxFailedSteps {
+			break
+		}
+	}
+	return out
+}
+
+func placeStep(w *Work, slots []*Slot, taken func(csjob.TaskKey) bool) (out []Placement, all bool) {
+	need := w.Step.Needs()
+	rack := ""
+	for i := range w.Step.Tasks {
+		key := csjob.TaskKey{Job: w.Key.Job, Occurrence: w.Key.Occurrence, Step: w.Key.Step, Index: i}
+		if !w.Job.Task(key).Idle() || taken(key) {
+			continue
+		}
+		s := choose(w, slots, need, rack)
+		if s == nil {
+			if w.Step.Gang {
+				undo(out, need, w.Key)
+				return nil, false
+			}
+			return out, false
+		}
+		if w.Step.OneRack {
+			rack = s.Rack
+		}
+		take(s, need, w.Key)
+		out = append(out, Placement{Task: key, Slot: s})
+	}
+	return out, true
+}
+
+func take(s *Slot, need csjob.Room, k StepKey) {
+	s.Free = s.Free.Sub(need)
+	if s.Spread == nil {
+		s.Spread = map[StepKey]int{}
+	}
+	s.Spread[k]++
+}
+
+func undo(placed []Placement, need csjob.Room, k StepKey) {
+	for _, p := range placed {
+		p.Slot.Free = p.Slot.Free.Add(need)
+		p.Slot.Spread[k]--
+	}
+}
+
+// choose returns the best slot for one more task of a step, or nil. Near data goes first, then the tightest fit, which
+// keeps room for large tasks.
+func choose(w *Work, slots []*Slot, need csjob.Room, rack string) *Slot {
+	near := cmp.Or(rack, w.Step.DataRack)
+	var best *Slot
+	var bestNear, bestCool bool
+	for _, s := range slots {
+		if !s.Free.Fits(need) || (w.Step.Label != "" && !slices.Contains(s.Labels, w.Step.Label)) {
+			continue
+		}
+		if w.Step.Spread > 0 && s.Spread[w.Key] >= w.Step.Spread {
+			continue
+		}
+		isNear := near == "" || s.Rack == near
+		better := best == nil
+		switch {
+		case better:
+		case s.Cool != bestCool:
+			better = s.Cool
+		case isNear != bestNear:
+			better = isNear
+		case w.Step.Lasting:
+			better = s.Free.CPU > best.Free.CPU
+		default:
+			better = s.Free.CPU < best.Free.CPU
+		}
+		if better {
+			best, bestNear, bestCool = s, isNear, s.Cool
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/work/csrun/beats.go
@@ -0,0 +1,189 @@
+package csrun
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cowslipstream.example/cowslipstream/csmodel"
+	"cowslipstream.example/cowslipstream/internal/work/csjob"
+)
+
+// beat takes in a heartbeat. Changes of the target are committed before it is acknowledged.
+func (r *runner) beat(m *beaten) {
+	if !r.active || !r.o.State.Leading() {
+		m.done <- ErrNotLeading
+		return
+	}
+	now := r.now()
+	b := m.beat
+	life := b.Target.Life
+	w := r.targets[life.Target]
+	switch {
+	case w != nil && life.Born < w.life.Born, r.superseded(b.Target):
+		m.done <- nil // a late heartbeat of an earlier life
+	case w == nil:
+		r.event(csjob.TargetEvent{Target: b.Target}, m.done, "target joined")
+		r.endPredecessors(b.Target)
+	case w.life != life:
+		r.reborn(w, b)
+		m.done <- nil
+	default:
+		r.heard(w, m, now)
+	}
+}
+
+func (r *runner) heard(w *target, m *beaten, now time.Time) {
+	b := m.beat
+	if b.Sequence <= w.sequence && w.sequence > 0 {
+		m.done <- nil
+		return
+	}
+	w.sequence = b.Sequence
+	w.heardAt = now
+	if w.clockAt.IsZero() {
+		w.reading(b.Clock, now, r.o.Timing.LongestLease)
+	}
+	if sameTarget(w.record, b.Target) {
+		m.done <- nil
+		return
+	}
+	r.event(csjob.TargetEvent{Target: b.Target}, m.done, "target changed")
+}
+
+func sameTarget(a, b csjob.Target) bool {
+	return a.Life == b.Life && a.Pool == b.Pool && a.Address == b.Address && a.Zone == b.Zone && a.Room == b.Room &&
+		a.Leaving == b.Leaving && slices.Equal(a.Labels, b.Labels)
+}
+
+// event adds a change of a target to the next command.
+func (r *runner) event(e csjob.TargetEvent, done chan error, what string) {
+	r.log.Info(what, zap.String("target", string(e.Target.Life.Target)), zap.Int64("born", e.Target.Life.Born),
+		zap.String("pool", string(e.Target.Pool)), zap.String("address", e.Target.Address), zap.Bool("leaving", e.Target.Leaving))
+	r.events = append(r.events, e)
+	if done != nil {
+		r.waiters = append(r.waiters, done)
+	}
+	r.leader.poke(pulseDelay)
+}
+
+// superseded tells whether a younger target has the address.
+func (r *runner) superseded(t csjob.Target) bool {
+	for _, w := range r.targets {
+		if w.record.Address == t.Address && w.life.Target != t.Life.Target && w.life.Born > t.Life.Born {
+			return true
+		}
+	}
+	return false
+}
+
+// endPredecessors ends older targets with the address: it is given out again only after they have ended.
+func (r *runner) endPredecessors(t csjob.Target) {
+	for _, id := range csmodel.SortedKeys(r.targets) {
+		w := r.targets[id]
+		if w.record.Address == t.Address && w.life.Target != t.Life.Target {
+			r.event(csjob.TargetEvent{Target: w.record, Gone: true}, nil, "target replaced at its address")
+		}
+	}
+}
+
+// reborn takes in a target that started again under its name. Orders for its earlier life may still arrive at the new
+// one, so every open run is stopped there before the earlier life counts as over.
+func (r *runner) reborn(w *target, b Beat) {
+	if w.fencing {
+		return
+	}
+	w.fencing = true
+	r.log.Info("target restarted", zap.String("target", string(w.life.Target)), zap.Int64("born", b.Target.Life.Born),
+		zap.Int64("before", w.life.Born), zap.Int("runs", len(w.runs)))
+	var stops []StopOrder
+	for key := range w.runs {
+		stops = append(stops, StopOrder{Task: key.task, Attempt: key.attempt, Fence: csmodel.Fence(r.term)})
+	}
+	ctx := r.ctx
+	go func() {
+		m := &fenced{beat: b}
+		m.ends, m.err = r.fence(ctx, b, stops)
+		r.send(m)
+	}()
+}
+
+// fence stops runs on a new life and returns what ended there.
+func (r *runner) fence(ctx context.Context, b Beat, stops []StopOrder) ([]Ended, error) {
+	for _, s := range stops {
+		limited, cancel := context.WithTimeout(ctx, r.o.Timing.CallTimeout)
+		_, err := r.o.Workers.Stop(limited, b.Target, s)
+		cancel()
+		if err != nil {
+			return nil, err
+		}
+	}
+	if len(stops) == 0 {
+		return nil, nil
+	}
+	limited, cancel := context.WithTimeout(ctx, r.o.Timing.CallTimeout)
+	defer cancel()
+	look, err := r.o.Workers.Look(limited, b.Target, LookOrder{Fence: csmodel.Fence(r.term)})
+	if err == nil && len(look.Running) > 0 {
+		err = ErrNoAnswer // stops take a moment; the next heartbeat tries again
+	}
+	return look.Ended, err
+}
+
+func (r *runner) fenced(m *fenced) {
+	w := r.targets[m.beat.Target.Life.Target]
+	if !r.active || w == nil {
+		return
+	}
+	if m.err != nil {
+		w.fencing = false
+		r.log.Warn("restarted target not fenced", zap.String("target", string(w.life.Target)), zap.Error(m.err))
+		return
+	}
+	for _, e := range m.ends {
+		r.ends = append(r.ends, csjob.End{
+			Task: e.Task, Attempt: e.Attempt, Life: m.beat.Target.Life, Outcome: e.Outcome, Checkpoint: e.Checkpoint,
+		})
+	}
+	r.event(csjob.TargetEvent{Target: m.beat.Target}, nil, "target restarted and fenced")
+}
+
+// leave takes in the announcement of a target's end. What runs there ends with its lease at the latest.
+func (r *runner) leave(m *left) {
+	if !r.active || !r.o.State.Leading() {
+		m.done <- ErrNotLeading
+		return
+	}
+	w := r.targets[m.life.Target]
+	if w == nil || (m.life.Born != 0 && m.life.Born != w.life.Born) {
+		m.done <- nil
+		return
+	}
+	if len(w.runs) == 0 {
+		r.event(csjob.TargetEvent{Target: w.record, Gone: true}, m.done, "target left")
+		return
+	}
+	record := w.record
+	record.Leaving = true
+	r.event(csjob.TargetEvent{Target: record}, m.done, "target leaves with open runs")
+}
+
+// closeLost ends the lives of targets that were silent until everything that ran there has ended.
+func (r *runner) closeLost(now time.Time, t *csjob.Table) {
+	for _, id := range csmodel.SortedKeys(r.targets) {
+		w := r.targets[id]
+		if w.heardAt.IsZero() {
+			w.heardAt = r.since
+		}
+		silent := now.Sub(w.heardAt)
+		if silent < silentBeats*r.o.Timing.Beat || !w.lapsed(now) || w.fencing {
+			continue
+		}
+		w.fencing = true // until the table has dropped it
+		r.log.Warn("target lost", zap.String("target", string(id)), zap.Duration("silent", silent),
+			zap.Int("runs", len(t.TasksOn(w.life))))
+		r.event(csjob.TargetEvent{Target: w.record, Gone: true}, nil, "target ended by its lease")
+	}
+}
--- /dev/null
+++ b/internal/work/csrun/leader.go
@@ -0,0 +1,175 @@
+package csrun
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"cowslipstream.example/cowslipstream/csmodel"
+	"cowslipstream.example/cowslipstream/internal/work/csjob"
+)
+
+const (
+	// pulseDelay collects events before a round of decisions. It is small against the shortest objective of 600 ms.
+	pulseDelay = 10 * time.Millisecond
+	// idlePulse is the interval of rounds without events, for deadlines.
+	idlePulse = 100 * time.Millisecond
+)
+
+// State is the replicated state as a leader uses it.
+type State interface {
+	// View calls f with the local replica. f must only read and must not keep the table.
+	View(f func(*csjob.Table))
+	// Read calls f like View, after every command that was committed before.
+	Read(ctx context.Context, f func(*csjob.Table)) error
+	// Propose commits a command.
+	Propose(context.Context, csjob.Command) (csjob.Verdict, error)
+	// Leading tells whether this node leads and its lease is valid.
+	Leading() bool
+}
+
+// Options configure a Leader.
+type Options struct {
+	State   State
+	Workers Workers
+	Clock   clockwork.Clock
+	Log     *zap.Logger
+	Metrics *Metrics
+	Timing  Timing
+	Spawner actor.SpawnerContext
+	// Fleet is told of each round, for decisions about VMs. It may be nil.
+	Fleet Fleet
+}
+
+// Fleet decides about the VMs that targets run on.
+type Fleet interface {
+	// Round is called on the leader in each round. It must not block.
+	Round(now time.Time, t *csjob.Table, fence csmodel.Fence, demand Demand)
+	// Held returns the lives that must not get new tasks, because their VM is about to be taken away. Runs that last
+	// are moved off the lives with true.
+	Held() map[csjob.Life]bool
+	// Reset is called when this node stops leading.
+	Reset()
+}
+
+// Demand is the work that waits and runs, by pool.
+type Demand map[csmodel.PoolID]PoolDemand
+
+// PoolDemand is the work of one pool.
+type PoolDemand struct {
+	Waiting csmodel.MilliCPU // of tasks that could start now and are not late
+	Behind  csmodel.MilliCPU // of tasks that have missed their objective
+	Running csmodel.MilliCPU
+}
+
+// Timing holds the durations that a leader works with.
+type Timing struct {
+	Lease        time.Duration // granted to what runs on a target
+	LongestLease time.Duration // that any leader can have granted
+	Beat         time.Duration // interval of heartbeats
+	CallTimeout  time.Duration // of one call to a target
+	LookSpacing  time.Duration // least time between two looks at a target
+	LookWait     time.Duration // how long a look waits for an end
+}
+
+// Leader runs tasks while its node leads the group.
+type Leader struct {
+	options Options
+	root    *actor.RootContext
+	pid     *actor.PID
+	poked   atomic.Bool
+	outlook atomic.Pointer[outlook]
+}
+
+// Messages of the actor.
+type (
+	pulse   struct{}
+	leading struct{ term csmodel.Term }
+	caught  struct{ term csmodel.Term }
+	stopped struct{}
+	beaten  struct {
+		beat Beat
+		done chan error
+	}
+	left struct {
+		life csjob.Life
+		done chan error
+	}
+	looked struct {
+		life    csjob.Life
+		order   LookOrder
+		started time.Time
+		look    Look
+		err     error
+	}
+	ordered struct {
+		life  csjob.Life
+		key   runKey
+		kind  orderKind
+		began time.Time
+		reply Reply
+		err   error
+	}
+	fenced struct {
+		beat Beat
+		ends []Ended
+		err  error
+	}
+	committed struct {
+		command csjob.Command
+		noted   map[csjob.Life]int64
+		waiters []chan error
+		err     error
+	}
+)
+
+// New starts the actor.
+func New(o Options) *Leader {
+	l := &Leader{options: o, root: o.Spawner.ActorSystem().Root}
+	l.outlook.Store(&outlook{})
+	l.pid = o.Spawner.Spawn(actor.PropsFromProducer(func() actor.Actor { return newRunner(l) }))
+	return l
+}
+
+// Changed tells that the replicated state has changed. It does not block.
+func (l *Leader) Changed() { l.poke(pulseDelay) }
+
+// poke schedules a round unless one is due.
+func (l *Leader) poke(d time.Duration) {
+	if l.poked.CompareAndSwap(false, true) {
+		l.options.Clock.AfterFunc(d, func() { l.root.Send(l.pid, &pulse{}) })
+	}
+}
+
+// Lead tells that this node leads in a term.
+func (l *Leader) Lead(t csmodel.Term) { l.root.Send(l.pid, &leading{t}) }
+
+// Follow tells that this node does not lead.
+func (l *Leader) Follow() { l.root.Send(l.pid, &stopped{}) }
+
+// Beat takes in a heartbeat. It returns when what the heartbeat changes is committed.
+func (l *Leader) Beat(ctx context.Context, b Beat) error {
+	done := make(chan error, 1)
+	l.root.Send(l.pid, &beaten{b, done})
+	return wait(ctx, done)
+}
+
+// Leave takes in the announcement of a target's end.
+func (l *Leader) Leave(ctx context.Context, life csjob.Life) error {
+	done := make(chan error, 1)
+	l.root.Send(l.pid, &left{life, done})
+	return wait(ctx, done)
+}
+
+func wait(ctx context.Context, done chan error) error {
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/work/csrun/looks.go
@@ -0,0 +1,212 @@
+package csrun
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cowslipstream.example/cowslipstream/csmodel"
+	"cowslipstream.example/cowslipstream/internal/work/csjob"
+)
+
+const (
+	// lookRetry is the pause after a look that was not answered.
+	lookRetry = 250 * time.Millisecond
+	// missingLooks is the number of looks without a started run after which it is stopped.
+	missingLooks = 2
+)
+
+// sendLooks looks at targets with open runs, with ends to acknowledge, and once at each new one.
+func (r *runner) sendLooks(now time.Time) {
+	for _, id := range csmodel.SortedKeys(r.targets) {
+		w := r.targets[id]
+		if r.lookDue(w, now) {
+			r.sendLook(w, now)
+		}
+	}
+}
+
+func (r *runner) lookDue(w *target, now time.Time) bool {
+	spacing := r.o.Timing.LookSpacing
+	if w.failures > 0 {
+		spacing = lookRetry
+	}
+	if w.looking || w.fencing || now.Sub(w.lookedAt) < spacing {
+		return false
+	}
+	if w.taken > w.noted {
+		return false // the answer would repeat the ends that are being committed
+	}
+	return w.fresh || len(w.runs) > 0 || w.told < w.noted
+}
+
+func (r *runner) sendLook(w *target, now time.Time) {
+	o := LookOrder{Fence: csmodel.Fence(r.term), Noted: w.noted}
+	if len(w.runs) > 0 {
+		o.Until = w.until(now, r.o.Timing.Lease)
+		w.granted = max(w.granted, o.Until)
+		if !w.fresh {
+			o.Wait = r.o.Timing.LookWait
+		}
+	}
+	w.looking = true
+	w.lookedAt = now
+	r.o.Metrics.looks.Inc()
+	ctx, life, record := r.ctx, w.life, w.record
+	go func() {
+		limited, cancel := context.WithTimeout(ctx, r.o.Timing.CallTimeout+o.Wait)
+		defer cancel()
+		m := &looked{life: life, order: o, started: now}
+		m.look, m.err = r.o.Workers.Look(limited, record, o)
+		r.send(m)
+	}()
+}
+
+// target returns the state of a life, or nil where it is over.
+func (r *runner) target(l csjob.Life) *target {
+	if !r.active {
+		return nil
+	}
+	if w := r.targets[l.Target]; w != nil && w.life == l {
+		return w
+	}
+	return nil
+}
+
+func (r *runner) looked(m *looked) {
+	w := r.target(m.life)
+	if w == nil {
+		return
+	}
+	now := r.now()
+	w.looking = false
+	w.lookedAt = now
+	r.leader.poke(pulseDelay)
+	if m.err != nil {
+		w.failures++
+		r.log.Info("look not answered", zap.String("target", string(w.life.Target)), zap.Int("failures", w.failures), zap.Error(m.err))
+		return
+	}
+	if m.look.Refusal != RefusedNot {
+		r.refused(w, m.look.Refusal, now)
+		return
+	}
+	if m.look.Born != 0 && m.look.Born != w.life.Born {
+		w.failures++ // restarted; its heartbeat tells more
+		return
+	}
+	w.reading(m.look.Clock, now, r.o.Timing.LongestLease)
+	w.fresh = false
+	w.told = max(w.told, m.order.Noted)
+	r.takeEnds(w, m.look.Ended, now)
+	r.takeProgress(w, m)
+}
+
+// refused handles a refusal that concerns the whole target.
+func (r *runner) refused(w *target, why Refusal, now time.Time) {
+	r.log.Info("target refused", zap.String("target", string(w.life.Target)), zap.Stringer("reason", why))
+	switch why {
+	case RefusedFence:
+		r.resign("a target has seen a higher fence")
+	case RefusedLife:
+		if !w.fencing {
+			w.fencing = true
+			r.event(csjob.TargetEvent{Target: w.record, Gone: true}, nil, "another target has the address")
+		}
+	case RefusedUnhealthy:
+		w.restTill = now.Add(restUnhealthy)
+		w.failures = max(w.failures, 1)
+	case RefusedNot, RefusedOld, RefusedLate, RefusedRoom, RefusedTicket, RefusedInvalid:
+	}
+}
+
+func (r *runner) takeEnds(w *target, ended []Ended, now time.Time) {
+	for _, e := range ended {
+		if e.Number <= w.taken {
+			continue
+		}
+		w.taken = e.Number
+		r.noted[w.life] = e.Number
+		key := runKey{e.Task, e.Attempt}
+		delete(w.strays, key)
+		if u := w.runs[key]; u != nil {
+			r.observe(w, u, e, now)
+		}
+		r.ends = append(r.ends, csjob.End{
+			Task: e.Task, Attempt: e.Attempt, Life: w.life, Outcome: e.Outcome, Checkpoint: e.Checkpoint,
+		})
+		r.o.Metrics.ends.WithLabelValues(outcomeNames[e.Outcome]).Inc()
+	}
+}
+
+// observe learns from the end of a run.
+func (r *runner) observe(w *target, u *run, e Ended, now time.Time) {
+	switch e.Outcome {
+	case csjob.OutcomeDone:
+		w.grades.note(now, false)
+		r.o.State.View(func(t *csjob.Table) {
+			if j := t.Job(e.Task.Job); j != nil && j.Tasks != nil {
+				r.learned.Observe(j.Submission.Queue, j.Submission.Steps[e.Task.Step], now.Sub(u.since))
+			}
+		})
+	case csjob.OutcomeFailed:
+		w.grades.note(now, true)
+		r.log.Info("run failed", zap.String("job", string(e.Task.Job)), zap.Stringer("task", e.Task),
+			zap.Int("attempt", int(e.Attempt)), zap.String("target", string(w.life.Target)), zap.Int("in_a_row", w.grades.failed))
+	case csjob.OutcomeStopped, csjob.OutcomeLapsed, csjob.OutcomeBroken, csjob.OutcomeAlone, csjob.OutcomeUnrun:
+	}
+}
+
+// takeProgress compares the listed runs with the open ones.
+func (r *runner) takeProgress(w *target, m *looked) {
+	listed := csmodel.NewSet[runKey]()
+	for _, p := range m.look.Running {
+		key := runKey{p.Task, p.Attempt}
+		listed.Add(key)
+		u := w.runs[key]
+		if u == nil {
+			if _, known := w.strays[key]; !known {
+				w.strays[key] = false
+			}
+			continue
+		}
+		u.started = true
+		u.percent, u.load, u.missing = p.Percent, p.Load, 0
+		u.settled = u.settled || p.Percent == fullWork
+	}
+	for key := range w.strays {
+		if !listed.Has(key) {
+			delete(w.strays, key)
+		}
+	}
+	ended := csmodel.NewSet[runKey]()
+	for _, e := range m.look.Ended {
+		ended.Add(runKey{e.Task, e.Attempt})
+	}
+	for key, u := range w.runs {
+		if !listed.Has(key) && !ended.Has(key) {
+			r.unlisted(w, u, m.started)
+		}
+	}
+}
+
+// fullWork is the share at which a task that lasts is at work, in percent.
+const fullWork = 100
+
+// unlisted handles an open run that the target neither runs nor has ended.
+func (r *runner) unlisted(w *target, u *run, lookStarted time.Time) {
+	switch {
+	case u.stopped && u.stopAt.Before(lookStarted):
+		// The stop was acknowledged before the look began: the run never started and cannot start any more.
+		r.ends = append(r.ends, csjob.End{Task: u.key.task, Attempt: u.key.attempt, Life: w.life, Outcome: csjob.OutcomeUnrun})
+		r.log.Info("run never started", zap.Stringer("task", u.key.task), zap.Int("attempt", int(u.key.attempt)),
+			zap.String("target", string(w.life.Target)))
+	case u.started && u.ackedAt.Before(lookStarted):
+		if u.missing++; u.missing >= missingLooks {
+			u.stop = true
+		}
+	}
+}
+
+var outcomeNames = [...]string{"done", "failed", "stopped", "lapsed", "broken", "alone", "unrun"}
--- /dev/null
+++ b/internal/work/csrun/metrics.go
@@ -0,0 +1,32 @@
+package csrun
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// Metrics are the counters and histograms of a leader.
+type Metrics struct {
+	orders    *prometheus.CounterVec
+	ends      *prometheus.CounterVec
+	looks     prometheus.Counter
+	startTime prometheus.Histogram
+}
+
+// NewMetrics registers the metrics.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cowslipstream_orders_total", Help: "Orders sent to targets, by kind.",
+		}, []string{"kind"}),
+		ends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cowslipstream_run_ends_total", Help: "Runs that ended, by outcome.",
+		}, []string{"outcome"}),
+		looks: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cowslipstream_looks_total", Help: "Calls for the runs and ends of a target.",
+		}),
+		startTime: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "cowslipstream_start_seconds", Help: "Time from the commit of a start to its acknowledgement by the target.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
+		}),
+	}
+	r.MustRegister(m.orders, m.ends, m.looks, m.startTime)
+	return m
+}
--- /dev/null
+++ b/internal/work/csrun/orders.go
@@ -0,0 +1,201 @@
+package csrun
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cowslipstream.example/cowslipstream/csmodel"
+	"cowslipstream.example/cowslipstream/internal/work/csjob"
+)
+
+const (
+	// callsPerTarget bounds the orders on their way to one target. Its connections are bounded, and each new one is
+	// charged.
+	callsPerTarget = 3
+	// orderRetry is the pause before an order is sent again. It doubles up to orderRetryMost.
+	orderRetry     = 200 * time.Millisecond
+	orderRetryMost = time.Second
+	// startTries is the number of unanswered starts after which the run is stopped instead.
+	startTries = 2
+)
+
+type orderKind uint8
+
+const (
+	orderStart orderKind = iota
+	orderStop
+	orderPace
+)
+
+var orderNames = [...]string{"start", "stop", "pace"}
+
+// sendOrders sends the starts and stops that are due.
+func (r *runner) sendOrders(now time.Time, t *csjob.Table) {
+	for _, id := range csmodel.SortedKeys(r.targets) {
+		w := r.targets[id]
+		if w.fencing || w.fresh || w.clockAt.IsZero() {
+			continue
+		}
+		for _, u := range w.runs {
+			if w.calls >= callsPerTarget {
+				break
+			}
+			r.sendOrder(now, t, w, u)
+		}
+		for key, sent := range w.strays {
+			if !sent && w.calls < callsPerTarget {
+				w.strays[key] = true
+				r.stopStray(w, key)
+			}
+		}
+	}
+}
+
+func (r *runner) sendOrder(now time.Time, t *csjob.Table, w *target, u *run) {
+	if u.busy || now.Before(u.nextAt) {
+		return
+	}
+	switch {
+	case u.stop && !u.stopped:
+		r.order(w, u, orderStop, func(ctx context.Context) (Reply, error) {
+			return r.o.Workers.Stop(ctx, w.record, StopOrder{Task: u.key.task, Attempt: u.key.attempt, Fence: csmodel.Fence(r.term)})
+		})
+	case !u.stop && !u.started:
+		r.start(now, t, w, u)
+	}
+}
+
+func (r *runner) start(now time.Time, t *csjob.Table, w *target, u *run) {
+	j := t.Job(u.key.task.Job)
+	if j == nil || j.Tasks == nil {
+		return
+	}
+	o := StartOrder{
+		Task: u.key.task, Attempt: u.key.attempt, Spec: j.Submission.Spec, Until: w.until(now, r.o.Timing.Lease),
+		Fence: csmodel.Fence(r.term), Checkpoint: j.Task(u.key.task).Checkpoint,
+	}
+	w.granted = max(w.granted, o.Until)
+	record := w.record
+	r.order(w, u, orderStart, func(ctx context.Context) (Reply, error) { return r.o.Workers.Start(ctx, record, o) })
+}
+
+// order calls the target and reports the answer to the actor.
+func (r *runner) order(w *target, u *run, kind orderKind, call func(context.Context) (Reply, error)) {
+	u.busy = true
+	u.tries++
+	w.calls++
+	r.o.Metrics.orders.WithLabelValues(orderNames[kind]).Inc()
+	ctx, timeout := r.ctx, r.o.Timing.CallTimeout
+	m := &ordered{life: w.life, key: u.key, kind: kind, began: r.now()}
+	go func() {
+		limited, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		m.reply, m.err = call(limited)
+		r.send(m)
+	}()
+}
+
+// stopStray ends a run that should not be there, for example one whose start arrived seconds late.
+func (r *runner) stopStray(w *target, key runKey) {
+	r.log.Info("stray run", zap.Stringer("task", key.task), zap.Int("attempt", int(key.attempt)), zap.String("target", string(w.life.Target)))
+	u := &run{key: key, stop: true}
+	record, fence := w.record, csmodel.Fence(r.term)
+	r.order(w, u, orderStop, func(ctx context.Context) (Reply, error) {
+		return r.o.Workers.Stop(ctx, record, StopOrder{Task: key.task, Attempt: key.attempt, Fence: fence})
+	})
+}
+
+func (r *runner) ordered(m *ordered) {
+	w := r.target(m.life)
+	if w == nil {
+		return
+	}
+	now := r.now()
+	w.calls--
+	r.leader.poke(pulseDelay)
+	u := w.runs[m.key]
+	if _, stray := w.strays[m.key]; stray && m.err != nil {
+		w.strays[m.key] = false
+	}
+	if m.err != nil {
+		r.unanswered(w, u, m, now)
+		return
+	}
+	w.reading(m.reply.Clock, now, r.o.Timing.LongestLease)
+	if u == nil {
+		return
+	}
+	u.busy = false
+	if m.reply.Refusal == RefusedNot {
+		r.acknowledged(u, m, now)
+		return
+	}
+	r.orderRefused(w, u, m, now)
+}
+
+func (r *runner) unanswered(w *target, u *run, m *ordered, now time.Time) {
+	w.failures++
+	r.log.Info("order not answered", zap.String("order", orderNames[m.kind]), zap.String("job", string(m.key.task.Job)),
+		zap.Stringer("task", m.key.task), zap.Int("attempt", int(m.key.attempt)), zap.String("target", string(w.life.Target)),
+		zap.Duration("after", now.Sub(m.began)), zap.Error(m.err))
+	if u == nil {
+		return
+	}
+	u.busy = false
+	u.nextAt = now.Add(min(orderRetry<<min(u.tries, 4), orderRetryMost))
+	if m.kind == orderStart && u.tries >= startTries && !u.started {
+		u.stop = true
+	}
+}
+
+func (r *runner) acknowledged(u *run, m *ordered, now time.Time) {
+	u.tries = 0
+	switch m.kind {
+	case orderStart:
+		u.started = true
+		u.ackedAt = now
+		r.o.Metrics.startTime.Observe(now.Sub(u.since).Seconds())
+	case orderStop:
+		u.stopped = true
+		u.stopAt = now
+	case orderPace:
+	}
+}
+
+func (r *runner) orderRefused(w *target, u *run, m *ordered, now time.Time) {
+	r.log.Info("order refused", zap.String("order", orderNames[m.kind]), zap.String("job", string(m.key.task.Job)),
+		zap.Stringer("task", m.key.task), zap.Int("attempt", int(m.key.attempt)), zap.String("target", string(w.life.Target)),
+		zap.Stringer("reason", m.reply.Refusal))
+	switch m.reply.Refusal {
+	case RefusedFence, RefusedLife:
+		r.refused(w, m.reply.Refusal, now)
+	case RefusedLate:
+		u.nextAt = now // sent again with the clock of this answer
+	case RefusedOld:
+		u.stop = true // it has ended there, or a stop has overtaken it
+	case RefusedUnhealthy:
+		r.refused(w, m.reply.Refusal, now)
+		if m.kind == orderStart && u.tries <= 1 {
+			r.unrun(w, u)
+			return
+		}
+		u.stop = true
+		u.nextAt = now.Add(orderRetry)
+	case RefusedRoom, RefusedTicket, RefusedInvalid:
+		w.restTill = now.Add(restAfterRefusal)
+		if u.tries <= 1 {
+			r.unrun(w, u)
+			return
+		}
+		u.stop = true // an earlier copy of the order may still arrive
+	case RefusedNot:
+	}
+}
+
+// unrun ends a run that the target has refused.
+func (r *runner) unrun(w *target, u *run) {
+	u.busy = true // no further order
+	r.ends = append(r.ends, csjob.End{Task: u.key.task, Attempt: u.key.attempt, Life: w.life, Outcome: csjob.OutcomeUnrun})
+}
--- /dev/null
+++ b/internal/work/csrun/runner.go
@@ -0,0 +1,267 @@
+package csrun
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"go.uber.org/zap"
+
+	"cowslipstream.example/cowslipstream/csmodel"
+	"cowslipstream.example/cowslipstream/internal/work/csjob"
+	"cowslipstream.example/cowslipstream/internal/work/csplan"
+)
+
+// ErrNotLeading reports that this node does not lead the group.
+var ErrNotLeading = errors.New("csrun: not leading")
+
+const (
+	proposeTimeout = 3 * time.Second // the operator and targets give up earlier
+	catchUpTimeout = time.Second
+)
+
+// runner is the actor that decides for the leader. All its state is volatile: a new leader derives it from the table and
+// from looks at the targets.
+type runner struct {
+	leader  *Leader
+	o       Options
+	log     *zap.Logger
+	ctx     context.Context // ends with the term
+	cancel  context.CancelFunc
+	term    csmodel.Term
+	active  bool // leads and has every committed entry
+	since   time.Time
+	changes uint64
+
+	targets map[csjob.TargetID]*target
+	pending map[csjob.TaskKey]csjob.Life // starts on their way to being committed
+	ends    []csjob.End
+	noted   map[csjob.Life]int64 // numbers of the ends that wait to be committed
+	events  []csjob.TargetEvent
+	waiters []chan error
+	learned csplan.Learned
+}
+
+func newRunner(l *Leader) *runner {
+	return &runner{leader: l, o: l.options, log: l.options.Log}
+}
+
+// Receive implements actor.Actor.
+func (r *runner) Receive(ctx actor.Context) {
+	switch m := ctx.Message().(type) {
+	case *actor.Stopping, *actor.Restarting, *stopped:
+		r.resign("another node leads")
+	case *leading:
+		r.begin(m.term)
+	case *caught:
+		r.caughtUp(m.term)
+	case *pulse:
+		r.leader.poked.Store(false)
+		r.round()
+	case *beaten:
+		r.beat(m)
+	case *left:
+		r.leave(m)
+	case *looked:
+		r.looked(m)
+	case *ordered:
+		r.ordered(m)
+	case *fenced:
+		r.fenced(m)
+	case *committed:
+		r.committed(m)
+	}
+}
+
+func (r *runner) now() time.Time { return r.o.Clock.Now() }
+
+func (r *runner) send(m any) { r.leader.root.Send(r.leader.pid, m) }
+
+// begin prepares for leading: decisions start when the replica has every entry of earlier terms.
+func (r *runner) begin(t csmodel.Term) {
+	r.resign("a new term")
+	r.term = t
+	r.ctx, r.cancel = context.WithCancel(context.Background())
+	r.since = r.now()
+	r.targets = map[csjob.TargetID]*target{}
+	r.pending = map[csjob.TaskKey]csjob.Life{}
+	r.noted = map[csjob.Life]int64{}
+	r.log.Info("leading", zap.Uint64("term", uint64(t)))
+	r.catchUp(r.ctx, t)
+}
+
+func (r *runner) catchUp(ctx context.Context, t csmodel.Term) {
+	go func() {
+		for ctx.Err() == nil {
+			limited, cancel := context.WithTimeout(ctx, catchUpTimeout)
+			err := r.o.State.Read(limited, func(*csjob.Table) {})
+			cancel()
+			if err == nil {
+				r.send(&caught{t})
+				return
+			}
+			r.log.Warn("replica not caught up", zap.Uint64("term", uint64(t)), zap.Error(err))
+		}
+	}()
+}
+
+func (r *runner) caughtUp(t csmodel.Term) {
+	if t != r.term || r.ctx == nil {
+		return
+	}
+	r.active = true
+	r.log.Info("deciding", zap.Uint64("term", uint64(t)), zap.Duration("after", r.now().Sub(r.since)))
+	r.round()
+}
+
+func (r *runner) resign(why string) {
+	if r.ctx == nil {
+		return
+	}
+	r.log.Info("resigned", zap.Uint64("term", uint64(r.term)), zap.String("reason", why))
+	r.cancel()
+	r.ctx = nil
+	r.active = false
+	r.answer(r.waiters, ErrNotLeading)
+	*r = runner{leader: r.leader, o: r.o, log: r.log, learned: r.learned}
+	r.leader.outlook.Store(&outlook{})
+	if r.o.Fleet != nil {
+		r.o.Fleet.Reset()
+	}
+}
+
+func (r *runner) answer(waiters []chan error, err error) {
+	for _, w := range waiters {
+		w <- err
+	}
+}
+
+// round makes all decisions that are due.
+func (r *runner) round() {
+	if !r.active {
+		return
+	}
+	defer r.leader.poke(idlePulse)
+	if !r.o.State.Leading() {
+		return
+	}
+	now := r.now()
+	var starts []csjob.Start
+	r.o.State.View(func(t *csjob.Table) {
+		r.sync(t, now)
+		r.closeLost(now, t)
+		starts = r.schedule(now, t)
+		if r.o.Fleet != nil {
+			r.o.Fleet.Round(now, t, csmodel.Fence(r.term), r.leader.outlook.Load().demand)
+		}
+		r.sendOrders(now, t)
+	})
+	r.propose(starts)
+	r.sendLooks(now)
+}
+
+// propose commits what the round has decided.
+func (r *runner) propose(starts []csjob.Start) {
+	c := csjob.Command{Ends: r.ends, Targets: r.events, Starts: starts}
+	if len(c.Ends) == 0 && len(c.Targets) == 0 && len(c.Starts) == 0 {
+		return
+	}
+	m := &committed{command: c, noted: r.noted, waiters: r.waiters}
+	r.ends, r.events, r.waiters = nil, nil, nil
+	r.noted = map[csjob.Life]int64{}
+	ctx := r.ctx
+	go func() {
+		limited, cancel := context.WithTimeout(ctx, proposeTimeout)
+		defer cancel()
+		_, m.err = r.o.State.Propose(limited, m.command)
+		r.send(m)
+	}()
+}
+
+func (r *runner) committed(m *committed) {
+	r.answer(m.waiters, m.err)
+	if !r.active {
+		return
+	}
+	for _, s := range m.command.Starts {
+		delete(r.pending, s.Task)
+	}
+	if m.err != nil {
+		r.log.Warn("decisions not committed", zap.Int("starts", len(m.command.Starts)), zap.Int("ends", len(m.command.Ends)),
+			zap.Error(m.err))
+		for life := range m.noted {
+			if t := r.targets[life.Target]; t != nil && t.life == life {
+				t.taken = t.noted // the ends are listed again
+			}
+		}
+		return
+	}
+	for life, n := range m.noted {
+		if t := r.targets[life.Target]; t != nil && t.life == life {
+			t.noted = max(t.noted, n)
+		}
+	}
+	r.round()
+}
+
+// sync takes over the targets and open runs of the table.
+func (r *runner) sync(t *csjob.Table, now time.Time) {
+	if t.Changes() == r.changes {
+		return
+	}
+	r.changes = t.Changes()
+	known := csmodel.NewSet[csjob.TargetID]()
+	for _, record := range t.Targets() {
+		known.Add(record.Life.Target)
+		w := r.targets[record.Life.Target]
+		if w == nil || w.life != record.Life {
+			w = r.newTarget(record, now)
+			r.targets[record.Life.Target] = w
+		}
+		w.record = record
+		r.syncRuns(t, w)
+	}
+	for id := range r.targets {
+		if !known.Has(id) {
+			delete(r.targets, id)
+		}
+	}
+}
+
+func (r *runner) newTarget(record csjob.Target, now time.Time) *target {
+	return &target{
+		life: record.Life, record: record, runs: map[runKey]*run{}, strays: map[runKey]bool{}, fresh: true,
+		// An earlier leader has granted nothing later than the longest lease after this one was elected.
+		lapsesAt: now.Add(time.Duration((1+clockDrift)*float64(r.o.Timing.LongestLease)) + lapseSlack),
+	}
+}
+
+func (r *runner) syncRuns(t *csjob.Table, w *target) {
+	open := csmodel.NewSet[runKey]()
+	for _, k := range t.TasksOn(w.life) {
+		j := t.Job(k.Job)
+		task := j.Task(k)
+		step := j.Submission.Steps[k.Step]
+		for _, o := range task.Runs {
+			if o.Life != w.life {
+				continue
+			}
+			key := runKey{k, o.Attempt}
+			open.Add(key)
+			u := w.runs[key]
+			if u == nil {
+				u = &run{key: key, since: o.Since}
+				w.runs[key] = u
+			}
+			if j.State.Final() || task.Done || (w.record.Leaving && step.Lasting) {
+				u.stop = true
+			}
+		}
+	}
+	for key := range w.runs {
+		if !open.Has(key) {
+			delete(w.runs, key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/work/csrun/schedule.go
@@ -0,0 +1,171 @@
+package csrun
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"cowslipstream.example/cowslipstream/csmodel"
+	"cowslipstream.example/cowslipstream/internal/work/csjob"
+	"cowslipstream.example/cowslipstream/internal/work/csplan"
+)
+
+// outlook is what the leader publishes for admission and for decisions about VMs.
+type outlook struct {
+	demand Demand
+}
+
+// schedule decides which waiting tasks start where. The starts are intents until they are committed.
+func (r *runner) schedule(now time.Time, t *csjob.Table) []csjob.Start {
+	if t.Config() == nil {
+		return nil
+	}
+	jobs := map[csmodel.PoolID][]*csjob.Job{}
+	for _, j := range t.Active() {
+		if !j.State.Final() {
+			pool := t.QueueOf(j).Pool
+			jobs[pool] = append(jobs[pool], j)
+		}
+	}
+	slots := r.slots(now, t)
+	demand := Demand{}
+	var starts []csjob.Start
+	for _, pool := range csmodel.SortedKeys(jobs) {
+		work := r.waiting(now, t, jobs[pool])
+		placed := csplan.Place(work, slots[pool], r.onItsWay)
+		demand[pool] = r.demandOf(work)
+		starts = append(starts, r.intend(t, placed)...)
+	}
+	r.countRunning(t, demand)
+	r.leader.outlook.Store(&outlook{demand: demand})
+	return starts
+}
+
+func (r *runner) onItsWay(k csjob.TaskKey) bool {
+	_, ok := r.pending[k]
+	return ok
+}
+
+func (r *runner) waiting(now time.Time, t *csjob.Table, jobs []*csjob.Job) []csplan.Work {
+	var work []csplan.Work
+	for _, j := range jobs {
+		work = append(work, csplan.Waiting(now, &r.learned, t.QueueOf(j), []*csjob.Job{j})...)
+	}
+	csplan.Sort(work)
+	return work
+}
+
+// slots returns the room of the usable targets by pool.
+func (r *runner) slots(now time.Time, t *csjob.Table) map[csmodel.PoolID][]*csplan.Slot {
+	held := map[csjob.Life]bool{}
+	if r.o.Fleet != nil {
+		held = r.o.Fleet.Held()
+	}
+	out := map[csmodel.PoolID][]*csplan.Slot{}
+	for _, id := range csmodel.SortedKeys(r.targets) {
+		w := r.targets[id]
+		if _, taken := held[w.life]; taken || !w.usable(now, r.o.Timing.Beat) || w.grades.quarantined(now) {
+			continue
+		}
+		s := &csplan.Slot{
+			Life: w.life, Zone: w.record.Zone, Free: w.record.Room, Labels: w.record.Labels, Rack: w.record.Rack,
+			Cool: w.failures == 0 && !w.grades.suspect(), Spread: map[csplan.StepKey]int{},
+		}
+		for key := range w.runs {
+			j := t.Job(key.task.Job)
+			if j == nil || j.Tasks == nil {
+				continue
+			}
+			s.Free = s.Free.Sub(j.Submission.Steps[key.task.Step].Needs())
+			s.Spread[csplan.StepKey{Job: key.task.Job, Occurrence: key.task.Occurrence, Step: key.task.Step}]++
+		}
+		out[w.record.Pool] = append(out[w.record.Pool], s)
+	}
+	r.reservePending(t, out)
+	return out
+}
+
+// reservePending takes the room of starts that are not committed yet.
+func (r *runner) reservePending(t *csjob.Table, slots map[csmodel.PoolID][]*csplan.Slot) {
+	byLife := map[csjob.Life]*csplan.Slot{}
+	for _, list := range slots {
+		for _, s := range list {
+			byLife[s.Life] = s
+		}
+	}
+	for key, life := range r.pending {
+		s, j := byLife[life], t.Job(key.Job)
+		if s == nil || j == nil || j.Tasks == nil || r.open(life, key) {
+			continue
+		}
+		s.Free = s.Free.Sub(j.Submission.Steps[key.Step].Needs())
+		s.Spread[csplan.StepKey{Job: key.Job, Occurrence: key.Occurrence, Step: key.Step}]++
+	}
+}
+
+// open tells whether a start was applied to the table already.
+func (r *runner) open(l csjob.Life, k csjob.TaskKey) bool {
+	w := r.targets[l.Target]
+	if w == nil {
+		return false
+	}
+	for key := range w.runs {
+		if key.task == k {
+			return true
+		}
+	}
+	return false
+}
+
+// demandOf adds up the work that is left waiting.
+func (r *runner) demandOf(work []csplan.Work) PoolDemand {
+	var d PoolDemand
+	for i := range work {
+		w := &work[i]
+		if w.Step.Lasting {
+			continue
+		}
+		for n := range w.Step.Tasks {
+			key := csjob.TaskKey{Job: w.Key.Job, Occurrence: w.Key.Occurrence, Step: w.Key.Step, Index: n}
+			switch {
+			case !w.Job.Task(key).Idle() || r.onItsWay(key):
+			case w.Late():
+				d.Behind += w.Step.Room.CPU
+			default:
+				d.Waiting += w.Step.Room.CPU
+			}
+		}
+	}
+	return d
+}
+
+func (r *runner) countRunning(t *csjob.Table, d Demand) {
+	for _, w := range r.targets {
+		p := d[w.record.Pool]
+		for key := range w.runs {
+			if j := t.Job(key.task.Job); j != nil && j.Tasks != nil {
+				p.Running += j.Submission.Steps[key.task.Step].Needs().CPU
+			}
+		}
+		d[w.record.Pool] = p
+	}
+}
+
+// intend turns placements into starts.
+func (r *runner) intend(t *csjob.Table, placed []csplan.Placement) []csjob.Start {
+	out := make([]csjob.Start, 0, len(placed))
+	for _, p := range placed {
+		j := t.Job(p.Task.Job)
+		attempt := j.Task(p.Task).Attempts + 1
+		if j.Submission.Steps[p.Task.Step].Gang {
+			for _, k := range j.Tasks[p.Task.Occurrence][p.Task.Step] {
+				attempt = max(attempt, k.Attempts+1)
+			}
+		}
+		r.pending[p.Task] = p.Slot.Life
+		out = append(out, csjob.Start{Task: p.Task, Attempt: attempt, Life: p.Slot.Life})
+		r.log.Info("start", zap.String("job", string(p.Task.Job)), zap.Stringer("task", p.Task), zap.Int("attempt", int(attempt)),
+			zap.String("target", string(p.Slot.Life.Target)))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/work/csrun/target.go
@@ -0,0 +1,107 @@
+package csrun
+
+import (
+	"time"
+
+	"cowslipstream.example/cowslipstream/internal/work/csjob"
+)
+
+// Bounds of what is known about a target.
+const (
+	// clockDrift is how much slower than ours the clock of a target may run, from the platform's protocol.
+	clockDrift = 0.02
+	// lapseSlack is added to the end of a lease before its runs count as over.
+	lapseSlack = 500 * time.Millisecond
+	// silentBeats is the number of heartbeat intervals after which a target gets no new tasks.
+	silentBeats = 3
+	// restAfterRefusal keeps new tasks off a target that refused one.
+	restAfterRefusal = 500 * time.Millisecond
+	// restUnhealthy keeps new tasks off a target that called itself unhealthy.
+	restUnhealthy = 2 * time.Second
+)
+
+// runKey names a run.
+type runKey struct {
+	task    csjob.TaskKey
+	attempt csjob.Attempt
+}
+
+// run is what the leader knows of an open run on a target.
+type run struct {
+	key     runKey
+	since   time.Time
+	started bool // the target has acknowledged or listed it
+	ackedAt time.Time
+	stop    bool // it has to end
+	stopped bool // the target has acknowledged the stop
+	stopAt  time.Time
+	busy    bool // an order is on its way
+	nextAt  time.Time
+	tries   int
+	missing int // looks that did not list it
+	percent int
+	load    float64
+	settled bool // it has been at full work
+	pace    int  // share of its CPU that it was limited to; zero is no limit
+}
+
+// target is what the leader knows of one life of a target.
+type target struct {
+	life     csjob.Life
+	record   csjob.Target
+	sequence int64
+	heardAt  time.Time
+	clock    time.Duration // of the target
+	clockAt  time.Time     // when the answer with the clock arrived; zero where none has
+	granted  time.Duration // latest end of the lease; an upper bound of what earlier leaders granted
+	lapsesAt time.Time     // fallback while the clock is not known
+
+	runs     map[runKey]*run
+	strays   map[runKey]bool // listed runs that should not be there; true while a stop is on its way
+	looking  bool
+	fresh    bool // no look has been answered yet
+	lookedAt time.Time
+	noted    int64 // committed ends
+	taken    int64 // ends on their way to being committed
+	told     int64 // noted ends that the target was told of
+	calls    int
+	failures int // unanswered calls in a row
+	restTill time.Time
+	fencing  bool // its earlier life is being fenced
+	grades   grades
+}
+
+// reading takes in the clock of an answer that arrived now.
+func (t *target) reading(clock time.Duration, now time.Time, longest time.Duration) {
+	t.heardAt = now
+	t.failures = 0
+	if clock > 0 {
+		if t.clockAt.IsZero() {
+			t.granted = clock + longest
+		}
+		t.clock, t.clockAt = clock, now
+	}
+}
+
+// until returns the end of a lease of a length from now, on the target's clock.
+func (t *target) until(now time.Time, lease time.Duration) time.Duration {
+	if t.clockAt.IsZero() {
+		return 0
+	}
+	return t.clock + now.Sub(t.clockAt) + lease
+}
+
+// lapsed tells whether everything that ran there under a lease has certainly ended.
+func (t *target) lapsed(now time.Time) bool {
+	if t.clockAt.IsZero() {
+		return now.After(t.lapsesAt)
+	}
+	least := t.clock + time.Duration((1-clockDrift)*float64(now.Sub(t.clockAt)))
+	return least > t.granted+lapseSlack
+}
+
+// usable tells whether the target may get new tasks.
+func (t *target) usable(now time.Time, beat time.Duration) bool {
+	return !t.record.Leaving && !t.clockAt.IsZero() && t.failures < 2 && !t.fencing && !t.fresh &&
+		now.Sub(t.heardAt) < silentBeats*beat && now.After(t.restTill)
+}
