--- a/cmd/cowslipstream/roles.go
+++ b/cmd/cowslipstream/roles.go
@@ -18,6 +18,7 @@
 
 	"cowslipstream.example/cowslipstream/cslog"
 	"cowslipstream.example/cowslipstream/internal/base/csclock"
+	"cowslipstream.example/cowslipstream/internal/fleet/csvms"
 	"cowslipstream.example/cowslipstream/internal/node/csentry"
 	"cowslipstream.example/cowslipstream/internal/node/csstore"
 	"cowslipstream.example/cowslipstream/internal/work/csrun"
@@ -167,9 +168,16 @@
 	go p.watchSettings(c.ctx)
 	s := p.settings
 	client := platform.NewClient()
+	clock := csclock.NewBoot()
 	store, err := csstore.New(csstore.Options{
+		Fleet: func(state csrun.State) csrun.Fleet {
+			return csvms.New(csvms.Options{
+				State: state, Platform: platform.VMs{Client: client, Address: s.VMs, Holder: s.Node}, Clock: clock,
+				Log: p.log.Named("vms"), MoveTime: s.MoveTime, Upkeep: s.Upkeep,
+			})
+		},
 		IP: s.IP, Seeds: s.Seeds, First: s.First, Folder: s.Folder, Losses: s.Losses, Listener: p.link,
-		PeerAddress: s.PeerAddress, Retention: s.Retention, Workers: client, Clock: csclock.NewBoot(),
+		PeerAddress: s.PeerAddress, Retention: s.Retention, Workers: client, Clock: clock,
 		Log: p.log, Registry: p.registry,
 		Timing: csrun.Timing{
 			Lease: min(runLease, s.LongestLease*9/10), LongestLease: s.LongestLease, Beat: s.Beat,
--- /dev/null
+++ b/internal/fleet/csvms/policy.go
@@ -0,0 +1,132 @@
+package csvms
+
+import (
+	"cmp"
+	"slices"
+
+	"cowslipstream.example/cowslipstream/csmodel"
+)
+
+const (
+	// headroom is the capacity that a pool should have for each unit of work that wants to run. An idle VM costs about a
+	// fifteenth of what a busy one earns, so too much is cheaper than too little.
+	headroom = 1.25
+	// floorVMs is the number of VMs that a pool keeps for the first moments of its next busy phase.
+	floorVMs = 3
+)
+
+// Candidate is a VM that may be taken.
+type Candidate struct {
+	ID      csmodel.VMID
+	Pool    csmodel.PoolID
+	CPU     csmodel.MilliCPU
+	Idle    bool // nothing runs there
+	Lasting bool // a task that lasts runs there
+	Running csmodel.MilliCPU
+}
+
+// PoolView is what the policy knows of a pool.
+type PoolView struct {
+	ID      csmodel.PoolID
+	Standby bool
+	Need    csmodel.MilliCPU // work that wants to run now or soon
+	Supply  csmodel.MilliCPU // of VMs that are up or on their way
+	VMs     int              // that are up or on their way
+	Floor   int              // least number of VMs
+}
+
+// Transfer takes a VM to a pool.
+type Transfer struct {
+	VM csmodel.VMID
+	To csmodel.PoolID
+}
+
+// wanted returns the capacity that a pool should have.
+func (p *PoolView) wanted() csmodel.MilliCPU { return csmodel.MilliCPU(headroom * float64(p.Need)) }
+
+func (p *PoolView) deficit() csmodel.MilliCPU { return p.wanted() - p.Supply }
+
+// Balance returns the transfers that cover the deficits, the largest one first, from idle VMs of the pools with the
+// largest surplus. It changes the views to what they will be.
+func Balance(pools []*PoolView, candidates []Candidate) []Transfer {
+	byID := map[csmodel.PoolID]*PoolView{}
+	for _, p := range pools {
+		byID[p.ID] = p
+	}
+	taken := csmodel.NewSet[csmodel.VMID]()
+	var out []Transfer
+	for {
+		to := neediest(pools)
+		if to == nil {
+			return out
+		}
+		c := donor(byID, candidates, taken, to)
+		if c == nil {
+			return out
+		}
+		from := byID[c.Pool]
+		from.Supply -= c.CPU
+		from.VMs--
+		to.Supply += c.CPU
+		to.VMs++
+		taken.Add(c.ID)
+		out = append(out, Transfer{VM: c.ID, To: to.ID})
+	}
+}
+
+// neediest returns the pool with the largest deficit that is worth a VM, or nil.
+func neediest(pools []*PoolView) *PoolView {
+	var best *PoolView
+	for _, p := range pools {
+		if p.Standby || p.deficit() <= 0 {
+			continue
+		}
+		if best == nil || p.deficit() > best.deficit() {
+			best = p
+		}
+	}
+	return best
+}
+
+// donor returns the best VM to take for a pool, or nil.
+func donor(pools map[csmodel.PoolID]*PoolView, candidates []Candidate, taken csmodel.Set[csmodel.VMID], to *PoolView) *Candidate {
+	var fit []*Candidate
+	for i := range candidates {
+		c := &candidates[i]
+		p := pools[c.Pool]
+		if p == nil || p == to || !c.Idle || taken.Has(c.ID) || !spares(p, c.CPU) {
+			continue
+		}
+		fit = append(fit, c)
+	}
+	if len(fit) == 0 {
+		return nil
+	}
+	return slices.MinFunc(fit, func(a, b *Candidate) int {
+		x, y := pools[a.Pool], pools[b.Pool]
+		return cmp.Or(
+			compareBool(y.Standby, x.Standby), // a VM that is off costs nothing while it waits, but no pool misses it
+			cmp.Compare(x.deficit(), y.deficit()),
+			cmp.Compare(a.ID, b.ID),
+		)
+	})
+}
+
+// spares tells whether a pool can do without a VM.
+func spares(p *PoolView, cpu csmodel.MilliCPU) bool {
+	if p.Standby {
+		return true
+	}
+	return p.VMs > p.Floor && p.deficit()+cpu <= 0
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
--- a/internal/node/csstore/store.go
+++ b/internal/node/csstore/store.go
@@ -59,10 +59,11 @@
 	Retention   time.Duration          // of ended jobs
 	Timing      csrun.Timing
 	Workers     csrun.Workers
-	Fleet       csrun.Fleet // may be nil
-	Clock       clockwork.Clock
-	Log         *zap.Logger
-	Registry    prometheus.Registerer
+	// Fleet returns what decides about VMs. It may be nil.
+	Fleet    func(csrun.State) csrun.Fleet
+	Clock    clockwork.Clock
+	Log      *zap.Logger
+	Registry prometheus.Registerer
 }
 
 // Store is one store. Use New.
@@ -90,9 +91,13 @@
 	quiet := o.Log.WithOptions(zap.IncreaseLevel(zap.WarnLevel))
 	s.system = actor.NewActorSystem(cslog.Actors(quiet), actor.WithDeadLetterRequestLogging(false))
 	s.calls = csrpc.New(sender{s}, s.answer)
+	var fleet csrun.Fleet
+	if o.Fleet != nil {
+		fleet = o.Fleet(replica{s})
+	}
 	s.leader = csrun.New(csrun.Options{
 		State: replica{s}, Workers: o.Workers, Clock: o.Clock, Log: o.Log.Named("run"),
-		Metrics: csrun.NewMetrics(o.Registry), Timing: o.Timing, Spawner: s.system.Root, Fleet: o.Fleet,
+		Metrics: csrun.NewMetrics(o.Registry), Timing: o.Timing, Spawner: s.system.Root, Fleet: fleet,
 	})
 	if err := s.openGroup(); err != nil {
 		return nil, trace.Wrap(err)
--- a/internal/work/csplan/plan.go
+++ b/internal/work/csplan/plan.go
@@ -252,8 +252,6 @@
 			better = s.Cool
 		case isNear != bestNear:
 			better = isNear
-		case w.Step.Lasting:
-			better = s.Free.CPU > best.Free.CPU
 		default:
 			better = s.Free.CPU < best.Free.CPU
 		}
--- a/internal/work/csrun/beats.go
+++ b/internal/work/csrun/beats.go
@@ -24,6 +24,8 @@
 	switch {
 	case w != nil && life.Born < w.life.Born, r.superseded(b.Target):
 		m.done <- nil // a late heartbeat of an earlier life
+	case w == nil && r.o.Fleet != nil && r.o.Fleet.Dead(life):
+		m.done <- nil // its last heartbeat was overtaken by the end of its VM's stay
 	case w == nil:
 		r.event(csjob.TargetEvent{Target: b.Target}, m.done, "target joined")
 		r.endPredecessors(b.Target)
--- /dev/null
+++ b/internal/work/csrun/evict.go
@@ -0,0 +1,66 @@
+package csrun
+
+import (
+	"cowslipstream.example/cowslipstream/csmodel"
+	"cowslipstream.example/cowslipstream/internal/work/csjob"
+	"cowslipstream.example/cowslipstream/internal/work/csplan"
+)
+
+// evict stops the runs that last on VMs that are about to be taken away, as far as the availability of their steps
+// allows. Runs that end by themselves are left to end.
+func (r *runner) evict(t *csjob.Table) {
+	if r.o.Fleet == nil {
+		return
+	}
+	held := r.o.Fleet.Held()
+	if len(held) == 0 {
+		return
+	}
+	away := r.absent(t)
+	for _, id := range csmodel.SortedKeys(r.targets) {
+		w := r.targets[id]
+		if !held[w.life] {
+			continue
+		}
+		for key, u := range w.runs {
+			if !u.lasting || u.stop {
+				continue
+			}
+			step := stepOf(key.task)
+			allowed := max(1, t.Job(key.task.Job).Submission.Steps[key.task.Step].Absent)
+			if !u.atWork() || away[step] < allowed {
+				u.stop = true
+				away[step]++
+			}
+		}
+	}
+}
+
+func (u *run) atWork() bool { return u.started && !u.stop && u.percent == fullWork }
+
+func stepOf(k csjob.TaskKey) csplan.StepKey {
+	return csplan.StepKey{Job: k.Job, Occurrence: k.Occurrence, Step: k.Step}
+}
+
+// absent counts the tasks that last and are not at work, by step.
+func (r *runner) absent(t *csjob.Table) map[csplan.StepKey]int {
+	out := map[csplan.StepKey]int{}
+	for _, j := range t.Active() {
+		if j.State.Final() {
+			continue
+		}
+		for s, step := range j.Submission.Steps {
+			if step.Lasting {
+				out[csplan.StepKey{Job: j.Submission.ID, Step: s}] = step.Tasks
+			}
+		}
+	}
+	for _, w := range r.targets {
+		for key, u := range w.runs {
+			if u.lasting && u.atWork() {
+				out[stepOf(key.task)]--
+			}
+		}
+	}
+	return out
+}
--- a/internal/work/csrun/leader.go
+++ b/internal/work/csrun/leader.go
@@ -47,15 +47,27 @@
 
 // Fleet decides about the VMs that targets run on.
 type Fleet interface {
-	// Round is called on the leader in each round. It must not block.
-	Round(now time.Time, t *csjob.Table, fence csmodel.Fence, demand Demand)
+	// Round is called on the leader in each round. It must not block, and must not keep the table.
+	Round(Round)
 	// Held returns the lives that must not get new tasks, because their VM is about to be taken away. Runs that last
 	// are moved off the lives with true.
 	Held() map[csjob.Life]bool
+	// Dead tells whether a VM order has ended a life.
+	Dead(csjob.Life) bool
 	// Reset is called when this node stops leading.
 	Reset()
 }
 
+// Round is what a Fleet decides from.
+type Round struct {
+	Now    time.Time
+	Table  *csjob.Table
+	Fence  csmodel.Fence
+	Demand Demand
+	Busy   func(csjob.Life) bool // something runs there or is on its way
+	Usable func(csjob.Life) bool // the target answers
+}
+
 // Demand is the work that waits and runs, by pool.
 type Demand map[csmodel.PoolID]PoolDemand
 
@@ -63,7 +75,14 @@
 type PoolDemand struct {
 	Waiting csmodel.MilliCPU // of tasks that could start now and are not late
 	Behind  csmodel.MilliCPU // of tasks that have missed their objective
-	Running csmodel.MilliCPU
+	Running csmodel.MilliCPU // of tasks that end by themselves
+	Lasting csmodel.MilliCPU // of tasks that last, running or waiting
+	Offered csmodel.MilliCPU // work that arrived lately, as the cores that it keeps busy
+}
+
+// Need returns the capacity that the pool could use now.
+func (d PoolDemand) Need() csmodel.MilliCPU {
+	return d.Lasting + max(d.Running+d.Waiting, d.Offered)
 }
 
 // Timing holds the durations that a leader works with.
--- a/internal/work/csrun/runner.go
+++ b/internal/work/csrun/runner.go
@@ -41,6 +41,7 @@
 	events  []csjob.TargetEvent
 	waiters []chan error
 	learned csplan.Learned
+	offered offered
 }
 
 func newRunner(l *Leader) *runner {
@@ -124,7 +125,7 @@
 	r.ctx = nil
 	r.active = false
 	r.answer(r.waiters, ErrNotLeading)
-	*r = runner{leader: r.leader, o: r.o, log: r.log, learned: r.learned}
+	*r = runner{leader: r.leader, o: r.o, log: r.log, learned: r.learned, offered: r.offered}
 	r.leader.outlook.Store(&outlook{})
 	if r.o.Fleet != nil {
 		r.o.Fleet.Reset()
@@ -153,14 +154,35 @@
 		r.closeLost(now, t)
 		starts = r.schedule(now, t)
 		if r.o.Fleet != nil {
-			r.o.Fleet.Round(now, t, csmodel.Fence(r.term), r.leader.outlook.Load().demand)
+			r.o.Fleet.Round(Round{
+				Now: now, Table: t, Fence: csmodel.Fence(r.term), Demand: r.leader.outlook.Load().demand,
+				Busy: func(l csjob.Life) bool { return r.occupied(t, l) },
+				Usable: func(l csjob.Life) bool {
+					w := r.target(l)
+					return w != nil && w.usable(now, r.o.Timing.Beat)
+				},
+			})
 		}
+		r.evict(t)
 		r.sendOrders(now, t)
 	})
 	r.propose(starts)
 	r.sendLooks(now)
 }
 
+// occupied tells whether something runs on a life or is on its way there.
+func (r *runner) occupied(t *csjob.Table, l csjob.Life) bool {
+	if t.Busy(l) {
+		return true
+	}
+	for _, life := range r.pending {
+		if life == l {
+			return true
+		}
+	}
+	return false
+}
+
 // propose commits what the round has decided.
 func (r *runner) propose(starts []csjob.Start) {
 	c := csjob.Command{Ends: r.ends, Targets: r.events, Starts: starts}
@@ -257,6 +279,7 @@
 			if j.State.Final() || task.Done || (w.record.Leaving && step.Lasting) {
 				u.stop = true
 			}
+			u.lasting = step.Lasting && !j.State.Final()
 		}
 	}
 	for key := range w.runs {
--- a/internal/work/csrun/schedule.go
+++ b/internal/work/csrun/schedule.go
@@ -30,6 +30,7 @@
 	slots := r.slots(now, t)
 	demand := Demand{}
 	var starts []csjob.Start
+	r.offered.observe(now, t, &r.learned)
 	for _, pool := range csmodel.SortedKeys(jobs) {
 		work := r.waiting(now, t, jobs[pool])
 		placed := csplan.Place(work, slots[pool], r.onItsWay)
@@ -77,7 +78,7 @@
 				continue
 			}
 			s.Free = s.Free.Sub(j.Submission.Steps[key.task.Step].Needs())
-			s.Spread[csplan.StepKey{Job: key.task.Job, Occurrence: key.task.Occurrence, Step: key.task.Step}]++
+			s.Spread[stepOf(key.task)]++
 		}
 		out[w.record.Pool] = append(out[w.record.Pool], s)
 	}
@@ -99,7 +100,7 @@
 			continue
 		}
 		s.Free = s.Free.Sub(j.Submission.Steps[key.Step].Needs())
-		s.Spread[csplan.StepKey{Job: key.Job, Occurrence: key.Occurrence, Step: key.Step}]++
+		s.Spread[stepOf(key)]++
 	}
 }
 
@@ -122,13 +123,12 @@
 	var d PoolDemand
 	for i := range work {
 		w := &work[i]
-		if w.Step.Lasting {
-			continue
-		}
 		for n := range w.Step.Tasks {
 			key := csjob.TaskKey{Job: w.Key.Job, Occurrence: w.Key.Occurrence, Step: w.Key.Step, Index: n}
 			switch {
 			case !w.Job.Task(key).Idle() || r.onItsWay(key):
+			case w.Step.Lasting:
+				d.Lasting += w.Step.Needs().CPU
 			case w.Late():
 				d.Behind += w.Step.Room.CPU
 			default:
@@ -143,12 +143,23 @@
 	for _, w := range r.targets {
 		p := d[w.record.Pool]
 		for key := range w.runs {
-			if j := t.Job(key.task.Job); j != nil && j.Tasks != nil {
-				p.Running += j.Submission.Steps[key.task.Step].Needs().CPU
+			j := t.Job(key.task.Job)
+			if j == nil || j.Tasks == nil {
+				continue
+			}
+			if step := j.Submission.Steps[key.task.Step]; step.Lasting {
+				p.Lasting += step.Needs().CPU
+			} else {
+				p.Running += step.Needs().CPU
 			}
 		}
 		d[w.record.Pool] = p
 	}
+	for pool, cores := range r.offered.rates {
+		p := d[pool]
+		p.Offered = cores
+		d[pool] = p
+	}
 }
 
 // intend turns placements into starts.
--- a/internal/work/csrun/target.go
+++ b/internal/work/csrun/target.go
@@ -32,6 +32,7 @@
 	since   time.Time
 	started bool // the target has acknowledged or listed it
 	ackedAt time.Time
+	lasting bool
 	stop    bool // it has to end
 	stopped bool // the target has acknowledged the stop
 	stopAt  time.Time
