--- a/internal/fleet/csvms/fleet.go
+++ b/internal/fleet/csvms/fleet.go
@@ -58,7 +58,6 @@
 // reservation is a VM that is emptied for an order.
 type reservation struct {
 	order csjob.VMOrder
-	life  csjob.Life
 	since time.Time
 	sent  bool // the order is on its way to being committed
 }
@@ -68,7 +67,6 @@
 	busy     bool
 	nextAt   time.Time
 	accepted time.Time // the platform has carried it out; zero before
-	life     csjob.Life
 }
 
 // New returns a fleet.
@@ -202,9 +200,6 @@
 		c := f.calls[id]
 		if c == nil {
 			c = &orderCall{}
-			if t, ok := f.life(r.Table, f.vms[id]); ok {
-				c.life = t.Life
-			}
 			f.calls[id] = c
 		}
 		switch {
@@ -255,7 +250,7 @@
 	c.busy = false
 	c.nextAt = now.Add(retryPause)
 	f.log.Info("VM order", zap.String("vm", string(o.VM)), zap.String("pool", string(o.Pool)), zap.String("wave", string(o.Wave)),
-		zap.Stringer("answer", a), zap.String("target", string(c.life.Target)), zap.Error(err))
+		zap.Stringer("answer", a), zap.String("target", string(o.Life.Target)), zap.Error(err))
 	switch {
 	case err != nil, a == Limited:
 	case a == Done:
@@ -271,9 +266,9 @@
 func (f *Fleet) done(now time.Time, o csjob.VMOrder, c *orderCall) {
 	c.accepted = now
 	command := csjob.Command{}
-	if c.life.Target != "" {
-		f.dead[c.life] = now
-		command.Targets = []csjob.TargetEvent{{Target: csjob.Target{Life: c.life}, Gone: true}}
+	if o.Life.Target != "" {
+		f.dead[o.Life] = now
+		command.Targets = []csjob.TargetEvent{{Target: csjob.Target{Life: o.Life}, Gone: true}}
 	}
 	v := f.vms[o.VM]
 	v.Target = ""
@@ -304,11 +299,10 @@
 // reserve sets a VM aside for an order, which is sent when nothing runs there any more.
 func (f *Fleet) reserve(r csrun.Round, id csmodel.VMID, o csjob.VMOrder) {
 	v := f.vms[id]
-	s := &reservation{order: o, since: r.Now}
 	if t, ok := f.life(r.Table, v); ok {
-		s.life = t.Life
+		o.Life = t.Life
 	}
-	f.reserved[id] = s
+	f.reserved[id] = &reservation{order: o, since: r.Now}
 	f.log.Info("VM reserved", zap.String("vm", string(id)), zap.String("from", string(v.Pool)), zap.String("pool", string(o.Pool)),
 		zap.String("wave", string(o.Wave)), zap.String("target", string(v.Target)), zap.Duration("list_age", r.Now.Sub(f.listedAt)))
 }
@@ -318,14 +312,13 @@
 	var ready []csjob.VMOrder
 	for _, id := range csmodel.SortedKeys(f.reserved) {
 		s := f.reserved[id]
-		held := f.held[s.life] || s.life.Target == ""
-		_, known := f.held[s.life]
+		held := f.held[s.order.Life] || s.order.Life.Target == ""
 		switch {
 		case s.sent:
 			if r.Now.Sub(s.since) > holdLimit {
 				delete(f.reserved, id)
 			}
-		case (held || known) && !r.Busy(s.life):
+		case held && !r.Busy(s.order.Life):
 			s.sent = true
 			s.since = r.Now
 			ready = append(ready, s.order)
@@ -342,14 +335,12 @@
 func (f *Fleet) hold(t *csjob.Table) {
 	f.held = map[csjob.Life]bool{}
 	for _, s := range f.reserved {
-		if s.life.Target != "" {
-			f.held[s.life] = true
+		if s.order.Life.Target != "" {
+			f.held[s.order.Life] = true
 		}
 	}
-	for id := range t.VMOrders() {
-		if c := f.calls[id]; c != nil && c.life.Target != "" {
-			f.held[c.life] = true
-		} else if o, ok := f.life(t, f.vms[id]); ok {
+	for _, o := range t.VMOrders() {
+		if o.Life.Target != "" {
 			f.held[o.Life] = true
 		}
 	}
@@ -357,6 +348,9 @@
 
 // waves reserves VMs for the waves in progress.
 func (f *Fleet) waves(r csrun.Round) {
+	if r.Table.Config() == nil {
+		return
+	}
 	for _, w := range r.Table.Waves() {
 		if !w.Completed() {
 			f.wave(r, w)
@@ -366,6 +360,7 @@
 
 func (f *Fleet) wave(r csrun.Round, w *csjob.WaveState) {
 	var waiting []csmodel.VMID
+	var removed []csjob.VMOrder
 	down := 0
 	for _, id := range w.Wave.VMs {
 		_, begun := w.Begun[id]
@@ -375,12 +370,17 @@
 		case w.Done.Has(id):
 		case begun, s != nil && s.order.Wave == w.Wave.ID:
 			down++
-		case s == nil && exists && v.Phase == Up:
+		case !exists && r.Now.Sub(f.listedAt) < listEvery:
+			removed = append(removed, csjob.VMOrder{VM: id, Wave: w.Wave.ID, Done: true})
+		case s == nil && exists && f.takeable(r, v):
 			if _, ordered := r.Table.VMOrders()[id]; !ordered {
 				waiting = append(waiting, id)
 			}
 		}
 	}
+	if len(removed) > 0 {
+		f.propose(csjob.Command{VMs: removed})
+	}
 	slices.SortStableFunc(waiting, func(a, b csmodel.VMID) int { return f.burden(r, a) - f.burden(r, b) })
 	for _, id := range waiting {
 		if down >= f.pace(r.Now, w) {
@@ -391,6 +391,22 @@
 	}
 }
 
+// takeable tells whether it is known what an order for a VM would end.
+func (f *Fleet) takeable(r csrun.Round, v VM) bool {
+	if v.Phase != Up {
+		return false
+	}
+	if _, ok := f.life(r.Table, v); ok {
+		return true
+	}
+	for _, p := range r.Table.Config().Pools {
+		if p.ID == v.Pool {
+			return p.Standby
+		}
+	}
+	return false
+}
+
 // pace returns how many VMs of a wave should be down at once to end in time.
 func (f *Fleet) pace(now time.Time, w *csjob.WaveState) int {
 	left := len(w.Wave.VMs) - len(w.Done)
--- a/internal/work/csjob/command.go
+++ b/internal/work/csjob/command.go
@@ -96,6 +96,8 @@
 	VM   csmodel.VMID   `cbor:"1,keyasint"`
 	Wave csmodel.WaveID `cbor:"2,keyasint,omitempty"` // set for maintenance
 	Pool csmodel.PoolID `cbor:"3,keyasint,omitempty"` // set for a move
+	// Life is the target that the order ends. It is empty where none ran on the VM.
+	Life Life `cbor:"6,keyasint"`
 	// Done tells that the VM is back or that the order was refused.
 	Done bool `cbor:"4,keyasint,omitempty"`
 	// Refused tells that a done order had no effect.
--- a/internal/work/csrun/evict.go
+++ b/internal/work/csrun/evict.go
@@ -1,6 +1,8 @@
 package csrun
 
 import (
+	"time"
+
 	"cowslipstream.example/cowslipstream/csmodel"
 	"cowslipstream.example/cowslipstream/internal/work/csjob"
 	"cowslipstream.example/cowslipstream/internal/work/csplan"
@@ -8,7 +10,7 @@
 
 // evict stops the runs that last on VMs that are about to be taken away, as far as the availability of their steps
 // allows. Runs that end by themselves are left to end.
-func (r *runner) evict(t *csjob.Table) {
+func (r *runner) evict(now time.Time, t *csjob.Table) {
 	if r.o.Fleet == nil {
 		return
 	}
@@ -16,7 +18,7 @@
 	if len(held) == 0 {
 		return
 	}
-	away := r.absent(t)
+	away := r.absent(now, t)
 	for _, id := range csmodel.SortedKeys(r.targets) {
 		w := r.targets[id]
 		if !held[w.life] {
@@ -28,7 +30,7 @@
 			}
 			step := stepOf(key.task)
 			allowed := max(1, t.Job(key.task.Job).Submission.Steps[key.task.Step].Absent)
-			if !u.atWork() || away[step] < allowed {
+			if !w.atWork(now, u) || away[step] < allowed {
 				u.stop = true
 				away[step]++
 			}
@@ -36,14 +38,20 @@
 	}
 }
 
-func (u *run) atWork() bool { return u.started && !u.stop && u.percent == fullWork }
+// listFresh is how long the list of a target's runs says that they are at work. Looks come at least once per second.
+const listFresh = 2 * time.Second
+
+// atWork tells whether a task that lasts is known to be at work.
+func (t *target) atWork(now time.Time, u *run) bool {
+	return u.started && !u.stop && u.percent == fullWork && t.failures == 0 && now.Sub(t.listedAt) < listFresh
+}
 
 func stepOf(k csjob.TaskKey) csplan.StepKey {
 	return csplan.StepKey{Job: k.Job, Occurrence: k.Occurrence, Step: k.Step}
 }
 
 // absent counts the tasks that last and are not at work, by step.
-func (r *runner) absent(t *csjob.Table) map[csplan.StepKey]int {
+func (r *runner) absent(now time.Time, t *csjob.Table) map[csplan.StepKey]int {
 	out := map[csplan.StepKey]int{}
 	for _, j := range t.Active() {
 		if j.State.Final() {
@@ -57,7 +65,7 @@
 	}
 	for _, w := range r.targets {
 		for key, u := range w.runs {
-			if u.lasting && u.atWork() {
+			if u.lasting && w.atWork(now, u) {
 				out[stepOf(key.task)]--
 			}
 		}
--- a/internal/work/csrun/looks.go
+++ b/internal/work/csrun/looks.go
@@ -98,6 +98,7 @@
 	}
 	w.reading(m.look.Clock, now, r.o.Timing.LongestLease)
 	w.fresh = false
+	w.listedAt = now
 	w.told = max(w.told, m.order.Noted)
 	r.takeEnds(w, m.look.Ended, now)
 	r.takeProgress(w, m)
--- a/internal/work/csrun/runner.go
+++ b/internal/work/csrun/runner.go
@@ -163,7 +163,7 @@
 				},
 			})
 		}
-		r.evict(t)
+		r.evict(now, t)
 		r.sendOrders(now, t)
 	})
 	r.propose(starts)
--- a/internal/work/csrun/target.go
+++ b/internal/work/csrun/target.go
@@ -62,9 +62,10 @@
 	looking  bool
 	fresh    bool // no look has been answered yet
 	lookedAt time.Time
-	noted    int64 // committed ends
-	taken    int64 // ends on their way to being committed
-	told     int64 // noted ends that the target was told of
+	listedAt time.Time // last answered look
+	noted    int64     // committed ends
+	taken    int64     // ends on their way to being committed
+	told     int64     // noted ends that the target was told of
 	calls    int
 	failures int // unanswered calls in a row
 	restTill time.Time
