--- a/internal/work/csrun/evict.go
+++ b/internal/work/csrun/evict.go
@@ -30,9 +30,13 @@
 			}
 			step := stepOf(key.task)
 			allowed := max(1, t.Job(key.task.Job).Submission.Steps[key.task.Step].Absent)
-			if !w.atWork(now, u) || away[step] < allowed {
+			others := away[step]
+			if !w.atWork(now, u) {
+				others-- // it may have come to work since it was listed, so it is treated like one that is
+			}
+			if others < allowed {
 				u.stop = true
-				away[step]++
+				away[step] = others + 1
 			}
 		}
 	}
--- a/internal/work/csrun/leader_test.go
+++ b/internal/work/csrun/leader_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -33,6 +35,7 @@
 	world  *world
 	leader *csrun.Leader
 	system *actor.ActorSystem
+	fleet  *fleet
 	stop   chan struct{}
 }
 
@@ -46,6 +49,7 @@
 		},
 	}
 	i.state.hook = func() {}
+	i.fleet = &fleet{held: map[csjob.Life]bool{}}
 	i.leader = i.lead(1)
 	config := csjob.Config{
 		Version: 1, Pools: []csjob.Pool{{ID: testPool}},
@@ -68,7 +72,7 @@
 func (i *installation) lead(term csmodel.Term) *csrun.Leader {
 	l := csrun.New(csrun.Options{
 		State: i.state, Workers: i.world, Clock: clockwork.NewRealClock(), Log: zap.NewNop(),
-		Metrics: csrun.NewMetrics(prometheus.NewRegistry()), Spawner: i.system.Root,
+		Metrics: csrun.NewMetrics(prometheus.NewRegistry()), Spawner: i.system.Root, Fleet: i.fleet,
 		Timing: csrun.Timing{
 			Lease: 600 * time.Millisecond, LongestLease: 700 * time.Millisecond, Beat: testBeat,
 			CallTimeout: 200 * time.Millisecond, LookSpacing: 10 * time.Millisecond, LookWait: 100 * time.Millisecond,
@@ -79,6 +83,34 @@
 	return l
 }
 
+// fleet holds the VMs that the test names.
+type fleet struct {
+	mu   sync.Mutex
+	held map[csjob.Life]bool
+}
+
+func (f *fleet) Round(csrun.Round) {}
+
+func (f *fleet) Reset() {}
+
+func (f *fleet) Dead(csjob.Life) bool { return false }
+
+func (f *fleet) Held() map[csjob.Life]bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.held)
+}
+
+// hold replaces the VMs that are about to be taken away.
+func (f *fleet) hold(lives ...csjob.Life) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.held = map[csjob.Life]bool{}
+	for _, l := range lives {
+		f.held[l] = true
+	}
+}
+
 func (i *installation) propose(c csjob.Command) csjob.Verdict {
 	i.t.Helper()
 	v, err := i.state.Propose(context.Background(), c)
@@ -275,3 +307,27 @@
 	i.settle(10 * time.Second)
 	i.checkRules()
 }
+
+// Pattern: a maintenance wave goes over targets with tasks that last, while answers get lost.
+func TestEvictionKeepsAvailability(t *testing.T) {
+	t.Parallel()
+	i := install(t, 11, 6, faults{lost: 0.15})
+	time.Sleep(3 * testBeat)
+	for n := range 4 {
+		i.submit(csjob.ID(fmt.Sprintf("%016x", n)),
+			csjob.Step{Tasks: 5, Room: csjob.Room{CPU: 1000, Memory: 100}, Lasting: true, Absent: 1, Spread: 2})
+	}
+	time.Sleep(time.Second)
+	var lives []csjob.Life
+	i.world.mu.Lock()
+	for _, k := range i.world.workers {
+		lives = append(lives, k.life)
+	}
+	i.world.mu.Unlock()
+	for n := range lives {
+		i.fleet.hold(lives[n], lives[(n+1)%len(lives)])
+		time.Sleep(500 * time.Millisecond)
+	}
+	i.fleet.hold()
+	i.checkRules()
+}
--- a/internal/work/csrun/world_test.go
+++ b/internal/work/csrun/world_test.go
@@ -279,12 +279,32 @@
 		}
 		k.last[o.Task] = max(k.last[o.Task], o.Attempt)
 		if r := k.running[o.Task]; r != nil && r.attempt <= o.Attempt {
+			w.checkAbsent(r)
 			w.finish(k, r, csjob.OutcomeStopped)
 		}
 		return csrun.Reply{Clock: k.clock()}
 	})
 }
 
+// checkAbsent checks that a stop leaves enough tasks of a step that lasts.
+func (w *world) checkAbsent(r *seenRun) {
+	step := w.jobs[r.task.Job].Steps[r.task.Step]
+	if step.Absent == 0 {
+		return
+	}
+	here := 0
+	for _, k := range w.workers {
+		for key := range k.running {
+			if key.Job == r.task.Job && key.Step == r.task.Step && key != r.task {
+				here++
+			}
+		}
+	}
+	if away := step.Tasks - 1 - here; away >= step.Absent {
+		w.report("%s: stopped while %d others are away", r.task, away)
+	}
+}
+
 // Pace implements csrun.Workers.
 func (w *world) Pace(context.Context, csjob.Target, csrun.PaceOrder) (csrun.Reply, error) {
 	return csrun.Reply{}, nil
