--- a/internal/work/csplan/plan.go
+++ b/internal/work/csplan/plan.go
@@ -22,6 +22,7 @@
 	Labels []string
 	// Cool is false where the target should take a task only if no other one can.
 	Cool bool
+	reserved bool // kept free for a more urgent task that does not fit yet
 	// Spread counts the open runs of each step, by occurrence.
 	Spread map[StepKey]int
 }
@@ -175,14 +176,23 @@
 const maxFailedSteps = 40
 
 // Place assigns waiting tasks to slots and takes their room. taken tells of tasks that are on their way already.
+//
+// Tasks that last and the most urgent other step that does not fit get a slot reserved: otherwise smaller tasks would take
+// each piece of room as it becomes free.
 func Place(work []Work, slots []*Slot, taken func(csjob.TaskKey) bool) []Placement {
 	var out []Placement
 	failed := 0
+	first := true
 	for i := range work {
 		placed, all := placeStep(&work[i], slots, taken)
 		out = append(out, placed...)
-		if !all {
-			failed++
+		if all {
+			continue
+		}
+		failed++
+		if class := work[i].urgency.class; class == lasting || (class == timely && first) {
+			first = first && class == lasting
+			reserve(&work[i], slots)
 		}
 		if failed > maxFailedSteps {
 			break
@@ -216,6 +226,44 @@
 	return out, true
 }
 
+// reserve keeps the slot free that lacks the least for a task of the step. The choice is stable while the slot empties.
+func reserve(w *Work, slots []*Slot) {
+	need := w.Step.Needs()
+	var best *Slot
+	for _, s := range slots {
+		if !suits(w, s) {
+			continue
+		}
+		if best == nil || lack(s, need) < lack(best, need) {
+			best = s
+		}
+	}
+	if best != nil {
+		best.reserved = true
+	}
+}
+
+// lack is what is missing in a slot, as the larger share of the need.
+func lack(s *Slot, need csjob.Room) float64 {
+	cpu := float64(need.CPU-s.Free.CPU) / float64(max(need.CPU, 1))
+	memory := float64(need.Memory-s.Free.Memory) / float64(max(need.Memory, 1))
+	return max(cpu, memory)
+}
+
+// suits tells whether a slot may take a task of the step, whatever its room.
+func suits(w *Work, s *Slot) bool {
+	switch {
+	case s.reserved:
+		return false
+	case w.Step.Label != "" && !slices.Contains(s.Labels, w.Step.Label):
+		return false
+	case w.Step.Spread > 0 && s.Spread[w.Key] >= w.Step.Spread:
+		return false
+	default:
+		return true
+	}
+}
+
 func take(s *Slot, need csjob.Room, k StepKey) {
 	s.Free = s.Free.Sub(need)
 	if s.Spread == nil {
@@ -238,10 +286,7 @@
 	var best *Slot
 	var bestNear, bestCool bool
 	for _, s := range slots {
-		if !s.Free.Fits(need) || (w.Step.Label != "" && !slices.Contains(s.Labels, w.Step.Label)) {
-			continue
-		}
-		if w.Step.Spread > 0 && s.Spread[w.Key] >= w.Step.Spread {
+		if !s.Free.Fits(need) || !suits(w, s) {
 			continue
 		}
 		isNear := near == "" || s.Rack == near
--- /dev/null
+++ b/internal/work/csplan/plan_test.go
@@ -0,0 +1,152 @@
+package csplan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cowslipstream.example/cowslipstream/csmodel"
+	"cowslipstream.example/cowslipstream/internal/work/csjob"
+)
+
+var testQueue = csjob.Queue{Key: csjob.QueueKey{Host: "q", Prefix: "/"}, Stretch: 1.6, Objective: 600 * time.Millisecond}
+
+func job(id string, at time.Time, steps ...csjob.Step) *csjob.Job {
+	j := &csjob.Job{Submission: csjob.Submission{ID: csjob.ID(id), Steps: steps}, Accepted: at, Tasks: [][][]csjob.Task{{}}, Left: [][]int{{}}}
+	for _, s := range steps {
+		j.Tasks[0] = append(j.Tasks[0], make([]csjob.Task, s.Tasks))
+		j.Left[0] = append(j.Left[0], s.Tasks)
+	}
+	return j
+}
+
+func slot(id string, cpu csmodel.MilliCPU, memory csjob.MiB, labels ...string) *Slot {
+	return &Slot{
+		Life: csjob.Life{Target: csjob.TargetID(id)}, Free: csjob.Room{CPU: cpu, Memory: memory}, Cool: true, Labels: labels,
+		Spread: map[StepKey]int{},
+	}
+}
+
+func plan(now time.Time, slots []*Slot, jobs ...*csjob.Job) []Placement {
+	work := Waiting(now, &Learned{}, testQueue, jobs)
+	Sort(work)
+	return Place(work, slots, func(csjob.TaskKey) bool { return false })
+}
+
+func step(tasks int, cpu csmodel.MilliCPU, memory csjob.MiB) csjob.Step {
+	return csjob.Step{Tasks: tasks, Room: csjob.Room{CPU: cpu, Memory: memory}, Estimate: time.Second}
+}
+
+// Pattern: a pool is full, and small tasks take each piece of room before a task that lasts and needs more fits.
+func TestTaskThatLastsIsNotStarved(t *testing.T) {
+	now := time.Now()
+	large := step(1, 2000, 20000)
+	large.Lasting = true
+	slots := []*Slot{slot("a", 1000, 15000), slot("b", 1500, 30000)}
+	placed := plan(now, slots, job("lasting", now, large), job("small", now, step(4, 500, 1000)))
+	for _, p := range placed {
+		if p.Slot.Life.Target == "b" {
+			t.Errorf("got %s on the slot that the task that lasts waits for", p.Task)
+		}
+	}
+	if got, want := len(placed), 2; got != want {
+		t.Errorf("got %d tasks placed beside, want %d", got, want)
+	}
+}
+
+// Pattern: more work is timely than fits; work that is late already must not take its room.
+func TestLateWorkGoesLast(t *testing.T) {
+	now := time.Now()
+	cases := []struct {
+		name string
+		age  time.Duration
+		want string
+	}{
+		{"both timely, the older one goes first", 500 * time.Millisecond, "old"},
+		{"the older one is late", 3 * time.Second, "new"},
+		{"the older one is hopeless", time.Minute, "new"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			old, fresh := job("old", now.Add(-c.age), step(1, 1000, 1)), job("new", now, step(1, 1000, 1))
+			placed := plan(now, []*Slot{slot("a", 1000, 100)}, old, fresh)
+			if len(placed) != 1 {
+				t.Fatalf("got %d placements, want 1", len(placed))
+			}
+			if got := string(placed[0].Task.Job); got != c.want {
+				t.Errorf("got %s, want %s", got, c.want)
+			}
+		})
+	}
+}
+
+func TestPlacement(t *testing.T) {
+	now := time.Now()
+	spread := step(4, 100, 1)
+	spread.Spread = 1
+	labelled := step(2, 100, 1)
+	labelled.Label = "b"
+	near := step(1, 100, 1)
+	near.DataRack = "r2"
+	gang := step(3, 1000, 1)
+	gang.Gang = true
+	filler := step(3, 5000, 1)
+	filler.Filler = true
+	cases := []struct {
+		name  string
+		step  csjob.Step
+		slots []*Slot
+		want  string
+	}{
+		{"tightest fit", step(1, 500, 1), []*Slot{slot("a", 4000, 100), slot("b", 1000, 100)}, "b"},
+		{"room for memory", step(1, 500, 50), []*Slot{slot("a", 4000, 100), slot("b", 1000, 10)}, "a"},
+		{"spread", spread, []*Slot{slot("a", 1000, 100), slot("b", 1000, 100)}, "a b"},
+		{"label", labelled, []*Slot{slot("a", 1000, 100, "a"), slot("b", 1000, 100, "b")}, "b b"},
+		{"near the data", near, []*Slot{slot("a", 200, 100), {Free: csjob.Room{CPU: 9000, Memory: 9}, Rack: "r2", Cool: true}}, ""},
+		{"whole gang", gang, []*Slot{slot("a", 2000, 100), slot("b", 1000, 100)}, "b a a"},
+		{"no part of a gang", gang, []*Slot{slot("a", 2000, 100)}, ""},
+		{"fillers take no CPU", filler, []*Slot{slot("a", 0, 100)}, "a a a"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			got := ""
+			for _, p := range plan(now, c.slots, job("j", now, c.step)) {
+				if got != "" {
+					got += " "
+				}
+				got += string(p.Slot.Life.Target)
+			}
+			if got != c.want {
+				t.Errorf("got %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+func TestChain(t *testing.T) {
+	first, second, third := step(1, 1, 1), step(1, 1, 1), step(1, 1, 1)
+	second.After, third.After = []int{0}, []int{0, 1}
+	j := job("j", time.Now(), first, second, third)
+	for left, want := range []time.Duration{3 * time.Second, 2 * time.Second, time.Second, 0} {
+		t.Run(fmt.Sprint(left), func(t *testing.T) {
+			if got := Chain(&Learned{}, j, 0); got != want {
+				t.Errorf("got %s, want %s", got, want)
+			}
+			if left < 3 {
+				j.Left[0][left] = 0
+			}
+		})
+	}
+}
+
+func TestLearned(t *testing.T) {
+	var l Learned
+	s := csjob.Step{Estimate: time.Second}
+	for range 200 {
+		l.Observe(testQueue.Key, s, 3*time.Second)
+	}
+	got, want := l.Duration(testQueue.Key, s), 3*time.Second
+	if got < want*9/10 || got > want*11/10 {
+		t.Errorf("got %s, want about %s", got, want)
+	}
+}
