--- a/internal/fleet/csvms/fleet.go
+++ b/internal/fleet/csvms/fleet.go
@@ -53,6 +53,7 @@
 	arriving map[csmodel.VMID]time.Time // moves that were accepted, by the time of their return
 	dead     map[csjob.Life]time.Time   // lives that an order has ended
 	held     map[csjob.Life]bool
+	due      map[csmodel.WaveID][]csjob.Life // targets whose VMs wait for their maintenance
 }
 
 // reservation is a VM that is emptied for an order.
@@ -85,6 +86,7 @@
 	f.arriving = map[csmodel.VMID]time.Time{}
 	f.dead = map[csjob.Life]time.Time{}
 	f.held = map[csjob.Life]bool{}
+	f.due = map[csmodel.WaveID][]csjob.Life{}
 }
 
 // Reset implements csrun.Fleet.
@@ -105,6 +107,19 @@
 	return out
 }
 
+// Due implements csrun.Fleet.
+func (f *Fleet) Due() csmodel.Set[csjob.Life] {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := csmodel.NewSet[csjob.Life]()
+	for _, lives := range f.due {
+		for _, l := range lives {
+			out.Add(l)
+		}
+	}
+	return out
+}
+
 // Dead implements csrun.Fleet.
 func (f *Fleet) Dead(l csjob.Life) bool {
 	f.mu.Lock()
@@ -352,6 +367,7 @@
 		return
 	}
 	for _, w := range r.Table.Waves() {
+		delete(f.due, w.Wave.ID)
 		if !w.Completed() {
 			f.wave(r, w)
 		}
@@ -382,6 +398,7 @@
 		f.propose(csjob.Command{VMs: removed})
 	}
 	slices.SortStableFunc(waiting, func(a, b csmodel.VMID) int { return f.burden(r, a) - f.burden(r, b) })
+	f.due[w.Wave.ID] = f.livesOf(r.Table, waiting)
 	for _, id := range waiting {
 		if down >= f.pace(r.Now, w) {
 			return
@@ -416,8 +433,18 @@
 	return min(w.Wave.AtOnce, int(need)+1)
 }
 
-// burden ranks VMs by what their maintenance costs: VMs that are off first, then idle ones, then those without tasks that
-// last.
+func (f *Fleet) livesOf(t *csjob.Table, vms []csmodel.VMID) []csjob.Life {
+	var out []csjob.Life
+	for _, id := range vms {
+		if o, ok := f.life(t, f.vms[id]); ok {
+			out = append(out, o.Life)
+		}
+	}
+	return out
+}
+
+// burden ranks VMs for a wave. Those with tasks that last go first, because the tasks leave one at a time; then VMs that
+// are off, then those with the least work.
 func (f *Fleet) burden(r csrun.Round, id csmodel.VMID) int {
 	t, ok := f.life(r.Table, f.vms[id])
 	if !ok {
@@ -427,7 +454,7 @@
 	for _, k := range r.Table.TasksOn(t.Life) {
 		n++
 		if j := r.Table.Job(k.Job); j != nil && j.Tasks != nil && j.Submission.Steps[k.Step].Lasting {
-			n += 100
+			n -= 100
 		}
 	}
 	return n
--- a/internal/work/csplan/plan.go
+++ b/internal/work/csplan/plan.go
@@ -22,6 +22,8 @@
 	Labels []string
 	// Cool is false where the target should take a task only if no other one can.
 	Cool bool
+	// Due tells that the target will be taken away soon.
+	Due      bool
 	reserved bool // kept free for a more urgent task that does not fit yet
 	// Spread counts the open runs of each step, by occurrence.
 	Spread map[StepKey]int
@@ -297,6 +299,8 @@
 			better = s.Cool
 		case isNear != bestNear:
 			better = isNear
+		case w.Step.Lasting && s.Due != best.Due:
+			better = best.Due
 		default:
 			better = s.Free.CPU < best.Free.CPU
 		}
--- a/internal/work/csrun/leader.go
+++ b/internal/work/csrun/leader.go
@@ -52,6 +52,8 @@
 	// Held returns the lives that must not get new tasks, because their VM is about to be taken away. Runs that last
 	// are moved off the lives with true.
 	Held() map[csjob.Life]bool
+	// Due returns the lives whose VMs will be taken away soon. Tasks that last should run elsewhere.
+	Due() csmodel.Set[csjob.Life]
 	// Dead tells whether a VM order has ended a life.
 	Dead(csjob.Life) bool
 	// Reset is called when this node stops leading.
--- a/internal/work/csrun/leader_test.go
+++ b/internal/work/csrun/leader_test.go
@@ -93,6 +93,8 @@
 
 func (f *fleet) Reset() {}
 
+func (f *fleet) Due() csmodel.Set[csjob.Life] { return nil }
+
 func (f *fleet) Dead(csjob.Life) bool { return false }
 
 func (f *fleet) Held() map[csjob.Life]bool {
--- a/internal/work/csrun/looks.go
+++ b/internal/work/csrun/looks.go
@@ -53,6 +53,9 @@
 		w.granted = max(w.granted, o.Until)
 		if !w.fresh {
 			o.Wait = r.o.Timing.LookWait
+			if w.unsettled() {
+				o.Wait = min(o.Wait, settleWait)
+			}
 		}
 	}
 	w.looking = true
@@ -68,6 +71,19 @@
 	}()
 }
 
+// settleWait is the wait of a look while a task that lasts has started and is not at work yet: others of its step may
+// wait for it.
+const settleWait = 250 * time.Millisecond
+
+func (t *target) unsettled() bool {
+	for _, u := range t.runs {
+		if u.lasting && u.started && !u.stop && !u.settled {
+			return true
+		}
+	}
+	return false
+}
+
 // target returns the state of a life, or nil where it is over.
 func (r *runner) target(l csjob.Life) *target {
 	if !r.active {
--- a/internal/work/csrun/schedule.go
+++ b/internal/work/csrun/schedule.go
@@ -58,9 +58,9 @@
 
 // slots returns the room of the usable targets by pool.
 func (r *runner) slots(now time.Time, t *csjob.Table) map[csmodel.PoolID][]*csplan.Slot {
-	held := map[csjob.Life]bool{}
+	held, due := map[csjob.Life]bool{}, csmodel.Set[csjob.Life]{}
 	if r.o.Fleet != nil {
-		held = r.o.Fleet.Held()
+		held, due = r.o.Fleet.Held(), r.o.Fleet.Due()
 	}
 	out := map[csmodel.PoolID][]*csplan.Slot{}
 	for _, id := range csmodel.SortedKeys(r.targets) {
@@ -70,7 +70,7 @@
 		}
 		s := &csplan.Slot{
 			Life: w.life, Zone: w.record.Zone, Free: w.record.Room, Labels: w.record.Labels, Rack: w.record.Rack,
-			Cool: w.failures == 0 && !w.grades.suspect(), Spread: map[csplan.StepKey]int{},
+			Cool: w.failures == 0 && !w.grades.suspect(), Spread: map[csplan.StepKey]int{}, Due: due.Has(w.life),
 		}
 		for key := range w.runs {
 			j := t.Job(key.task.Job)
