--- a/internal/fleet/csvms/fleet.go
+++ b/internal/fleet/csvms/fleet.go
@@ -53,6 +53,8 @@
 	arriving map[csmodel.VMID]time.Time // moves that were accepted, by the time of their return
 	dead     map[csjob.Life]time.Time   // lives that an order has ended
 	held     map[csjob.Life]bool
+	idle     map[csmodel.VMID]time.Time // since when VMs have been idle
+	forecast Forecast
 	due      map[csmodel.WaveID][]csjob.Life // targets whose VMs wait for their maintenance
 }
 
@@ -86,6 +88,7 @@
 	f.arriving = map[csmodel.VMID]time.Time{}
 	f.dead = map[csjob.Life]time.Time{}
 	f.held = map[csjob.Life]bool{}
+	f.idle = map[csmodel.VMID]time.Time{}
 	f.due = map[csmodel.WaveID][]csjob.Life{}
 }
 
@@ -469,12 +472,17 @@
 	var pools []*PoolView
 	byID := map[csmodel.PoolID]*PoolView{}
 	for _, p := range config.Pools {
-		v := &PoolView{ID: p.ID, Standby: p.Standby, Need: r.Demand[p.ID].Need(), Floor: floorVMs}
+		d := r.Demand[p.ID]
+		f.forecast.Observe(r.Now, p.ID, d.Offered)
+		d.Offered = max(d.Offered, f.forecast.Expected(r.Now, p.ID, f.o.MoveTime))
+		v := &PoolView{ID: p.ID, Standby: p.Standby, Need: d.Need(), Floor: floorVMs, Keep: !f.forecast.Seen(p.ID)}
 		byID[p.ID] = v
 		pools = append(pools, v)
 	}
 	candidates := f.candidates(r, byID)
-	for _, t := range Balance(pools, candidates) {
+	transfers := Balance(pools, candidates)
+	transfers = append(transfers, Park(r.Now, pools, candidates, transfers)...)
+	for _, t := range transfers {
 		f.reserve(r, t.VM, csjob.VMOrder{VM: t.VM, Pool: t.To})
 	}
 }
@@ -513,8 +521,21 @@
 		p.Supply += v.Room.CPU
 		p.VMs++
 		if v.Phase == Up {
-			out = append(out, Candidate{ID: id, Pool: pool, CPU: v.Room.CPU, Idle: !r.Busy(t.Life)})
+			out = append(out, f.candidate(r, id, v, t.Life))
 		}
 	}
 	return out
 }
+
+func (f *Fleet) candidate(r csrun.Round, id csmodel.VMID, v VM, l csjob.Life) Candidate {
+	c := Candidate{ID: id, Pool: v.Pool, CPU: v.Room.CPU, Idle: !r.Busy(l)}
+	if !c.Idle {
+		delete(f.idle, id)
+		return c
+	}
+	if _, known := f.idle[id]; !known {
+		f.idle[id] = r.Now
+	}
+	c.Since = f.idle[id]
+	return c
+}
--- a/internal/fleet/csvms/policy.go
+++ b/internal/fleet/csvms/policy.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"cowslipstream.example/cowslipstream/csmodel"
 )
@@ -13,16 +14,18 @@
 	headroom = 1.25
 	// floorVMs is the number of VMs that a pool keeps for the first moments of its next busy phase.
 	floorVMs = 3
+	// parkAfter is how long a VM has been idle and not needed before it is switched off. The two moves, off and on again,
+	// cost about as much as three seconds of an idle VM.
+	parkAfter = 1500 * time.Millisecond
 )
 
 // Candidate is a VM that may be taken.
 type Candidate struct {
-	ID      csmodel.VMID
-	Pool    csmodel.PoolID
-	CPU     csmodel.MilliCPU
-	Idle    bool // nothing runs there
-	Lasting bool // a task that lasts runs there
-	Running csmodel.MilliCPU
+	ID    csmodel.VMID
+	Pool  csmodel.PoolID
+	CPU   csmodel.MilliCPU
+	Idle  bool      // nothing runs there
+	Since time.Time // since when it has been idle
 }
 
 // PoolView is what the policy knows of a pool.
@@ -33,6 +36,7 @@
 	Supply  csmodel.MilliCPU // of VMs that are up or on their way
 	VMs     int              // that are up or on their way
 	Floor   int              // least number of VMs
+	Keep    bool             // its idle VMs are not switched off
 }
 
 // Transfer takes a VM to a pool.
@@ -74,6 +78,37 @@
 	}
 }
 
+// Park returns the transfers to a standby pool of VMs that have been idle for a while and that no pool needs. It is called
+// after Balance.
+func Park(now time.Time, pools []*PoolView, candidates []Candidate, moved []Transfer) []Transfer {
+	byID := map[csmodel.PoolID]*PoolView{}
+	var standby *PoolView
+	for _, p := range pools {
+		byID[p.ID] = p
+		if p.Standby && standby == nil {
+			standby = p
+		}
+	}
+	if standby == nil {
+		return nil
+	}
+	taken := csmodel.NewSet[csmodel.VMID]()
+	for _, t := range moved {
+		taken.Add(t.VM)
+	}
+	var out []Transfer
+	for _, c := range candidates {
+		p := byID[c.Pool]
+		if p == nil || p.Standby || p.Keep || !c.Idle || taken.Has(c.ID) || now.Sub(c.Since) < parkAfter || !spares(p, c.CPU) {
+			continue
+		}
+		p.Supply -= c.CPU
+		p.VMs--
+		out = append(out, Transfer{VM: c.ID, To: standby.ID})
+	}
+	return out
+}
+
 // neediest returns the pool with the largest deficit that is worth a VM, or nil.
 func neediest(pools []*PoolView) *PoolView {
 	var best *PoolView
--- /dev/null
+++ b/internal/fleet/csvms/policy_test.go
@@ -0,0 +1,136 @@
+package csvms
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cowslipstream.example/cowslipstream/csmodel"
+)
+
+const vmCPU = csmodel.MilliCPU(16000)
+
+func idleVMs(pool csmodel.PoolID, n int, since time.Time) []Candidate {
+	var out []Candidate
+	for i := range n {
+		out = append(out, Candidate{ID: csmodel.VMID(fmt.Sprintf("%s-%02d", pool, i)), Pool: pool, CPU: vmCPU, Idle: true, Since: since})
+	}
+	return out
+}
+
+func view(id csmodel.PoolID, vms int, need csmodel.MilliCPU) *PoolView {
+	return &PoolView{ID: id, VMs: vms, Supply: csmodel.MilliCPU(vms) * vmCPU, Need: need, Floor: floorVMs}
+}
+
+// Pattern: one pool is asked for five times its mean while the others are nearly idle.
+func TestBalanceFollowsTheBusyPool(t *testing.T) {
+	now := time.Now()
+	cases := []struct {
+		name  string
+		need  csmodel.MilliCPU
+		quiet int // VMs of the quiet pool
+		spare int // VMs of the standby pool
+		want  int // moves to the busy pool
+	}{
+		{"enough room", 8 * vmCPU, 10, 8, 0},
+		{"standby VMs go first", 12 * vmCPU, 10, 8, 5},
+		{"then idle VMs down to the floor", 40 * vmCPU, 10, 8, 15},
+		{"no donor", 40 * vmCPU, 3, 0, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			busy, quiet, spare := view("busy", 10, c.need), view("quiet", c.quiet, 0), view("spare", c.spare, 0)
+			spare.Standby = true
+			candidates := append(idleVMs("quiet", c.quiet, now), idleVMs("spare", c.spare, now)...)
+			moves := Balance([]*PoolView{busy, quiet, spare}, candidates)
+			if got := len(moves); got != c.want {
+				t.Fatalf("got %d moves, want %d", got, c.want)
+			}
+			for _, m := range moves {
+				if m.To != "busy" {
+					t.Errorf("got a move of %s to %s, want busy", m.VM, m.To)
+				}
+			}
+		})
+	}
+}
+
+// Pattern: a busy phase is over and its VMs stay idle.
+func TestParkSwitchesIdleVMsOff(t *testing.T) {
+	now := time.Now()
+	cases := []struct {
+		name string
+		idle time.Duration
+		keep bool
+		need csmodel.MilliCPU
+		want int
+	}{
+		{"idle for long", 2 * parkAfter, false, 0, 7},
+		{"idle for a moment", parkAfter / 2, false, 0, 0},
+		{"work is expected", 2 * parkAfter, false, 8 * vmCPU, 0},
+		{"phases not known yet", 2 * parkAfter, true, 0, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			pool, spare := view("pool", 10, c.need), view("spare", 0, 0)
+			spare.Standby, pool.Keep = true, c.keep
+			got := len(Park(now, []*PoolView{pool, spare}, idleVMs("pool", 10, now.Add(-c.idle)), nil))
+			if got != c.want {
+				t.Errorf("got %d VMs switched off, want %d", got, c.want)
+			}
+		})
+	}
+}
+
+// Pattern: queues are busy by turns. From the second cycle on each pool is expected shortly before its turn, and at no
+// other time.
+func TestForecastLearnsTurns(t *testing.T) {
+	cases := []struct {
+		name   string
+		pools  int
+		length time.Duration
+		cycles int
+	}{
+		{"four pools", 4, 4500 * time.Millisecond, 4},
+		{"two pools", 2, 6 * time.Second, 4},
+		{"long turns", 5, 20 * time.Second, 3},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var f Forecast
+			start := time.Unix(1_800_000_000, 0)
+			cycle := time.Duration(c.pools) * c.length
+			const tick, ahead = 100 * time.Millisecond, 1500 * time.Millisecond
+			early, wrong, seen := 0, 0, 0
+			for at := time.Duration(0); at < time.Duration(c.cycles)*cycle; at += tick {
+				turn := int(at/c.length) % c.pools
+				for p := range c.pools {
+					id := csmodel.PoolID(fmt.Sprint(p))
+					work := csmodel.MilliCPU(5000)
+					if p == turn {
+						work = 100_000
+					}
+					f.Observe(start.Add(at), id, work)
+					untilTurn := (time.Duration((p-turn+c.pools)%c.pools)*c.length - at%c.length + cycle) % cycle
+					expected := f.Expected(start.Add(at), id, ahead) > 0
+					switch {
+					case at < 2*cycle || p == turn:
+					case expected && untilTurn > ahead+prepareFor+tick:
+						wrong++
+					case untilTurn <= ahead && untilTurn > tick:
+						seen++
+						if expected {
+							early++
+						}
+					}
+				}
+			}
+			if wrong > 0 {
+				t.Errorf("got %d expectations at the wrong time, want 0", wrong)
+			}
+			if early < seen*9/10 {
+				t.Errorf("got %d of %d moments before a turn expected, want nine tenths", early, seen)
+			}
+		})
+	}
+}
