--- a/internal/fleet/csvms/fleet.go
+++ b/internal/fleet/csvms/fleet.go
@@ -55,6 +55,7 @@
 	held     map[csjob.Life]bool
 	idle     map[csmodel.VMID]time.Time // since when VMs have been idle
 	forecast Forecast
+	initial  map[csmodel.PoolID]int // VMs when the pool was first seen
 	due      map[csmodel.WaveID][]csjob.Life // targets whose VMs wait for their maintenance
 }
 
@@ -89,6 +90,7 @@
 	f.dead = map[csjob.Life]time.Time{}
 	f.held = map[csjob.Life]bool{}
 	f.idle = map[csmodel.VMID]time.Time{}
+	f.initial = map[csmodel.PoolID]int{}
 	f.due = map[csmodel.WaveID][]csjob.Life{}
 }
 
@@ -475,7 +477,7 @@
 		d := r.Demand[p.ID]
 		f.forecast.Observe(r.Now, p.ID, d.Offered)
 		d.Offered = max(d.Offered, f.forecast.Expected(r.Now, p.ID, f.o.MoveTime))
-		v := &PoolView{ID: p.ID, Standby: p.Standby, Need: d.Need(), Floor: floorVMs, Keep: !f.forecast.Seen(p.ID)}
+		v := &PoolView{ID: p.ID, Standby: p.Standby, Need: d.Need(), Floor: f.floor(p.ID), Keep: !f.forecast.Seen(p.ID)}
 		byID[p.ID] = v
 		pools = append(pools, v)
 	}
@@ -487,6 +489,22 @@
 	}
 }
 
+// floor returns the least number of VMs of a pool. A pool whose first busy phase is still to come keeps most of what it
+// has, because nothing tells when the phase begins.
+func (f *Fleet) floor(pool csmodel.PoolID) int {
+	if f.forecast.Seen(pool) {
+		return floorVMs
+	}
+	if _, known := f.initial[pool]; !known {
+		for _, v := range f.vms {
+			if v.Pool == pool {
+				f.initial[pool]++
+			}
+		}
+	}
+	return max(floorVMs, int(unseenShare*float64(f.initial[pool])))
+}
+
 // candidates counts the supply of each pool and returns the VMs that may be taken.
 func (f *Fleet) candidates(r csrun.Round, pools map[csmodel.PoolID]*PoolView) []Candidate {
 	var out []Candidate
--- a/internal/work/csrun/leader.go
+++ b/internal/work/csrun/leader.go
@@ -82,9 +82,13 @@
 	Offered csmodel.MilliCPU // work that arrived lately, as the cores that it keeps busy
 }
 
+// backlogShare is the part of the waiting work for which capacity is wanted at once. The rest starts as runs end: the
+// objective leaves a task about as long to wait as it takes.
+const backlogShare = 0.5
+
 // Need returns the capacity that the pool could use now.
 func (d PoolDemand) Need() csmodel.MilliCPU {
-	return d.Lasting + max(d.Running+d.Waiting, d.Offered)
+	return d.Lasting + max(d.Running+csmodel.MilliCPU(backlogShare*float64(d.Waiting)), d.Offered)
 }
 
 // Timing holds the durations that a leader works with.
