--- a/internal/fleet/csvms/fleet.go
+++ b/internal/fleet/csvms/fleet.go
@@ -19,6 +19,7 @@
 	decideEvery = 100 * time.Millisecond
 	// listEvery bounds the listings of VMs, which are charged.
 	listEvery   = time.Second
+	logEvery    = time.Second
 	callTimeout = 2 * time.Second // the platform may answer slowly
 	retryPause  = 300 * time.Millisecond
 	// holdLimit is how long a VM may stay reserved without becoming idle.
@@ -48,6 +49,7 @@
 	listedAt time.Time
 	listing  bool
 	decided  time.Time
+	loggedAt time.Time
 	reserved map[csmodel.VMID]*reservation
 	calls    map[csmodel.VMID]*orderCall
 	arriving map[csmodel.VMID]time.Time // moves that were accepted, by the time of their return
@@ -55,7 +57,7 @@
 	held     map[csjob.Life]bool
 	idle     map[csmodel.VMID]time.Time // since when VMs have been idle
 	forecast Forecast
-	initial  map[csmodel.PoolID]int // VMs when the pool was first seen
+	learned  bool                            // the forecast has taken in what the table knows
 	due      map[csmodel.WaveID][]csjob.Life // targets whose VMs wait for their maintenance
 }
 
@@ -73,6 +75,12 @@
 	accepted time.Time // the platform has carried it out; zero before
 }
 
+// allotment is a number of VMs and their CPU.
+type allotment struct {
+	VMs int
+	CPU csmodel.MilliCPU
+}
+
 // New returns a fleet.
 func New(o Options) *Fleet {
 	f := &Fleet{o: o, log: o.Log}
@@ -90,7 +98,7 @@
 	f.dead = map[csjob.Life]time.Time{}
 	f.held = map[csjob.Life]bool{}
 	f.idle = map[csmodel.VMID]time.Time{}
-	f.initial = map[csmodel.PoolID]int{}
+	f.learned = false
 	f.due = map[csmodel.WaveID][]csjob.Life{}
 }
 
@@ -471,38 +479,69 @@
 	if config == nil {
 		return
 	}
+	given := f.given(config)
+	if !f.learned {
+		f.learned = true
+		f.forecast = Forecast{}
+		f.forecast.Replay(r.Now, r.Arrivals(), func(csmodel.PoolID) csmodel.MilliCPU { return given.CPU })
+	}
 	var pools []*PoolView
 	byID := map[csmodel.PoolID]*PoolView{}
 	for _, p := range config.Pools {
 		d := r.Demand[p.ID]
-		f.forecast.Observe(r.Now, p.ID, d.Offered)
+		f.forecast.Observe(r.Now, p.ID, d.Offered, given.CPU)
 		d.Offered = max(d.Offered, f.forecast.Expected(r.Now, p.ID, f.o.MoveTime))
-		v := &PoolView{ID: p.ID, Standby: p.Standby, Need: d.Need(), Floor: f.floor(p.ID), Keep: !f.forecast.Seen(p.ID)}
+		v := &PoolView{ID: p.ID, Standby: p.Standby, Need: d.Need(), Floor: f.floor(p.ID, given), Keep: !f.forecast.Seen(p.ID)}
 		byID[p.ID] = v
 		pools = append(pools, v)
 	}
 	candidates := f.candidates(r, byID)
 	transfers := Balance(pools, candidates)
 	transfers = append(transfers, Park(r.Now, pools, candidates, transfers)...)
+	f.logCapacity(r, pools, len(transfers))
 	for _, t := range transfers {
 		f.reserve(r, t.VM, csjob.VMOrder{VM: t.VM, Pool: t.To})
 	}
 }
 
+// logCapacity writes what the last decisions were based on.
+func (f *Fleet) logCapacity(r csrun.Round, pools []*PoolView, transfers int) {
+	if r.Now.Sub(f.loggedAt) < logEvery && transfers == 0 {
+		return
+	}
+	f.loggedAt = r.Now
+	for _, p := range pools {
+		d := r.Demand[p.ID]
+		f.log.Info("capacity", zap.String("pool", string(p.ID)), zap.Int("vms", p.VMs), zap.Int64("supply", int64(p.Supply)),
+			zap.Int64("need", int64(p.Need)), zap.Int64("offered", int64(d.Offered)), zap.Int64("waiting", int64(d.Waiting)),
+			zap.Int64("late", int64(d.Behind)), zap.Int64("running", int64(d.Running)), zap.Int64("lasting", int64(d.Lasting)),
+			zap.Duration("list_age", r.Now.Sub(f.listedAt)))
+	}
+}
+
 // floor returns the least number of VMs of a pool. A pool whose first busy phase is still to come keeps most of what it
 // has, because nothing tells when the phase begins.
-func (f *Fleet) floor(pool csmodel.PoolID) int {
+func (f *Fleet) floor(pool csmodel.PoolID, given allotment) int {
 	if f.forecast.Seen(pool) {
 		return floorVMs
 	}
-	if _, known := f.initial[pool]; !known {
-		for _, v := range f.vms {
-			if v.Pool == pool {
-				f.initial[pool]++
-			}
+	return max(floorVMs, int(unseenShare*float64(given.VMs)))
+}
+
+// given returns an even share of the VMs. What a pool holds at the moment depends on whose busy phase it is.
+func (f *Fleet) given(config *csjob.Config) allotment {
+	var a allotment
+	pools := 0
+	for _, p := range config.Pools {
+		if !p.Standby {
+			pools++
 		}
 	}
-	return max(floorVMs, int(unseenShare*float64(f.initial[pool])))
+	for _, v := range f.vms {
+		a.VMs++
+		a.CPU += v.Room.CPU
+	}
+	return allotment{VMs: a.VMs / max(1, pools), CPU: a.CPU / csmodel.MilliCPU(max(1, pools))}
 }
 
 // candidates counts the supply of each pool and returns the VMs that may be taken.
--- a/internal/fleet/csvms/policy_test.go
+++ b/internal/fleet/csvms/policy_test.go
@@ -110,7 +110,7 @@
 					if p == turn {
 						work = 100_000
 					}
-					f.Observe(start.Add(at), id, work)
+					f.Observe(start.Add(at), id, work, 60_000)
 					untilTurn := (time.Duration((p-turn+c.pools)%c.pools)*c.length - at%c.length + cycle) % cycle
 					expected := f.Expected(start.Add(at), id, ahead) > 0
 					switch {
--- a/internal/work/csjob/read.go
+++ b/internal/work/csjob/read.go
@@ -1,6 +1,7 @@
 package csjob
 
 import (
+	"cmp"
 	"slices"
 
 	"cowslipstream.example/cowslipstream/csmodel"
@@ -37,6 +38,16 @@
 // Active returns the jobs that are not final or have open runs, in order of acceptance. The caller must not change it.
 func (t *Table) Active() []*Job { return t.active }
 
+// Accepted returns all jobs, also ended ones, in order of acceptance.
+func (t *Table) Accepted() []*Job {
+	out := make([]*Job, 0, len(t.state.Jobs))
+	for _, j := range t.state.Jobs {
+		out = append(out, j)
+	}
+	slices.SortFunc(out, func(a, b *Job) int { return cmp.Compare(a.Order, b.Order) })
+	return out
+}
+
 // Pending returns the number of jobs of a queue that have not started.
 func (t *Table) Pending(k QueueKey) int {
 	n := 0
--- a/internal/work/csrun/leader.go
+++ b/internal/work/csrun/leader.go
@@ -66,8 +66,10 @@
 	Table  *csjob.Table
 	Fence  csmodel.Fence
 	Demand Demand
-	Busy   func(csjob.Life) bool // something runs there or is on its way
-	Usable func(csjob.Life) bool // the target answers
+	// Arrivals returns the jobs that the table still knows, for what is learned from them.
+	Arrivals func() []Arrival
+	Busy     func(csjob.Life) bool // something runs there or is on its way
+	Usable   func(csjob.Life) bool // the target answers
 }
 
 // Demand is the work that waits and runs, by pool.
--- a/internal/work/csrun/offered.go
+++ b/internal/work/csrun/offered.go
@@ -8,21 +8,31 @@
 	"cowslipstream.example/cowslipstream/internal/work/csplan"
 )
 
-// offeredWindow is the time over which arriving work is averaged: short against the phases of demand, which last some
+// OfferedWindow is the time over which arriving work is averaged: short against the phases of demand, which last some
 // seconds, and long enough for some tens of jobs.
-const offeredWindow = time.Second
+const OfferedWindow = time.Second
 
 // offered measures the work that arrives at each pool.
 type offered struct {
 	last     csmodel.Index
-	arrivals []arrival
+	arrivals []Arrival
 	rates    map[csmodel.PoolID]csmodel.MilliCPU
 }
 
-type arrival struct {
-	at   time.Time
-	pool csmodel.PoolID
-	work csmodel.MilliCPU // thousandths of a core times seconds
+// Arrival is a job that was accepted.
+type Arrival struct {
+	At   time.Time
+	Pool csmodel.PoolID
+	Work csmodel.MilliCPU // thousandths of a core times seconds
+}
+
+// arrivals returns the jobs that the table still knows, in order of acceptance.
+func arrivals(t *csjob.Table, e csplan.Estimator) []Arrival {
+	var out []Arrival
+	for _, j := range t.Accepted() {
+		out = append(out, Arrival{At: j.Accepted, Pool: t.QueueOf(j).Pool, Work: workOf(j, e)})
+	}
+	return out
 }
 
 // observe takes in the jobs that were accepted since the last call.
@@ -34,14 +44,14 @@
 	}
 	for _, j := range jobs[first:] {
 		o.last = j.Order
-		o.arrivals = append(o.arrivals, arrival{at: j.Accepted, pool: t.QueueOf(j).Pool, work: workOf(j, e)})
+		o.arrivals = append(o.arrivals, Arrival{At: j.Accepted, Pool: t.QueueOf(j).Pool, Work: workOf(j, e)})
 	}
 	kept := o.arrivals[:0]
 	o.rates = map[csmodel.PoolID]csmodel.MilliCPU{}
 	for _, a := range o.arrivals {
-		if now.Sub(a.at) < offeredWindow {
+		if now.Sub(a.At) < OfferedWindow {
 			kept = append(kept, a)
-			o.rates[a.pool] += csmodel.MilliCPU(float64(a.work) / offeredWindow.Seconds())
+			o.rates[a.Pool] += csmodel.MilliCPU(float64(a.Work) / OfferedWindow.Seconds())
 		}
 	}
 	o.arrivals = kept
--- a/internal/work/csrun/runner.go
+++ b/internal/work/csrun/runner.go
@@ -158,7 +158,8 @@
 		if r.o.Fleet != nil {
 			r.o.Fleet.Round(Round{
 				Now: now, Table: t, Fence: csmodel.Fence(r.term), Demand: r.leader.outlook.Load().demand,
-				Busy: func(l csjob.Life) bool { return r.occupied(t, l) },
+				Arrivals: func() []Arrival { return arrivals(t, &r.learned) },
+				Busy:     func(l csjob.Life) bool { return r.occupied(t, l) },
 				Usable: func(l csjob.Life) bool {
 					w := r.target(l)
 					return w != nil && w.usable(now, r.o.Timing.Beat)
