--- a/internal/fleet/csvms/policy.go
+++ b/internal/fleet/csvms/policy.go
@@ -15,10 +15,10 @@
 	// floorVMs is the number of VMs that a pool keeps for the first moments of its next busy phase.
 	floorVMs = 3
 	// unseenShare is the part of its VMs that a pool keeps until its first busy phase is over.
-	unseenShare = 0.6
+	unseenShare = 0.0
 	// parkAfter is how long a VM has been idle and not needed before it is switched off. The two moves, off and on again,
 	// cost about as much as three seconds of an idle VM.
-	parkAfter = 1500 * time.Millisecond
+	parkAfter = 20 * time.Second
 )
 
 // Candidate is a VM that may be taken.
--- a/internal/work/csrun/beats.go
+++ b/internal/work/csrun/beats.go
@@ -183,7 +183,7 @@
 			w.heardAt = r.since
 		}
 		silent := now.Sub(w.heardAt)
-		if silent < silentBeats*r.o.Timing.Beat || !w.lapsed(now) || w.stopping {
+		if silent < silentAfter(r.o.Timing.Beat) || !w.lapsed(now) || w.stopping {
 			continue
 		}
 		w.fencing, w.stopping = true, true // until the table has dropped it
--- a/internal/work/csrun/leader_test.go
+++ b/internal/work/csrun/leader_test.go
@@ -128,6 +128,9 @@
 		i.world.mu.Lock()
 		var beats []csrun.Beat
 		for address, k := range i.world.workers {
+			if k.dark {
+				continue
+			}
 			beats = append(beats, csrun.Beat{
 				Sequence: n, Clock: k.clock(),
 				Target: csjob.Target{Life: k.life, Pool: testPool, Address: address, Room: k.room},
@@ -333,3 +336,32 @@
 	i.fleet.hold()
 	i.checkRules()
 }
+
+// Pattern: targets go silent with all that they run. Their tasks run elsewhere once the lease is over, however often the
+// leader tries to reach them in the meantime.
+func TestSilentTargetsAreGivenUp(t *testing.T) {
+	t.Parallel()
+	i := install(t, 12, 4, faults{})
+	time.Sleep(3 * testBeat)
+	lasting := csjob.Step{Tasks: 8, Room: csjob.Room{CPU: 1000, Memory: 100}, Lasting: true, Spread: 2}
+	i.submit("00000000000000aa", lasting)
+	time.Sleep(300 * time.Millisecond)
+	i.world.mu.Lock()
+	for _, id := range []csjob.TargetID{"1", "2"} {
+		i.world.workers[addressOf(id)].dark = true
+	}
+	i.world.mu.Unlock()
+	time.Sleep(2 * time.Second)
+	i.world.mu.Lock()
+	got := len(i.world.workers[addressOf("3")].running) + len(i.world.workers[addressOf("4")].running)
+	i.world.mu.Unlock()
+	if want := 4; got != want {
+		t.Errorf("got %d tasks on the two targets that are left, want %d", got, want)
+	}
+	open := 0
+	i.state.View(func(t *csjob.Table) { open = t.Job("00000000000000aa").Open })
+	if want := 4; open != want {
+		t.Errorf("got %d open runs, want %d: those on silent targets are over", open, want)
+	}
+	i.checkRules()
+}
--- a/internal/work/csrun/looks.go
+++ b/internal/work/csrun/looks.go
@@ -13,6 +13,9 @@
 const (
 	// lookRetry is the pause after a look that was not answered.
 	lookRetry = 250 * time.Millisecond
+	// silentFailures is the number of unanswered calls in a row after which looks no longer extend the lease: an extension
+	// that may or may not have arrived would keep the runs open for ever.
+	silentFailures = 2
 	// missingLooks is the number of looks without a started run after which it is stopped.
 	missingLooks = 2
 )
@@ -48,7 +51,7 @@
 		// that nobody has seen.
 		o.Noted = w.noted
 	}
-	if len(w.runs) > 0 {
+	if len(w.runs) > 0 && w.failures < silentFailures {
 		o.Until = w.until(now, r.o.Timing.Lease)
 		w.granted = max(w.granted, o.Until)
 		if !w.fresh {
--- a/internal/work/csrun/target.go
+++ b/internal/work/csrun/target.go
@@ -13,7 +13,7 @@
 	// lapseSlack is added to the end of a lease before its runs count as over.
 	lapseSlack = 500 * time.Millisecond
 	// silentBeats is the number of heartbeat intervals after which a target gets no new tasks.
-	silentBeats = 3
+	silentBeats = 2.5
 	// restAfterRefusal keeps new tasks off a target that refused one.
 	restAfterRefusal = 500 * time.Millisecond
 	// restUnhealthy keeps new tasks off a target that called itself unhealthy.
@@ -105,6 +105,9 @@
 
 // usable tells whether the target may get new tasks.
 func (t *target) usable(now time.Time, beat time.Duration) bool {
-	return !t.record.Leaving && !t.clockAt.IsZero() && t.failures < 2 && !t.fencing && !t.fresh &&
-		now.Sub(t.heardAt) < silentBeats*beat && now.After(t.restTill)
+	return !t.record.Leaving && !t.clockAt.IsZero() && t.failures < silentFailures && !t.fencing && !t.fresh &&
+		now.Sub(t.heardAt) < silentAfter(beat) && now.After(t.restTill)
 }
+
+// silentAfter returns the time without a sign after which a target counts as silent.
+func silentAfter(beat time.Duration) time.Duration { return time.Duration(silentBeats * float64(beat)) }
--- a/internal/work/csrun/world_test.go
+++ b/internal/work/csrun/world_test.go
@@ -82,6 +82,7 @@
 	until   time.Duration
 	wake    chan struct{}
 	dead    bool // fails whatever it starts
+	dark    bool // neither answers nor announces itself
 	reset   int  // looks that find their connection closed by the restart
 }
 
@@ -116,6 +117,9 @@
 	defer w.mu.Unlock()
 	dice := w.random.Float64()
 	receiver := w.workers[t.Address]
+	if receiver != nil && receiver.dark {
+		return csrun.Reply{}, csrun.ErrNoAnswer
+	}
 	switch {
 	case dice < w.faults.late:
 		delay := time.Duration(w.random.IntN(400)) * time.Millisecond
@@ -315,7 +319,7 @@
 	w.mu.Lock()
 	k := w.at(t)
 	lost := w.random.Float64() < w.faults.lost
-	if k != nil && k.reset > 0 {
+	if k != nil && (k.reset > 0 || k.dark) {
 		k.reset--
 		w.mu.Unlock()
 		return csrun.Look{}, csrun.ErrNoAnswer
