--- a/internal/fleet/csvms/fleet.go
+++ b/internal/fleet/csvms/fleet.go
@@ -492,8 +492,8 @@
 	for _, p := range config.Pools {
 		d := r.Demand[p.ID]
 		f.forecast.Observe(r.Now, p.ID, d.Offered, given.CPU)
-		d.Offered = max(d.Offered, f.forecast.Expected(r.Now, p.ID, f.o.MoveTime))
-		v := &PoolView{ID: p.ID, Standby: p.Standby, Need: d.Need(), Floor: f.floor(p.ID, given), Keep: !f.forecast.Seen(p.ID)}
+		d.Offered = max(d.Offered, f.forecast.Begun(r.Now, p.ID))
+		v := &PoolView{ID: p.ID, Standby: p.Standby, Need: d.Need(), Expected: d.Lasting + f.forecast.Expected(r.Now, p.ID, f.o.MoveTime), Floor: f.floor(p.ID, given), Keep: !f.forecast.Seen(p.ID)}
 		byID[p.ID] = v
 		pools = append(pools, v)
 	}
--- a/internal/fleet/csvms/forecast.go
+++ b/internal/fleet/csvms/forecast.go
@@ -158,17 +158,22 @@
 	return all[len(all)/2], true
 }
 
-// Expected returns the work that a pool should be ready for at the end of the given time, beyond what arrives now.
+// Begun returns the work that a busy phase which has just begun is expected to bring.
+func (f *Forecast) Begun(now time.Time, pool csmodel.PoolID) csmodel.MilliCPU {
+	if s := f.pools[pool]; s != nil && s.busy && len(s.starts) > 0 {
+		return s.ramp(now)
+	}
+	return 0
+}
+
+// Expected returns the work that the next busy phase of a pool is expected to bring, if it begins within the given time.
 func (f *Forecast) Expected(now time.Time, pool csmodel.PoolID, ahead time.Duration) csmodel.MilliCPU {
 	s := f.pools[pool]
 	cycle, known := f.Cycle()
 	if s == nil || len(s.starts) == 0 {
 		return 0
 	}
-	if s.busy {
-		return s.ramp(now)
-	}
-	if !known || s.mean == 0 {
+	if !known || s.busy || s.mean == 0 {
 		return 0
 	}
 	next := s.starts[len(s.starts)-1].Add(cycle)
--- a/internal/fleet/csvms/policy.go
+++ b/internal/fleet/csvms/policy.go
@@ -35,10 +35,12 @@
 	ID      csmodel.PoolID
 	Standby bool
 	Need    csmodel.MilliCPU // work that wants to run now or soon
-	Supply  csmodel.MilliCPU // of VMs that are up or on their way
-	VMs     int              // that are up or on their way
-	Floor   int              // least number of VMs
-	Keep    bool             // its idle VMs are not switched off
+	// Expected is work that a forecast expects soon. It takes VMs that no present work needs.
+	Expected csmodel.MilliCPU
+	Supply   csmodel.MilliCPU // of VMs that are up or on their way
+	VMs      int              // that are up or on their way
+	Floor    int              // least number of VMs
+	Keep     bool             // its idle VMs are not switched off
 }
 
 // Transfer takes a VM to a pool.
@@ -47,26 +49,40 @@
 	To csmodel.PoolID
 }
 
-// wanted returns the capacity that a pool should have.
-func (p *PoolView) wanted() csmodel.MilliCPU { return csmodel.MilliCPU(headroom * float64(p.Need)) }
+// horizon selects the work that a decision is about.
+type horizon func(*PoolView) csmodel.MilliCPU
 
-func (p *PoolView) deficit() csmodel.MilliCPU { return p.wanted() - p.Supply }
+func present(p *PoolView) csmodel.MilliCPU { return p.Need }
+
+func soon(p *PoolView) csmodel.MilliCPU { return max(p.Need, p.Expected) }
+
+// deficit returns what a pool lacks.
+func (p *PoolView) deficit(h horizon) csmodel.MilliCPU {
+	return csmodel.MilliCPU(headroom*float64(h(p))) - p.Supply
+}
 
 // Balance returns the transfers that cover the deficits, the largest one first, from idle VMs of the pools with the
-// largest surplus. It changes the views to what they will be.
+// largest surplus. Present work goes before expected work. It changes the views to what they will be.
 func Balance(pools []*PoolView, candidates []Candidate) []Transfer {
 	byID := map[csmodel.PoolID]*PoolView{}
 	for _, p := range pools {
 		byID[p.ID] = p
 	}
 	taken := csmodel.NewSet[csmodel.VMID]()
+	out := cover(present, pools, byID, candidates, taken)
+	return append(out, cover(soon, pools, byID, candidates, taken)...)
+}
+
+func cover(
+	h horizon, pools []*PoolView, byID map[csmodel.PoolID]*PoolView, candidates []Candidate, taken csmodel.Set[csmodel.VMID],
+) []Transfer {
 	var out []Transfer
 	for {
-		to := neediest(pools)
+		to := neediest(h, pools)
 		if to == nil {
 			return out
 		}
-		c := donor(byID, candidates, taken, to)
+		c := donor(h, byID, candidates, taken, to)
 		if c == nil {
 			return out
 		}
@@ -101,7 +117,7 @@
 	var out []Transfer
 	for _, c := range candidates {
 		p := byID[c.Pool]
-		if p == nil || p.Standby || p.Keep || !c.Idle || taken.Has(c.ID) || now.Sub(c.Since) < parkAfter || !spares(p, c.CPU) {
+		if p == nil || p.Standby || p.Keep || !c.Idle || taken.Has(c.ID) || now.Sub(c.Since) < parkAfter || !spares(soon, p, c.CPU) {
 			continue
 		}
 		p.Supply -= c.CPU
@@ -112,13 +128,13 @@
 }
 
 // neediest returns the pool with the largest deficit that is worth a VM, or nil.
-func neediest(pools []*PoolView) *PoolView {
+func neediest(h horizon, pools []*PoolView) *PoolView {
 	var best *PoolView
 	for _, p := range pools {
-		if p.Standby || p.deficit() <= 0 {
+		if p.Standby || p.deficit(h) <= 0 {
 			continue
 		}
-		if best == nil || p.deficit() > best.deficit() {
+		if best == nil || p.deficit(h) > best.deficit(h) {
 			best = p
 		}
 	}
@@ -126,12 +142,14 @@
 }
 
 // donor returns the best VM to take for a pool, or nil.
-func donor(pools map[csmodel.PoolID]*PoolView, candidates []Candidate, taken csmodel.Set[csmodel.VMID], to *PoolView) *Candidate {
+func donor(
+	h horizon, pools map[csmodel.PoolID]*PoolView, candidates []Candidate, taken csmodel.Set[csmodel.VMID], to *PoolView,
+) *Candidate {
 	var fit []*Candidate
 	for i := range candidates {
 		c := &candidates[i]
 		p := pools[c.Pool]
-		if p == nil || p == to || !c.Idle || taken.Has(c.ID) || !spares(p, c.CPU) {
+		if p == nil || p == to || !c.Idle || taken.Has(c.ID) || !spares(h, p, c.CPU) {
 			continue
 		}
 		fit = append(fit, c)
@@ -143,18 +161,18 @@
 		x, y := pools[a.Pool], pools[b.Pool]
 		return cmp.Or(
 			compareBool(y.Standby, x.Standby), // a VM that is off costs nothing while it waits, but no pool misses it
-			cmp.Compare(x.deficit(), y.deficit()),
+			cmp.Compare(x.deficit(soon), y.deficit(soon)),
 			cmp.Compare(a.ID, b.ID),
 		)
 	})
 }
 
 // spares tells whether a pool can do without a VM.
-func spares(p *PoolView, cpu csmodel.MilliCPU) bool {
+func spares(h horizon, p *PoolView, cpu csmodel.MilliCPU) bool {
 	if p.Standby {
 		return true
 	}
-	return p.VMs > p.Floor && p.deficit()+cpu <= 0
+	return p.VMs > p.Floor && p.deficit(h)+cpu <= 0
 }
 
 func compareBool(a, b bool) int {
--- a/internal/fleet/csvms/policy_test.go
+++ b/internal/fleet/csvms/policy_test.go
@@ -55,6 +55,19 @@
 	}
 }
 
+// Pattern: one pool is busy and another one's turn is expected; the VMs do not suffice for both.
+func TestPresentWorkGoesBeforeExpectedWork(t *testing.T) {
+	busy, next, spare := view("busy", 4, 8*vmCPU), view("next", 4, 0), view("spare", 8, 0)
+	next.Expected, spare.Standby = 8*vmCPU, true
+	got := map[csmodel.PoolID]int{}
+	for _, m := range Balance([]*PoolView{next, busy, spare}, idleVMs("spare", 8, time.Now())) {
+		got[m.To]++
+	}
+	if got["busy"] != 6 || got["next"] != 2 {
+		t.Errorf("got %d VMs to the busy pool and %d to the next one, want 6 and 2", got["busy"], got["next"])
+	}
+}
+
 // Pattern: a busy phase is over and its VMs stay idle.
 func TestParkSwitchesIdleVMsOff(t *testing.T) {
 	now := time.Now()
