--- /dev/null
+++ b/internal/node/csrpc/rpc_test.go
@@ -0,0 +1,86 @@
+package csrpc_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"cowslipstream.example/cowslipstream/cslink"
+	"cowslipstream.example/cowslipstream/csmodel"
+	"cowslipstream.example/cowslipstream/internal/node/csrpc"
+	"cowslipstream.example/cowslipstream/internal/work/csjob"
+)
+
+// wire hands messages of one caller to another one.
+type wire struct {
+	self csmodel.NodeID
+	to   *csrpc.Caller
+	lose bool
+}
+
+func (w *wire) Send(_ csmodel.NodeID, _ cslink.Channel, kind cslink.Kind, payload []byte, _ string) error {
+	if w.lose {
+		return nil
+	}
+	go func() { _, _ = w.to.Receive(w.self, kind, payload) }()
+	return nil
+}
+
+func pair(h csrpc.Handler) (caller *csrpc.Caller, there, back *wire) {
+	there, back = &wire{self: "caller"}, &wire{self: "server"}
+	caller = csrpc.New(there, nil)
+	there.to, back.to = csrpc.New(back, h), caller
+	return caller, there, back
+}
+
+func TestCall(t *testing.T) {
+	echo := func(_ csmodel.NodeID, m csrpc.Method, b []byte) []byte { return append([]byte{byte(m)}, b...) }
+	cases := []struct {
+		name       string
+		up         bool
+		loseCall   bool
+		loseAnswer bool
+		want       error
+	}{
+		{"answered", true, false, false, nil},
+		{"not connected", false, false, false, csrpc.ErrUnsent},
+		{"call lost", true, true, false, csrpc.ErrNoAnswer},
+		{"answer lost", true, false, true, csrpc.ErrNoAnswer},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			caller, there, back := pair(echo)
+			there.lose, back.lose = c.loseCall, c.loseAnswer
+			if c.up {
+				caller.Up("server")
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			defer cancel()
+			got, err := caller.Call(ctx, "server", csrpc.MethodJob, []byte("x"))
+			if !errors.Is(err, c.want) {
+				t.Fatalf("got error %v, want %v", err, c.want)
+			}
+			if err == nil && string(got) != "\x01x" {
+				t.Errorf("got answer %q", got)
+			}
+		})
+	}
+}
+
+func TestMessages(t *testing.T) {
+	want := csrpc.JobRequest{
+		Action: csrpc.ActionSubmit, Host: "h", Path: "/p/1", Size: 9,
+		Job: &csjob.Submission{Spec: "s", First: time.Unix(5, 6000).UTC(), Repeats: 2, Steps: []csjob.Step{{Tasks: 3, After: []int{0}}}},
+	}
+	got, err := csrpc.Decode[csrpc.JobRequest](csrpc.Encode(want))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !got.Job.First.Equal(want.Job.First) || got.Job.Steps[0].Tasks != 3 || got.Path != want.Path || got.Job.Repeats != 2 {
+		t.Errorf("got %+v, want %+v", got.Job, want.Job)
+	}
+	if _, err := csrpc.Decode[csrpc.JobRequest]([]byte("x")); !errors.Is(err, csrpc.ErrCodec) {
+		t.Errorf("got error %v, want %v", err, csrpc.ErrCodec)
+	}
+}
