--- a/internal/fleet/csvms/fleet.go
+++ b/internal/fleet/csvms/fleet.go
@@ -79,8 +79,9 @@
 
 // allotment is a number of VMs and their CPU.
 type allotment struct {
-	VMs int
-	CPU csmodel.MilliCPU
+	VMs    int
+	CPU    csmodel.MilliCPU
+	Memory csjob.MiB
 }
 
 // New returns a fleet.
@@ -494,6 +495,9 @@
 		f.forecast.Observe(r.Now, p.ID, d.Offered, given.CPU)
 		d.Offered = max(d.Offered, f.forecast.Begun(r.Now, p.ID))
 		v := &PoolView{ID: p.ID, Standby: p.Standby, Need: d.Need(), Expected: d.Lasting + f.forecast.Expected(r.Now, p.ID, f.o.MoveTime), Floor: f.floor(p.ID, given), Keep: !f.forecast.Seen(p.ID)}
+		if !p.Standby {
+			v.Required = requiredVMs(d.Width, float64(d.Memory), float64(given.Memory)/float64(max(1, given.VMs)))
+		}
 		byID[p.ID] = v
 		pools = append(pools, v)
 	}
@@ -542,8 +546,10 @@
 	for _, v := range f.vms {
 		a.VMs++
 		a.CPU += v.Room.CPU
+		a.Memory += v.Room.Memory
 	}
-	return allotment{VMs: a.VMs / max(1, pools), CPU: a.CPU / csmodel.MilliCPU(max(1, pools))}
+	pools = max(1, pools)
+	return allotment{VMs: a.VMs / pools, CPU: a.CPU / csmodel.MilliCPU(pools), Memory: a.Memory / csjob.MiB(pools)}
 }
 
 // candidates counts the supply of each pool and returns the VMs that may be taken.
--- a/internal/fleet/csvms/policy.go
+++ b/internal/fleet/csvms/policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -16,6 +17,8 @@
 	floorVMs = 3
 	// unseenShare is the part of its VMs that a pool keeps until its first busy phase is over.
 	unseenShare = 0.0
+	// memoryHeadroom allows for memory that no task of the right size fits into.
+	memoryHeadroom = 1.3
 	// parkAfter is how long a VM has been idle and not needed before it is switched off. The two moves, off and on again,
 	// cost about as much as three seconds of an idle VM.
 	parkAfter = 20 * time.Second
@@ -39,7 +42,8 @@
 	Expected csmodel.MilliCPU
 	Supply   csmodel.MilliCPU // of VMs that are up or on their way
 	VMs      int              // that are up or on their way
-	Floor    int              // least number of VMs
+	Floor    int              // least number of VMs that it keeps
+	Required int              // least number of VMs that it must have
 	Keep     bool             // its idle VMs are not switched off
 }
 
@@ -56,9 +60,26 @@
 
 func soon(p *PoolView) csmodel.MilliCPU { return max(p.Need, p.Expected) }
 
-// deficit returns what a pool lacks.
+// deficit returns what a pool lacks. A pool below its floor lacks something, however many cores it has.
 func (p *PoolView) deficit(h horizon) csmodel.MilliCPU {
-	return csmodel.MilliCPU(headroom*float64(h(p))) - p.Supply
+	d := csmodel.MilliCPU(headroom*float64(h(p))) - p.Supply
+	if p.VMs < p.Required {
+		d = max(d, 1)
+	}
+	return d
+}
+
+// requiredVMs returns the number of VMs that the tasks that last need to be spread over and to have their memory. One more
+// takes them in while another one is away.
+func requiredVMs(width int, memory, perVM float64) int {
+	n := width
+	if perVM > 0 {
+		n = max(n, int(math.Ceil(memoryHeadroom*memory/perVM)))
+	}
+	if n == 0 {
+		return 0
+	}
+	return n + 1
 }
 
 // Balance returns the transfers that cover the deficits, the largest one first, from idle VMs of the pools with the
@@ -172,7 +193,7 @@
 	if p.Standby {
 		return true
 	}
-	return p.VMs > p.Floor && p.deficit(h)+cpu <= 0
+	return p.VMs > max(p.Floor, p.Required) && p.deficit(h)+cpu <= 0
 }
 
 func compareBool(a, b bool) int {
--- a/internal/fleet/csvms/policy_test.go
+++ b/internal/fleet/csvms/policy_test.go
@@ -68,6 +68,31 @@
 	}
 }
 
+// Pattern: a pool has cores to spare, and its tasks that last must not share VMs or lack memory.
+func TestPoolHasTheVMsThatLastingTasksNeed(t *testing.T) {
+	cases := []struct {
+		name          string
+		vms, width    int
+		memory, perVM float64
+		want          int // moves to the pool
+	}{
+		{"nothing lasts", 3, 0, 0, 64, 0},
+		{"spread over four", 3, 4, 64, 64, 2},
+		{"enough VMs", 5, 4, 64, 64, 0},
+		{"memory of four", 3, 1, 190, 64, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			pool, other := view("pool", c.vms, 0), view("other", 10, 0)
+			pool.Required = requiredVMs(c.width, c.memory, c.perVM)
+			moves := Balance([]*PoolView{pool, other}, append(idleVMs("pool", c.vms, time.Now()), idleVMs("other", 10, time.Now())...))
+			if got := len(moves); got != c.want {
+				t.Errorf("got %d moves, want %d", got, c.want)
+			}
+		})
+	}
+}
+
 // Pattern: a busy phase is over and its VMs stay idle.
 func TestParkSwitchesIdleVMsOff(t *testing.T) {
 	now := time.Now()
--- a/internal/work/csrun/leader.go
+++ b/internal/work/csrun/leader.go
@@ -82,6 +82,10 @@
 	Running csmodel.MilliCPU // of tasks that end by themselves
 	Lasting csmodel.MilliCPU // of tasks that last, running or waiting
 	Offered csmodel.MilliCPU // work that arrived lately, as the cores that it keeps busy
+	// Width is the number of targets that the tasks of the widest step that lasts have to be spread over.
+	Width int
+	// Memory is the memory of the tasks that last, running or waiting.
+	Memory csjob.MiB
 }
 
 // backlogShare is the part of the waiting work for which capacity is wanted at once. The rest starts as runs end: the
--- a/internal/work/csrun/schedule.go
+++ b/internal/work/csrun/schedule.go
@@ -38,6 +38,7 @@
 		starts = append(starts, r.intend(t, placed)...)
 	}
 	r.countRunning(t, demand)
+	countLasting(t, demand)
 	r.leader.outlook.Store(&outlook{demand: demand})
 	return starts
 }
@@ -162,6 +163,27 @@
 	}
 }
 
+// countLasting adds what the tasks that last need besides cores.
+func countLasting(t *csjob.Table, d Demand) {
+	for _, j := range t.Active() {
+		if j.State.Final() {
+			continue
+		}
+		pool := t.QueueOf(j).Pool
+		p := d[pool]
+		for _, s := range j.Submission.Steps {
+			if !s.Lasting {
+				continue
+			}
+			p.Memory += csjob.MiB(s.Tasks) * s.Room.Memory
+			if s.Spread > 0 {
+				p.Width = max(p.Width, (s.Tasks+s.Spread-1)/s.Spread)
+			}
+		}
+		d[pool] = p
+	}
+}
+
 // intend turns placements into starts.
 func (r *runner) intend(t *csjob.Table, placed []csplan.Placement) []csjob.Start {
 	out := make([]csjob.Start, 0, len(placed))
