--- a/cmd/cowslipstream/roles.go
+++ b/cmd/cowslipstream/roles.go
@@ -19,9 +19,9 @@
 	"cowslipstream.example/cowslipstream/cslog"
 	"cowslipstream.example/cowslipstream/internal/base/csclock"
 	"cowslipstream.example/cowslipstream/internal/fleet/csvms"
+	"cowslipstream.example/cowslipstream/internal/jobs/csrun"
 	"cowslipstream.example/cowslipstream/internal/node/csentry"
 	"cowslipstream.example/cowslipstream/internal/node/csstore"
-	"cowslipstream.example/cowslipstream/internal/work/csrun"
 	"cowslipstream.example/cowslipstream/platform"
 )
 
--- /dev/null
+++ b/internal/fleet/csvms/balance.go
@@ -0,0 +1,152 @@
+package csvms
+
+import (
+	"go.uber.org/zap"
+
+	"cowslipstream.example/cowslipstream/csmodel"
+	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
+	"cowslipstream.example/cowslipstream/internal/jobs/csrun"
+)
+
+// allotment is a number of VMs and their CPU.
+type allotment struct {
+	VMs    int
+	CPU    csmodel.MilliCPU
+	Memory csjob.MiB
+}
+
+// balance reserves VMs for moves to pools that need them.
+func (f *Fleet) balance(r csrun.Round) {
+	config := r.Table.Config()
+	if config == nil {
+		return
+	}
+	given := f.given(config)
+	if !f.learned {
+		f.learned = true
+		f.forecast = Forecast{}
+		f.forecast.Replay(r.Now, r.Arrivals(), func(csmodel.PoolID) csmodel.MilliCPU { return given.CPU })
+	}
+	var pools []*PoolView
+	byID := map[csmodel.PoolID]*PoolView{}
+	for _, p := range config.Pools {
+		d := r.Demand[p.ID]
+		f.forecast.Observe(r.Now, p.ID, d.Offered, given.CPU)
+		d.Offered = max(d.Offered, f.forecast.Begun(r.Now, p.ID))
+		v := &PoolView{ID: p.ID, Standby: p.Standby, Need: d.Need(), Expected: d.Lasting + f.forecast.Expected(r.Now, p.ID, f.o.MoveTime), Floor: f.floor(p.ID, given), Keep: !f.forecast.Seen(p.ID)}
+		if !p.Standby {
+			v.Required = requiredVMs(d.Width, float64(d.Memory), float64(given.Memory)/float64(max(1, given.VMs)))
+		}
+		byID[p.ID] = v
+		pools = append(pools, v)
+	}
+	candidates := f.candidates(r, byID)
+	transfers := Balance(pools, candidates)
+	transfers = append(transfers, Park(r.Now, pools, candidates, transfers)...)
+	f.logCapacity(r, pools, len(transfers))
+	for _, t := range transfers {
+		f.reserve(r, t.VM, csjob.VMOrder{VM: t.VM, Pool: t.To})
+	}
+}
+
+// logCapacity writes what the last decisions were based on.
+func (f *Fleet) logCapacity(r csrun.Round, pools []*PoolView, transfers int) {
+	if r.Now.Sub(f.loggedAt) < logEvery && transfers == 0 {
+		return
+	}
+	f.loggedAt = r.Now
+	for _, p := range pools {
+		d := r.Demand[p.ID]
+		f.log.Info("capacity", zap.String("pool", string(p.ID)), zap.Int("vms", p.VMs), zap.Int64("supply", int64(p.Supply)),
+			zap.Int64("need", int64(p.Need)), zap.Int64("offered", int64(d.Offered)), zap.Int64("waiting", int64(d.Waiting)),
+			zap.Int64("late", int64(d.Behind)), zap.Int64("running", int64(d.Running)), zap.Int64("lasting", int64(d.Lasting)),
+			zap.Duration("list_age", r.Now.Sub(f.listedAt)))
+	}
+}
+
+// floor returns the least number of VMs of a pool. A pool whose first busy phase is still to come keeps most of what it
+// has, because nothing tells when the phase begins.
+func (f *Fleet) floor(pool csmodel.PoolID, given allotment) int {
+	if f.forecast.Seen(pool) {
+		return floorVMs
+	}
+	return max(floorVMs, int(unseenShare*float64(given.VMs)))
+}
+
+// given returns an even share of the VMs. What a pool holds at the moment depends on whose busy phase it is.
+func (f *Fleet) given(config *csjob.Config) allotment {
+	var a allotment
+	pools := 0
+	for _, p := range config.Pools {
+		if !p.Standby {
+			pools++
+		}
+	}
+	for _, v := range f.vms {
+		a.VMs++
+		a.CPU += v.Room.CPU
+		a.Memory += v.Room.Memory
+	}
+	pools = max(1, pools)
+	return allotment{VMs: a.VMs / pools, CPU: a.CPU / csmodel.MilliCPU(pools), Memory: a.Memory / csjob.MiB(pools)}
+}
+
+// candidates counts the supply of each pool and returns the VMs that may be taken.
+func (f *Fleet) candidates(r csrun.Round, pools map[csmodel.PoolID]*PoolView) []Candidate {
+	var out []Candidate
+	orders := r.Table.VMOrders()
+	for _, id := range csmodel.SortedKeys(f.vms) {
+		v := f.vms[id]
+		if at, ok := f.arriving[id]; ok {
+			_, up := f.life(r.Table, v)
+			if up || r.Now.After(at.Add(arriveSlack)) {
+				delete(f.arriving, id)
+			}
+		}
+		pool := v.Pool
+		s := f.reserved[id]
+		if s != nil && s.order.Pool != "" {
+			pool = s.order.Pool
+		}
+		p := pools[pool]
+		if p == nil || v.Phase == Down {
+			continue
+		}
+		if s != nil && s.order.Wave != "" {
+			continue
+		}
+		_, ordered := orders[id]
+		t, up := f.life(r.Table, v)
+		_, arriving := f.arriving[id]
+		if !up && !p.Standby && !arriving && !ordered && s == nil {
+			continue // its target is lost, or not known yet
+		}
+		if ordered || s != nil || (!up && !p.Standby) {
+			p.Supply += v.Room.CPU
+			p.VMs++
+			continue
+		}
+		if up && (t.Leaving || !r.Usable(t.Life)) {
+			continue
+		}
+		p.Supply += v.Room.CPU
+		p.VMs++
+		if v.Phase == Up {
+			out = append(out, f.candidate(r, id, v, t.Life))
+		}
+	}
+	return out
+}
+
+func (f *Fleet) candidate(r csrun.Round, id csmodel.VMID, v VM, l csjob.Life) Candidate {
+	c := Candidate{ID: id, Pool: v.Pool, CPU: v.Room.CPU, Idle: !r.Busy(l)}
+	if !c.Idle {
+		delete(f.idle, id)
+		return c
+	}
+	if _, known := f.idle[id]; !known {
+		f.idle[id] = r.Now
+	}
+	c.Since = f.idle[id]
+	return c
+}
--- a/internal/fleet/csvms/forecast.go
+++ b/internal/fleet/csvms/forecast.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"cowslipstream.example/cowslipstream/csmodel"
-	"cowslipstream.example/cowslipstream/internal/work/csrun"
+	"cowslipstream.example/cowslipstream/internal/jobs/csrun"
 )
 
 // Detection of busy phases from the work that arrives, relative to the largest that a pool has seen.
--- /dev/null
+++ b/internal/fleet/csvms/order.go
@@ -0,0 +1,186 @@
+package csvms
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cowslipstream.example/cowslipstream/csmodel"
+	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
+	"cowslipstream.example/cowslipstream/internal/jobs/csrun"
+)
+
+// reservation is a VM that is emptied for an order.
+type reservation struct {
+	order csjob.VMOrder
+	since time.Time
+	sent  bool // the order is on its way to being committed
+}
+
+// orderCall is the state of a committed order.
+type orderCall struct {
+	busy     bool
+	nextAt   time.Time
+	accepted time.Time // the platform has carried it out; zero before
+}
+
+// carryOut sends the committed orders and records what became of them.
+func (f *Fleet) carryOut(r csrun.Round) {
+	orders := r.Table.VMOrders()
+	for id := range f.calls {
+		if _, open := orders[id]; !open {
+			delete(f.calls, id)
+		}
+	}
+	for _, id := range csmodel.SortedKeys(orders) {
+		o := orders[id]
+		delete(f.reserved, id)
+		c := f.calls[id]
+		if c == nil {
+			c = &orderCall{}
+			f.calls[id] = c
+		}
+		switch {
+		case c.busy || r.Now.Before(c.nextAt):
+		case c.accepted.IsZero():
+			f.call(r, o, c)
+		case f.returned(r.Now, id, c):
+			c.nextAt = r.Now.Add(retryPause)
+			o.Done = true
+			f.propose(csjob.Command{VMs: []csjob.VMOrder{o}})
+		}
+	}
+}
+
+// returned tells whether a VM is back from its maintenance.
+func (f *Fleet) returned(now time.Time, id csmodel.VMID, c *orderCall) bool {
+	v, ok := f.vms[id]
+	back := ok && v.Phase == Up && f.listedAt.After(c.accepted.Add(f.o.Upkeep/2))
+	return back && now.Sub(c.accepted) >= f.o.Upkeep
+}
+
+// call sends an order to the platform.
+func (f *Fleet) call(r csrun.Round, o csjob.VMOrder, c *orderCall) {
+	c.busy = true
+	epoch, fence := f.epoch, r.Fence
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		var a Answer
+		var err error
+		if o.Wave != "" {
+			a, err = f.o.Platform.Maintain(ctx, o.VM, o.Wave, fence)
+		} else {
+			a, err = f.o.Platform.Move(ctx, o.VM, o.Pool, fence)
+		}
+		f.answered(epoch, o, c, a, err)
+	}()
+}
+
+// answered records the platform's answer to an order.
+func (f *Fleet) answered(epoch int, o csjob.VMOrder, c *orderCall, a Answer, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if epoch != f.epoch {
+		return
+	}
+	now := f.o.Clock.Now()
+	c.busy = false
+	c.nextAt = now.Add(retryPause)
+	f.log.Info("VM order", zap.String("vm", string(o.VM)), zap.String("pool", string(o.Pool)), zap.String("wave", string(o.Wave)),
+		zap.Stringer("answer", a), zap.String("target", string(o.Life.Target)), zap.Error(err))
+	switch {
+	case err != nil, a == Limited:
+	case a == Done:
+		f.done(now, o, c)
+	case a == Fenced:
+		f.propose(csjob.Command{}) // finds out whether another node leads
+	default:
+		o.Done, o.Refused = true, true
+		f.propose(csjob.Command{VMs: []csjob.VMOrder{o}})
+	}
+}
+
+func (f *Fleet) done(now time.Time, o csjob.VMOrder, c *orderCall) {
+	c.accepted = now
+	command := csjob.Command{}
+	if o.Life.Target != "" {
+		f.dead[o.Life] = now
+		command.Targets = []csjob.TargetEvent{{Target: csjob.Target{Life: o.Life}, Gone: true}}
+	}
+	v := f.vms[o.VM]
+	v.Target = ""
+	if o.Wave != "" {
+		v.Phase = Maintained
+		c.nextAt = now.Add(f.o.Upkeep)
+	} else {
+		v.Phase, v.Pool = Moving, o.Pool
+		f.arriving[o.VM] = now.Add(f.o.MoveTime)
+		o.Done = true
+		command.VMs = []csjob.VMOrder{o}
+	}
+	f.vms[o.VM] = v
+	f.propose(command)
+}
+
+// propose commits a command in the background. What is lost is decided again.
+func (f *Fleet) propose(c csjob.Command) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		if _, err := f.o.State.Propose(ctx, c); err != nil {
+			f.log.Warn("VM decision not committed", zap.Int("orders", len(c.VMs)), zap.Error(err))
+		}
+	}()
+}
+
+// reserve sets a VM aside for an order, which is sent when nothing runs there any more.
+func (f *Fleet) reserve(r csrun.Round, id csmodel.VMID, o csjob.VMOrder) {
+	v := f.vms[id]
+	if t, ok := f.life(r.Table, v); ok {
+		o.Life = t.Life
+	}
+	f.reserved[id] = &reservation{order: o, since: r.Now}
+	f.log.Info("VM reserved", zap.String("vm", string(id)), zap.String("from", string(v.Pool)), zap.String("pool", string(o.Pool)),
+		zap.String("wave", string(o.Wave)), zap.String("target", string(v.Target)), zap.Duration("list_age", r.Now.Sub(f.listedAt)))
+}
+
+// release commits the orders for reserved VMs on which nothing runs any more.
+func (f *Fleet) release(r csrun.Round) {
+	var ready []csjob.VMOrder
+	for _, id := range csmodel.SortedKeys(f.reserved) {
+		s := f.reserved[id]
+		held := f.held[s.order.Life] || s.order.Life.Target == ""
+		switch {
+		case s.sent:
+			if r.Now.Sub(s.since) > holdLimit {
+				delete(f.reserved, id)
+			}
+		case held && !r.Busy(s.order.Life):
+			s.sent = true
+			s.since = r.Now
+			ready = append(ready, s.order)
+		case r.Now.Sub(s.since) > holdLimit && s.order.Wave == "":
+			delete(f.reserved, id)
+		}
+	}
+	if len(ready) > 0 {
+		f.propose(csjob.Command{VMs: ready})
+	}
+}
+
+// hold derives the lives that get no new tasks. A life is held for a whole round before an order for it is committed.
+func (f *Fleet) hold(t *csjob.Table) {
+	f.held = map[csjob.Life]bool{}
+	for _, s := range f.reserved {
+		if s.order.Life.Target != "" {
+			f.held[s.order.Life] = true
+		}
+	}
+	for _, o := range t.VMOrders() {
+		if o.Life.Target != "" {
+			f.held[o.Life] = true
+		}
+	}
+}
--- a/internal/fleet/csvms/vm.go
+++ b/internal/fleet/csvms/vm.go
@@ -6,7 +6,7 @@
 	"errors"
 
 	"cowslipstream.example/cowslipstream/csmodel"
-	"cowslipstream.example/cowslipstream/internal/work/csjob"
+	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
 )
 
 // ErrNoAnswer reports an order to the platform whose effect is not known.
--- a/internal/work/csjob/table_test.go
+++ b/internal/jobs/csjob/table_test.go
@@ -11,7 +11,7 @@
 
 	"cowslipstream.example/cowslipstream/csmodel"
 	"cowslipstream.example/cowslipstream/csraft"
-	"cowslipstream.example/cowslipstream/internal/work/csjob"
+	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
 )
 
 var (
--- a/internal/work/csplan/learn.go
+++ b/internal/jobs/csplan/learn.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"cowslipstream.example/cowslipstream/internal/work/csjob"
+	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
 )
 
 const (
--- a/internal/work/csplan/plan.go
+++ b/internal/jobs/csplan/plan.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"cowslipstream.example/cowslipstream/csmodel"
-	"cowslipstream.example/cowslipstream/internal/work/csjob"
+	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
 )
 
 // lateFactor is the multiple of its objective after which a job has no value left, from the platform's rules on credit.
--- a/internal/work/csplan/plan_test.go
+++ b/internal/jobs/csplan/plan_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"cowslipstream.example/cowslipstream/csmodel"
-	"cowslipstream.example/cowslipstream/internal/work/csjob"
+	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
 )
 
 var testQueue = csjob.Queue{Key: csjob.QueueKey{Host: "q", Prefix: "/"}, Stretch: 1.6, Objective: 600 * time.Millisecond}
--- a/internal/work/csrun/beats.go
+++ b/internal/jobs/csrun/beats.go
@@ -8,7 +8,7 @@
 	"go.uber.org/zap"
 
 	"cowslipstream.example/cowslipstream/csmodel"
-	"cowslipstream.example/cowslipstream/internal/work/csjob"
+	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
 )
 
 // beat takes in a heartbeat. Changes of the target are committed before it is acknowledged.
--- a/internal/work/csrun/evict.go
+++ b/internal/jobs/csrun/evict.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"cowslipstream.example/cowslipstream/csmodel"
-	"cowslipstream.example/cowslipstream/internal/work/csjob"
-	"cowslipstream.example/cowslipstream/internal/work/csplan"
+	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
+	"cowslipstream.example/cowslipstream/internal/jobs/csplan"
 )
 
 // evict stops the runs that last on VMs that are about to be taken away, as far as the availability of their steps
--- a/internal/work/csrun/leader.go
+++ b/internal/jobs/csrun/leader.go
@@ -10,7 +10,7 @@
 	"go.uber.org/zap"
 
 	"cowslipstream.example/cowslipstream/csmodel"
-	"cowslipstream.example/cowslipstream/internal/work/csjob"
+	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
 )
 
 const (
--- a/internal/work/csrun/leader_test.go
+++ b/internal/jobs/csrun/leader_test.go
@@ -16,8 +16,8 @@
 
 	"cowslipstream.example/cowslipstream/cslog"
 	"cowslipstream.example/cowslipstream/csmodel"
-	"cowslipstream.example/cowslipstream/internal/work/csjob"
-	"cowslipstream.example/cowslipstream/internal/work/csrun"
+	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
+	"cowslipstream.example/cowslipstream/internal/jobs/csrun"
 )
 
 const (
--- a/internal/work/csrun/offered.go
+++ b/internal/jobs/csrun/offered.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"cowslipstream.example/cowslipstream/csmodel"
-	"cowslipstream.example/cowslipstream/internal/work/csjob"
-	"cowslipstream.example/cowslipstream/internal/work/csplan"
+	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
+	"cowslipstream.example/cowslipstream/internal/jobs/csplan"
 )
 
 // OfferedWindow is the time over which arriving work is averaged: short against the phases of demand, which last some
--- a/internal/work/csrun/runner.go
+++ b/internal/jobs/csrun/runner.go
@@ -9,8 +9,8 @@
 	"go.uber.org/zap"
 
 	"cowslipstream.example/cowslipstream/csmodel"
-	"cowslipstream.example/cowslipstream/internal/work/csjob"
-	"cowslipstream.example/cowslipstream/internal/work/csplan"
+	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
+	"cowslipstream.example/cowslipstream/internal/jobs/csplan"
 )
 
 // ErrNotLeading reports that this node does not lead the group.
--- a/internal/work/csrun/schedule.go
+++ b/internal/jobs/csrun/schedule.go
@@ -6,8 +6,8 @@
 	"go.uber.org/zap"
 
 	"cowslipstream.example/cowslipstream/csmodel"
-	"cowslipstream.example/cowslipstream/internal/work/csjob"
-	"cowslipstream.example/cowslipstream/internal/work/csplan"
+	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
+	"cowslipstream.example/cowslipstream/internal/jobs/csplan"
 )
 
 // outlook is what the leader publishes for admission and for decisions about VMs.
--- a/internal/work/csrun/target.go
+++ b/internal/jobs/csrun/target.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"cowslipstream.example/cowslipstream/internal/work/csjob"
+	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
 )
 
 // Bounds of what is known about a target.
--- a/internal/work/csrun/worker.go
+++ b/internal/jobs/csrun/worker.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"cowslipstream.example/cowslipstream/csmodel"
-	"cowslipstream.example/cowslipstream/internal/work/csjob"
+	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
 )
 
 // Errors of Workers. Test with errors.Is.
--- a/internal/work/csrun/world_test.go
+++ b/internal/jobs/csrun/world_test.go
@@ -10,8 +10,8 @@
 
 	"cowslipstream.example/cowslipstream/csmodel"
 	"cowslipstream.example/cowslipstream/csraft"
-	"cowslipstream.example/cowslipstream/internal/work/csjob"
-	"cowslipstream.example/cowslipstream/internal/work/csrun"
+	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
+	"cowslipstream.example/cowslipstream/internal/jobs/csrun"
 )
 
 // state is the replicated state of a group that never loses its leader.
--- a/internal/node/csrpc/messages.go
+++ b/internal/node/csrpc/messages.go
@@ -8,7 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"cowslipstream.example/cowslipstream/csmodel"
-	"cowslipstream.example/cowslipstream/internal/work/csjob"
+	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
 )
 
 // Methods of calls.
--- a/internal/node/csrpc/rpc_test.go
+++ b/internal/node/csrpc/rpc_test.go
@@ -8,8 +8,8 @@
 
 	"cowslipstream.example/cowslipstream/cslink"
 	"cowslipstream.example/cowslipstream/csmodel"
+	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
 	"cowslipstream.example/cowslipstream/internal/node/csrpc"
-	"cowslipstream.example/cowslipstream/internal/work/csjob"
 )
 
 // wire hands messages of one caller to another one.
--- a/internal/node/csstore/calls.go
+++ b/internal/node/csstore/calls.go
@@ -9,9 +9,9 @@
 
 	"cowslipstream.example/cowslipstream/csgroup"
 	"cowslipstream.example/cowslipstream/csmodel"
+	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
+	"cowslipstream.example/cowslipstream/internal/jobs/csrun"
 	"cowslipstream.example/cowslipstream/internal/node/csrpc"
-	"cowslipstream.example/cowslipstream/internal/work/csjob"
-	"cowslipstream.example/cowslipstream/internal/work/csrun"
 )
 
 // Timeouts of calls.
--- a/internal/node/csstore/store.go
+++ b/internal/node/csstore/store.go
@@ -21,9 +21,9 @@
 	"cowslipstream.example/cowslipstream/cslog"
 	"cowslipstream.example/cowslipstream/csmodel"
 	"cowslipstream.example/cowslipstream/csraft"
+	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
+	"cowslipstream.example/cowslipstream/internal/jobs/csrun"
 	"cowslipstream.example/cowslipstream/internal/node/csrpc"
-	"cowslipstream.example/cowslipstream/internal/work/csjob"
-	"cowslipstream.example/cowslipstream/internal/work/csrun"
 )
 
 // Timing of the group. The election timeout is a third of the contact time of the platform's pages, so that a new leader
