--- /dev/null
+++ b/internal/fleet/csvms/fleet_test.go
@@ -0,0 +1,229 @@
+package csvms
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"cowslipstream.example/cowslipstream/csmodel"
+	"cowslipstream.example/cowslipstream/csraft"
+	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
+	"cowslipstream.example/cowslipstream/internal/jobs/csrun"
+)
+
+const (
+	testMove   = 200 * time.Millisecond
+	testUpkeep = 150 * time.Millisecond
+)
+
+// cloud is a platform with VMs. Each VM that comes back has a new target.
+type cloud struct {
+	mu     sync.Mutex
+	vms    map[csmodel.VMID]*VM
+	lives  map[csmodel.VMID]int
+	most   int // VMs that were down for maintenance at once
+	orders map[csmodel.VMID]string
+}
+
+func newCloud(pools map[csmodel.PoolID]int) *cloud {
+	c := &cloud{vms: map[csmodel.VMID]*VM{}, lives: map[csmodel.VMID]int{}, orders: map[csmodel.VMID]string{}}
+	for _, p := range csmodel.SortedKeys(pools) {
+		for i := range pools[p] {
+			id := csmodel.VMID(fmt.Sprintf("%s-%d", p, i))
+			c.vms[id] = &VM{ID: id, Pool: p, Phase: Up, Room: csjob.Room{CPU: vmCPU, Memory: 1000}, Target: csjob.TargetID(id + ".0")}
+		}
+	}
+	return c
+}
+
+func (c *cloud) VMs(context.Context) ([]VM, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []VM
+	for _, id := range csmodel.SortedKeys(c.vms) {
+		out = append(out, *c.vms[id])
+	}
+	return out, nil
+}
+
+func (c *cloud) Move(_ context.Context, id csmodel.VMID, p csmodel.PoolID, _ csmodel.Fence) (Answer, error) {
+	return c.order(id, "move "+string(p), Moving, testMove, func(v *VM) { v.Pool = p }), nil
+}
+
+func (c *cloud) Maintain(_ context.Context, id csmodel.VMID, w csmodel.WaveID, _ csmodel.Fence) (Answer, error) {
+	return c.order(id, "wave "+string(w), Maintained, testUpkeep, func(*VM) {}), nil
+}
+
+func (c *cloud) order(id csmodel.VMID, what string, p Phase, d time.Duration, change func(*VM)) Answer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	v := c.vms[id]
+	if c.orders[id] == what {
+		return Done
+	}
+	if v.Phase != Up {
+		return Busy
+	}
+	c.orders[id] = what
+	v.Phase, v.Target = p, ""
+	change(v)
+	down := 0
+	for _, o := range c.vms {
+		if o.Phase == Maintained {
+			down++
+		}
+	}
+	c.most = max(c.most, down)
+	time.AfterFunc(d, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.lives[id]++
+		v.Phase, v.Target = Up, csjob.TargetID(fmt.Sprintf("%s.%d", id, c.lives[id]))
+	})
+	return Done
+}
+
+// group is the replicated state.
+type group struct {
+	mu    sync.RWMutex
+	table csjob.Table
+	index csmodel.Index
+}
+
+func (g *group) View(f func(*csjob.Table)) {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	f(&g.table)
+}
+
+func (g *group) Read(_ context.Context, f func(*csjob.Table)) error {
+	g.View(f)
+	return nil
+}
+
+func (g *group) Leading() bool { return true }
+
+func (g *group) Propose(_ context.Context, c csjob.Command) (csjob.Verdict, error) {
+	b, err := c.Encode()
+	if err != nil {
+		return csjob.Refused, err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.index++
+	return csjob.ParseVerdict(g.table.Apply(csraft.Entry{Index: g.index, At: time.Now(), Data: b})), nil
+}
+
+// stage is a fleet with its surroundings.
+type stage struct {
+	t     *testing.T
+	cloud *cloud
+	group *group
+	fleet *Fleet
+}
+
+func newStage(t *testing.T, pools map[csmodel.PoolID]int) *stage {
+	s := &stage{t: t, cloud: newCloud(pools), group: &group{}}
+	config := &csjob.Config{Version: 1}
+	for _, p := range csmodel.SortedKeys(pools) {
+		config.Pools = append(config.Pools, csjob.Pool{ID: p})
+	}
+	s.do(csjob.Command{Config: config})
+	s.lead()
+	return s
+}
+
+// lead starts a fleet as a new leader does.
+func (s *stage) lead() {
+	s.fleet = New(Options{
+		State: s.group, Platform: s.cloud, Clock: clockwork.NewRealClock(), Log: zap.NewNop(), MoveTime: testMove, Upkeep: testUpkeep,
+	})
+}
+
+func (s *stage) do(c csjob.Command) {
+	s.t.Helper()
+	if _, err := s.group.Propose(context.Background(), c); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// run makes rounds until the condition holds. Targets announce themselves when their VM is up.
+func (s *stage) run(limit time.Duration, until func(*csjob.Table) bool) {
+	s.t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		vms, _ := s.cloud.VMs(context.Background())
+		for _, v := range vms {
+			life := csjob.Life{Target: v.Target, Born: 1}
+			known := false
+			s.group.View(func(t *csjob.Table) { _, known = t.Target(v.Target) })
+			if v.Phase == Up && !known && !s.fleet.Dead(life) {
+				s.do(csjob.Command{Targets: []csjob.TargetEvent{{Target: csjob.Target{Life: life, Pool: v.Pool}}}})
+			}
+		}
+		done := false
+		s.group.View(func(t *csjob.Table) {
+			s.fleet.Round(csrun.Round{
+				Now: time.Now(), Table: t, Fence: 1, Demand: csrun.Demand{}, Arrivals: func() []csrun.Arrival { return nil },
+				Busy: t.Busy, Usable: func(csjob.Life) bool { return true },
+			})
+			done = until(t)
+		})
+		if done {
+			return
+		}
+	}
+	s.t.Fatalf("not reached within %s", limit)
+}
+
+// Pattern: a wave over all VMs of two pools, two at a time.
+func TestWaveKeepsItsLimit(t *testing.T) {
+	t.Parallel()
+	s := newStage(t, map[csmodel.PoolID]int{"a": 3, "b": 2})
+	w := csjob.Wave{ID: "1", AtOnce: 2, Deadline: time.Second}
+	for _, id := range csmodel.SortedKeys(s.cloud.vms) {
+		w.VMs = append(w.VMs, id)
+	}
+	s.do(csjob.Command{Wave: &w})
+	s.run(30*time.Second, func(t *csjob.Table) bool { return t.Wave("1").Completed() })
+	if got := s.cloud.most; got > w.AtOnce {
+		t.Errorf("got %d VMs down at once, want at most %d", got, w.AtOnce)
+	}
+	for id, life := range s.cloud.lives {
+		if life != 1 {
+			t.Errorf("VM %s was restarted %d times, want once", id, life)
+		}
+	}
+}
+
+// Pattern: the leader is lost after a VM has come back from its maintenance and before that was recorded. The repeated
+// order must not end the new life of the VM's target.
+func TestRepeatedOrderSparesTheNewLife(t *testing.T) {
+	t.Parallel()
+	s := newStage(t, map[csmodel.PoolID]int{"a": 1})
+	before, after := csjob.Life{Target: "a-0.0", Born: 1}, csjob.Life{Target: "a-0.1", Born: 1}
+	s.do(csjob.Command{
+		Wave:    &csjob.Wave{ID: "1", AtOnce: 1, VMs: []csmodel.VMID{"a-0"}, Deadline: time.Second},
+		Targets: []csjob.TargetEvent{{Target: csjob.Target{Life: before, Pool: "a"}}},
+		VMs:     []csjob.VMOrder{{VM: "a-0", Wave: "1", Life: before}},
+	})
+	if _, err := s.cloud.Maintain(context.Background(), "a-0", "1", 1); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2 * testUpkeep)
+	s.do(csjob.Command{Targets: []csjob.TargetEvent{{Target: csjob.Target{Life: after, Pool: "a"}}}})
+	s.lead()
+	s.run(20*time.Second, func(t *csjob.Table) bool { return t.Wave("1").Completed() })
+	s.group.View(func(table *csjob.Table) {
+		if _, ok := table.Target(after.Target); !ok {
+			t.Error("the repeated order has ended the new life")
+		}
+		if _, ok := table.Target(before.Target); ok {
+			t.Error("the earlier life is still in the table")
+		}
+	})
+}
