--- /dev/null
+++ b/internal/node/csentry/cluster_test.go
@@ -0,0 +1,203 @@
+package csentry_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"cowslipstream.example/cowslipstream/internal/base/csclock"
+	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
+	"cowslipstream.example/cowslipstream/internal/jobs/csrun"
+	"cowslipstream.example/cowslipstream/internal/node/csentry"
+	"cowslipstream.example/cowslipstream/internal/node/csrpc"
+	"cowslipstream.example/cowslipstream/internal/node/csstore"
+)
+
+// workers are targets that end each run at once.
+type workers struct {
+	mu    sync.Mutex
+	start time.Time
+	ended map[csjob.TargetID][]csrun.Ended
+	runs  map[csjob.TaskKey]int
+}
+
+func (w *workers) Start(_ context.Context, t csjob.Target, o csrun.StartOrder) (csrun.Reply, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	id := t.Life.Target
+	for _, e := range w.ended[id] {
+		if e.Task == o.Task && e.Attempt == o.Attempt {
+			return csrun.Reply{Clock: time.Since(w.start), Refusal: csrun.RefusedOld}, nil
+		}
+	}
+	w.runs[o.Task]++
+	w.ended[id] = append(w.ended[id], csrun.Ended{Number: int64(len(w.ended[id]) + 1), Task: o.Task, Attempt: o.Attempt})
+	return csrun.Reply{Clock: time.Since(w.start)}, nil
+}
+
+func (w *workers) Stop(context.Context, csjob.Target, csrun.StopOrder) (csrun.Reply, error) {
+	return csrun.Reply{Clock: time.Since(w.start)}, nil
+}
+
+func (w *workers) Look(_ context.Context, t csjob.Target, o csrun.LookOrder) (csrun.Look, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	look := csrun.Look{Reply: csrun.Reply{Clock: time.Since(w.start)}, Born: t.Life.Born}
+	for _, e := range w.ended[t.Life.Target] {
+		if e.Number > o.Noted {
+			look.Ended = append(look.Ended, e)
+		}
+	}
+	return look, nil
+}
+
+// cluster is three stores and an entry on loopback addresses.
+type cluster struct {
+	t      *testing.T
+	port   int
+	ips    []string
+	stores map[string]*csstore.Store
+	entry  *csentry.Entry
+	work   *workers
+}
+
+func startCluster(t *testing.T) *cluster {
+	t.Helper()
+	c := &cluster{
+		t: t, ips: []string{"127.0.7.1", "127.0.7.2", "127.0.7.3"}, stores: map[string]*csstore.Store{},
+		work: &workers{start: time.Now(), ended: map[csjob.TargetID][]csrun.Ended{}, runs: map[csjob.TaskKey]int{}},
+	}
+	entryLink := c.listen("127.0.7.9:0")
+	c.port = entryLink.Addr().(*net.TCPAddr).Port
+	for _, ip := range c.ips {
+		store, err := csstore.New(csstore.Options{
+			IP: ip, Seeds: c.ips, First: true, Folder: t.TempDir(), Losses: 1, Listener: c.listen(c.address(ip)), PeerAddress: c.address,
+			Timing: csrun.Timing{
+				Lease: 5 * time.Second, LongestLease: 6 * time.Second, Beat: 300 * time.Millisecond, CallTimeout: 400 * time.Millisecond,
+				LookSpacing: 20 * time.Millisecond, LookWait: 100 * time.Millisecond,
+			},
+			Workers: c.work, Clock: csclock.NewBoot(), Log: zap.NewNop(), Registry: prometheus.NewRegistry(),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.stores[ip] = store
+	}
+	entry, err := csentry.New(csentry.Options{
+		IP: "127.0.7.9", Seeds: c.ips, Listener: entryLink, PeerAddress: c.address, Clock: csclock.NewBoot(), Log: zap.NewNop(),
+		Registry: prometheus.NewRegistry(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.entry = entry
+	t.Cleanup(func() {
+		entry.Close()
+		for _, s := range c.stores {
+			s.Close()
+		}
+	})
+	return c
+}
+
+func (c *cluster) address(ip string) string { return fmt.Sprintf("%s:%d", ip, c.port) }
+
+func (c *cluster) listen(address string) net.Listener {
+	c.t.Helper()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return l
+}
+
+// beat announces a target to every store that runs and returns the address of the leader, which is empty where none
+// answered.
+func (c *cluster) beat() (leader string) {
+	for _, s := range c.stores {
+		ip, err := s.Beat(context.Background(), csrun.Beat{
+			Sequence: time.Now().UnixMilli(), Clock: time.Since(c.work.start),
+			Target: csjob.Target{Life: csjob.Life{Target: "t", Born: 1}, Pool: "p", Address: "t", Room: csjob.Room{CPU: 9000, Memory: 9000}},
+		})
+		if err == nil {
+			leader = ip
+		}
+	}
+	return leader
+}
+
+// eventually repeats a call until it succeeds. The limit covers an election on a busy machine and is not what is tested.
+func (c *cluster) eventually(what string, f func() bool) {
+	c.t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); {
+		if f() {
+			return
+		}
+		c.beat()
+		time.Sleep(50 * time.Millisecond)
+	}
+	c.t.Fatalf("not reached: %s", what)
+}
+
+func (c *cluster) do(action csrpc.JobAction, id string) csrpc.JobAnswer {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	r := csrpc.JobRequest{Action: action, Host: "q.example", Path: "/jobs/" + id}
+	if action == csrpc.ActionSubmit {
+		r.Job = &csjob.Submission{Spec: "s", Steps: []csjob.Step{
+			{Tasks: 3, Room: csjob.Room{CPU: 100, Memory: 1}}, {Tasks: 2, Room: csjob.Room{CPU: 100, Memory: 1}, After: []int{0}},
+		}}
+	}
+	return c.entry.Do(ctx, r)
+}
+
+func (c *cluster) runJob(id string) {
+	c.t.Helper()
+	c.eventually("submission of "+id, func() bool { return c.do(csrpc.ActionSubmit, id).Result == csrpc.ResultDone })
+	c.eventually("completion of "+id, func() bool {
+		a := c.do(csrpc.ActionState, id)
+		return a.Result == csrpc.ResultDone && a.State == csjob.Completed
+	})
+}
+
+// Jobs go from an entry through the leader to a target and back, before and after the leader is lost; each task runs once.
+func TestJobsSurviveTheLeader(t *testing.T) {
+	c := startCluster(t)
+	config := csjob.Config{
+		Version: 1, Document: []byte("{}"), Pools: []csjob.Pool{{ID: "p"}},
+		Queues: []csjob.Queue{{Key: csjob.QueueKey{Host: "q.example", Prefix: "/jobs/"}, Pool: "p", Attempts: 1, Timeout: time.Second}},
+	}
+	c.eventually("configuration", func() bool {
+		v, err := c.stores[c.ips[0]].Configure(context.Background(), config)
+		return err == nil && v == csjob.Accepted
+	})
+	c.runJob("00000000000000aa")
+	leader := c.beat()
+	if leader == "" {
+		t.Fatal("no store leads")
+	}
+	c.stores[leader].Close()
+	delete(c.stores, leader)
+	c.eventually("state after the loss of the leader", func() bool {
+		a := c.do(csrpc.ActionState, "00000000000000aa")
+		return a.Result == csrpc.ResultDone && a.State == csjob.Completed
+	})
+	c.runJob("00000000000000bb")
+	for key, n := range c.work.runs {
+		if n != 1 {
+			t.Errorf("task %s ran %d times, want once", key, n)
+		}
+	}
+	if got, want := len(c.work.runs), 10; got != want {
+		t.Errorf("got %d tasks, want %d", got, want)
+	}
+	if got := c.do(csrpc.ActionState, "00000000000000cc").Result; got != csrpc.ResultNoJob {
+		t.Errorf("got result %d for an unknown job, want %d", got, csrpc.ResultNoJob)
+	}
+}
