--- a/internal/fleet/csvms/fleet.go
+++ b/internal/fleet/csvms/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -55,7 +56,7 @@
 	calls    map[csmodel.VMID]*orderCall
 	arriving map[csmodel.VMID]time.Time // moves that were accepted, by the time of their return
 	dead     map[csjob.Life]time.Time   // lives that an order has ended
-	held     map[csjob.Life]bool
+	held     csmodel.Set[csjob.Life]    // no new tasks there
 	idle     map[csmodel.VMID]time.Time // since when VMs have been idle
 	forecast Forecast
 	learned  bool                            // the forecast has taken in what the table knows
@@ -77,7 +78,7 @@
 	f.calls = map[csmodel.VMID]*orderCall{}
 	f.arriving = map[csmodel.VMID]time.Time{}
 	f.dead = map[csjob.Life]time.Time{}
-	f.held = map[csjob.Life]bool{}
+	f.held = csmodel.NewSet[csjob.Life]()
 	f.idle = map[csmodel.VMID]time.Time{}
 	f.learned = false
 	f.due = map[csmodel.WaveID][]csjob.Life{}
@@ -91,14 +92,10 @@
 }
 
 // Held implements csrun.Fleet.
-func (f *Fleet) Held() map[csjob.Life]bool {
+func (f *Fleet) Held() csmodel.Set[csjob.Life] {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := make(map[csjob.Life]bool, len(f.held))
-	for l, v := range f.held {
-		out[l] = v
-	}
-	return out
+	return maps.Clone(f.held)
 }
 
 // Due implements csrun.Fleet.
--- a/internal/fleet/csvms/fleet_test.go
+++ b/internal/fleet/csvms/fleet_test.go
@@ -184,10 +184,7 @@
 func TestWaveKeepsItsLimit(t *testing.T) {
 	t.Parallel()
 	s := newStage(t, map[csmodel.PoolID]int{"a": 3, "b": 2})
-	w := csjob.Wave{ID: "1", AtOnce: 2, Deadline: time.Second}
-	for _, id := range csmodel.SortedKeys(s.cloud.vms) {
-		w.VMs = append(w.VMs, id)
-	}
+	w := csjob.Wave{ID: "1", AtOnce: 2, Deadline: time.Second, VMs: csmodel.SortedKeys(s.cloud.vms)}
 	s.do(csjob.Command{Wave: &w})
 	s.run(30*time.Second, func(t *csjob.Table) bool { return t.Wave("1").Completed() })
 	if got := s.cloud.most; got > w.AtOnce {
--- a/internal/fleet/csvms/order.go
+++ b/internal/fleet/csvms/order.go
@@ -95,7 +95,8 @@
 	case a == Done:
 		f.done(now, o, c)
 	case a == Fenced:
-		f.propose(csjob.Command{}) // finds out whether another node leads
+		// Another node leads in a later term. This one learns of it from the group and stops deciding; until then the order is
+		// repeated after the pause.
 	default:
 		o.Done, o.Refused = true, true
 		f.propose(csjob.Command{VMs: []csjob.VMOrder{o}})
@@ -151,7 +152,7 @@
 	var ready []csjob.VMOrder
 	for _, id := range csmodel.SortedKeys(f.reserved) {
 		s := f.reserved[id]
-		held := f.held[s.order.Life] || s.order.Life.Target == ""
+		held := f.held.Has(s.order.Life) || s.order.Life.Target == ""
 		switch {
 		case s.sent:
 			if r.Now.Sub(s.since) > holdLimit {
@@ -172,15 +173,15 @@
 
 // hold derives the lives that get no new tasks. A life is held for a whole round before an order for it is committed.
 func (f *Fleet) hold(t *csjob.Table) {
-	f.held = map[csjob.Life]bool{}
+	f.held = csmodel.NewSet[csjob.Life]()
 	for _, s := range f.reserved {
 		if s.order.Life.Target != "" {
-			f.held[s.order.Life] = true
+			f.held.Add(s.order.Life)
 		}
 	}
 	for _, o := range t.VMOrders() {
 		if o.Life.Target != "" {
-			f.held[o.Life] = true
+			f.held.Add(o.Life)
 		}
 	}
 }
--- a/internal/jobs/csrun/evict.go
+++ b/internal/jobs/csrun/evict.go
@@ -21,7 +21,7 @@
 	away := r.absent(now, t)
 	for _, id := range csmodel.SortedKeys(r.targets) {
 		w := r.targets[id]
-		if !held[w.life] {
+		if !held.Has(w.life) {
 			continue
 		}
 		for key, u := range w.runs {
--- a/internal/jobs/csrun/leader.go
+++ b/internal/jobs/csrun/leader.go
@@ -49,9 +49,9 @@
 type Fleet interface {
 	// Round is called on the leader in each round. It must not block, and must not keep the table.
 	Round(Round)
-	// Held returns the lives that must not get new tasks, because their VM is about to be taken away. Runs that last
-	// are moved off the lives with true.
-	Held() map[csjob.Life]bool
+	// Held returns the lives that must not get new tasks, because their VM is about to be taken away. Tasks that last are
+	// stopped there, as far as their availability allows.
+	Held() csmodel.Set[csjob.Life]
 	// Due returns the lives whose VMs will be taken away soon. Tasks that last should run elsewhere.
 	Due() csmodel.Set[csjob.Life]
 	// Dead tells whether a VM order has ended a life.
--- a/internal/jobs/csrun/leader_test.go
+++ b/internal/jobs/csrun/leader_test.go
@@ -49,7 +49,7 @@
 		},
 	}
 	i.state.hook = func() {}
-	i.fleet = &fleet{held: map[csjob.Life]bool{}}
+	i.fleet = &fleet{held: csmodel.NewSet[csjob.Life]()}
 	i.leader = i.lead(1)
 	config := csjob.Config{
 		Version: 1, Pools: []csjob.Pool{{ID: testPool}},
@@ -86,7 +86,7 @@
 // fleet holds the VMs that the test names.
 type fleet struct {
 	mu   sync.Mutex
-	held map[csjob.Life]bool
+	held csmodel.Set[csjob.Life]
 }
 
 func (f *fleet) Round(csrun.Round) {}
@@ -97,7 +97,7 @@
 
 func (f *fleet) Dead(csjob.Life) bool { return false }
 
-func (f *fleet) Held() map[csjob.Life]bool {
+func (f *fleet) Held() csmodel.Set[csjob.Life] {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return maps.Clone(f.held)
@@ -107,10 +107,7 @@
 func (f *fleet) hold(lives ...csjob.Life) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.held = map[csjob.Life]bool{}
-	for _, l := range lives {
-		f.held[l] = true
-	}
+	f.held = csmodel.NewSet(lives...)
 }
 
 func (i *installation) propose(c csjob.Command) csjob.Verdict {
--- a/internal/jobs/csrun/schedule.go
+++ b/internal/jobs/csrun/schedule.go
@@ -59,14 +59,14 @@
 
 // slots returns the room of the usable targets by pool.
 func (r *runner) slots(now time.Time, t *csjob.Table) map[csmodel.PoolID][]*csplan.Slot {
-	held, due := map[csjob.Life]bool{}, csmodel.Set[csjob.Life]{}
+	held, due := csmodel.Set[csjob.Life]{}, csmodel.Set[csjob.Life]{}
 	if r.o.Fleet != nil {
 		held, due = r.o.Fleet.Held(), r.o.Fleet.Due()
 	}
 	out := map[csmodel.PoolID][]*csplan.Slot{}
 	for _, id := range csmodel.SortedKeys(r.targets) {
 		w := r.targets[id]
-		if _, taken := held[w.life]; taken || !w.usable(now, r.o.Timing.Beat) || w.grades.quarantined(now) {
+		if held.Has(w.life) || !w.usable(now, r.o.Timing.Beat) || w.grades.quarantined(now) {
 			continue
 		}
 		s := &csplan.Slot{
