--- a/internal/fleet/csvms/balance.go
+++ b/internal/fleet/csvms/balance.go
@@ -33,7 +33,7 @@
 		d := r.Demand[p.ID]
 		f.forecast.Observe(r.Now, p.ID, d.Offered, given.CPU)
 		d.Offered = max(d.Offered, f.forecast.Begun(r.Now, p.ID))
-		v := &PoolView{ID: p.ID, Standby: p.Standby, Need: d.Need(), Expected: d.Lasting + f.forecast.Expected(r.Now, p.ID, f.o.MoveTime), Floor: f.floor(p.ID, given), Keep: !f.forecast.Seen(p.ID)}
+		v := &PoolView{ID: p.ID, Standby: p.Standby, Need: d.Need(), Expected: d.Lasting + f.forecast.Expected(r.Now, p.ID, f.o.MoveTime), Floor: floorVMs, Keep: !f.forecast.Seen(p.ID)}
 		if !p.Standby {
 			v.Required = requiredVMs(d.Width, float64(d.Memory), float64(given.Memory)/float64(max(1, given.VMs)))
 		}
@@ -64,15 +64,6 @@
 	}
 }
 
-// floor returns the least number of VMs of a pool. A pool whose first busy phase is still to come keeps most of what it
-// has, because nothing tells when the phase begins.
-func (f *Fleet) floor(pool csmodel.PoolID, given allotment) int {
-	if f.forecast.Seen(pool) {
-		return floorVMs
-	}
-	return max(floorVMs, int(unseenShare*float64(given.VMs)))
-}
-
 // given returns an even share of the VMs. What a pool holds at the moment depends on whose busy phase it is.
 func (f *Fleet) given(config *csjob.Config) allotment {
 	var a allotment
--- a/internal/fleet/csvms/policy.go
+++ b/internal/fleet/csvms/policy.go
@@ -15,12 +15,10 @@
 	headroom = 1.25
 	// floorVMs is the number of VMs that a pool keeps for the first moments of its next busy phase.
 	floorVMs = 3
-	// unseenShare is the part of its VMs that a pool keeps until its first busy phase is over.
-	unseenShare = 0.0
 	// memoryHeadroom allows for memory that no task of the right size fits into.
 	memoryHeadroom = 1.3
-	// parkAfter is how long a VM has been idle and not needed before it is switched off. The two moves, off and on again,
-	// cost about as much as three seconds of an idle VM.
+	// parkAfter is how long a VM has been idle and not needed before it is switched off. It is longer than the pause between
+	// two busy phases of different pools, because a VM that was switched off comes back too late for a sudden one.
 	parkAfter = 20 * time.Second
 )
 
