Begin jobs only while they can be done on time; empty VMs for the next phase

In an overload the most urgent job is the one that is almost late: jobs began with one or two of their tasks in time and the rest eight seconds later ("1st 0.95 s, last 9.3 s" after acceptance). And when a busy phase was over, its pool kept 26 VMs for late runs while the next pool had 900 cores of work waiting and ran 80, because only idle VMs were moved.

Ruled out: cores. In the same seconds 30 of 48 VMs stood in the pool whose phase was over.

--- a/internal/fleet/csvms/balance.go
+++ b/internal/fleet/csvms/balance.go
@@ -27,26 +27,63 @@
 		f.forecast = Forecast{}
 		f.forecast.Replay(r.Now, r.Arrivals(), func(csmodel.PoolID) csmodel.MilliCPU { return given.CPU })
 	}
+	pools, byID := f.views(r, config, given)
+	candidates := f.candidates(r, byID)
+	f.withdraw(byID)
+	transfers := Balance(pools, candidates)
+	transfers = append(transfers, Park(r.Now, pools, candidates, transfers)...)
+	f.logCapacity(r, pools, len(transfers))
+	for _, t := range transfers {
+		f.reserve(r, t.VM, csjob.VMOrder{VM: t.VM, Pool: t.To})
+	}
+}
+
+// views returns what is known and expected of each pool.
+func (f *Fleet) views(r csrun.Round, config *csjob.Config, given allotment) ([]*PoolView, map[csmodel.PoolID]*PoolView) {
 	var pools []*PoolView
+	var working []csmodel.PoolID
 	byID := map[csmodel.PoolID]*PoolView{}
 	for _, p := range config.Pools {
 		d := r.Demand[p.ID]
-		f.forecast.Observe(r.Now, p.ID, d.Offered, given.CPU)
+		f.forecast.Observe(r.Now, p.ID, d.Offered, d.Jobs, given.CPU)
+		if !p.Standby {
+			working = append(working, p.ID)
+		}
+	}
+	f.logTurn(r)
+	next := f.forecast.NextTurn(r.Now, working, f.o.MoveTime)
+	for _, p := range config.Pools {
+		d := r.Demand[p.ID]
 		d.Offered = max(d.Offered, f.forecast.Begun(r.Now, p.ID))
-		v := &PoolView{ID: p.ID, Standby: p.Standby, Need: d.Need(), Expected: d.Lasting + f.forecast.Expected(r.Now, p.ID, f.o.MoveTime), Floor: floorVMs, Keep: !f.forecast.Seen(p.ID)}
+		if f.forecast.Ending(r.Now, p.ID, f.o.MoveTime) {
+			d.Offered, d.Running, d.Waiting = 0, scale(d.Running, endingShare), scale(d.Waiting, endingShare)
+		}
+		expected := max(f.forecast.Expected(r.Now, p.ID, f.o.MoveTime), next[p.ID])
+		v := &PoolView{
+			ID: p.ID, Standby: p.Standby, Need: d.Need(), Expected: d.Lasting + expected, Floor: floorVMs, Keep: !f.forecast.Seen(p.ID),
+		}
+		if f.forecast.steady() {
+			v.Certain = d.Lasting + next[p.ID]
+		}
 		if !p.Standby {
 			v.Required = requiredVMs(d.Width, float64(d.Memory), float64(given.Memory)/float64(max(1, given.VMs)))
 		}
 		byID[p.ID] = v
 		pools = append(pools, v)
 	}
-	candidates := f.candidates(r, byID)
-	transfers := Balance(pools, candidates)
-	transfers = append(transfers, Park(r.Now, pools, candidates, transfers)...)
-	f.logCapacity(r, pools, len(transfers))
-	for _, t := range transfers {
-		f.reserve(r, t.VM, csjob.VMOrder{VM: t.VM, Pool: t.To})
+	return pools, byID
+}
+
+// logTurn writes a line when another pool has begun its busy phase.
+func (f *Fleet) logTurn(r csrun.Round) {
+	last, length, known := f.forecast.Turn()
+	if last == f.turn {
+		return
 	}
+	f.turn = last
+	f.log.Info("busy phase begun", zap.String("pool", string(last.pool)), zap.Duration("age", r.Now.Sub(last.at)),
+		zap.Int64("offered", int64(r.Demand[last.pool].Offered)), zap.Int("jobs", r.Demand[last.pool].Jobs),
+		zap.Bool("length_known", known), zap.Duration("length", length))
 }
 
 // logCapacity writes what the last decisions were based on.
@@ -60,6 +97,7 @@
 		f.log.Info("capacity", zap.String("pool", string(p.ID)), zap.Int("vms", p.VMs), zap.Int64("supply", int64(p.Supply)),
 			zap.Int64("need", int64(p.Need)), zap.Int64("offered", int64(d.Offered)), zap.Int64("waiting", int64(d.Waiting)),
 			zap.Int64("late", int64(d.Behind)), zap.Int64("running", int64(d.Running)), zap.Int64("lasting", int64(d.Lasting)),
+			zap.Int64("expected", int64(p.Expected)), zap.Int("required", p.Required),
 			zap.Duration("list_age", r.Now.Sub(f.listedAt)))
 	}
 }
@@ -129,9 +167,30 @@
 	return out
 }
 
+// withdraw gives up moves of VMs that are still being emptied and that their new pool no longer needs.
+func (f *Fleet) withdraw(pools map[csmodel.PoolID]*PoolView) {
+	for _, id := range csmodel.SortedKeys(f.reserved) {
+		s := f.reserved[id]
+		v, to := f.vms[id], pools[s.order.Pool]
+		if s.sent || s.order.Wave != "" || to == nil || !spares(soon, to, v.Room.CPU) {
+			continue
+		}
+		to.Supply -= v.Room.CPU
+		to.VMs--
+		if from := pools[v.Pool]; from != nil {
+			from.Supply += v.Room.CPU
+			from.VMs++
+		}
+		delete(f.reserved, id)
+		f.log.Info("VM move withdrawn", zap.String("vm", string(id)), zap.String("from", string(v.Pool)), zap.String("pool", string(s.order.Pool)))
+	}
+}
+
 func (f *Fleet) candidate(r csrun.Round, id csmodel.VMID, v VM, l csjob.Life) Candidate {
 	c := Candidate{ID: id, Pool: v.Pool, CPU: v.Room.CPU, Idle: !r.Busy(l)}
 	if !c.Idle {
+		load := r.Load(l)
+		c.Clear, c.Lasts = load.Clear, load.Lasts
 		delete(f.idle, id)
 		return c
 	}
--- a/internal/fleet/csvms/fleet.go
+++ b/internal/fleet/csvms/fleet.go
@@ -59,6 +59,7 @@
 	held     csmodel.Set[csjob.Life]    // no new tasks there
 	idle     map[csmodel.VMID]time.Time // since when VMs have been idle
 	forecast Forecast
+	turn     turn                            // the last one that was logged
 	learned  bool                            // the forecast has taken in what the table knows
 	due      map[csmodel.WaveID][]csjob.Life // targets whose VMs wait for their maintenance
 }
@@ -134,8 +135,8 @@
 	f.carryOut(r)
 	f.waves(r)
 	f.balance(r)
-	f.release(r)
 	f.hold(r.Table)
+	f.release(r)
 }
 
 // list asks for the VMs where something is not known or expected to change.
--- a/internal/fleet/csvms/fleet_test.go
+++ b/internal/fleet/csvms/fleet_test.go
@@ -169,7 +169,7 @@
 		s.group.View(func(t *csjob.Table) {
 			s.fleet.Round(csrun.Round{
 				Now: time.Now(), Table: t, Fence: 1, Demand: csrun.Demand{}, Arrivals: func() []csrun.Arrival { return nil },
-				Busy: t.Busy, Usable: func(csjob.Life) bool { return true },
+				Busy: t.Busy, Load: func(csjob.Life) csrun.Load { return csrun.Load{} }, Usable: func(csjob.Life) bool { return true },
 			})
 			done = until(t)
 		})
--- a/internal/fleet/csvms/forecast.go
+++ b/internal/fleet/csvms/forecast.go
@@ -1,6 +1,7 @@
 package csvms
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -30,6 +31,18 @@
 	shortestCycle = 4 * time.Second
 	// keptStarts is the number of phases of a pool that are remembered.
 	keptStarts = 4
+	// leastJobs is the number of jobs that have to arrive within the window for a phase to begin: between two phases a
+	// single large job may bring as much work as a busy phase.
+	leastJobs = 3
+	// shortestTurn keeps a ragged change of turns from being taken for two.
+	shortestTurn = 3 * time.Second
+	// steadyRatio is the largest ratio of two turns that count as equally long.
+	steadyRatio = 1.25
+	// emptyFor is the time that it takes to empty the VMs of the pool whose turn ends.
+	emptyFor = time.Second
+	// endingShare is the part of the waiting and running work of a pool whose turn is about to end that needs VMs beyond the
+	// end: the rest is done by then.
+	endingShare = 0.5
 	// prepareFor is how long before a phase is noticed its VMs should be there: half a second until enough work has
 	// arrived to tell, and the time of a round.
 	prepareFor = 700 * time.Millisecond
@@ -41,6 +54,14 @@
 // interval. The zero value works.
 type Forecast struct {
 	pools map[csmodel.PoolID]*season
+	turns []turn
+	first time.Time // the first work of any pool
+}
+
+// turn is the start of a phase of one pool after that of another one.
+type turn struct {
+	pool csmodel.PoolID
+	at   time.Time
 }
 
 // season is what is known of the phases of one pool.
@@ -56,11 +77,15 @@
 	mean    float64 // work in a phase
 }
 
-// Observe takes in the work that arrives at a pool now. given is the CPU of the VMs that it had at first.
-func (f *Forecast) Observe(now time.Time, pool csmodel.PoolID, work, given csmodel.MilliCPU) {
+// Observe takes in the work and the number of jobs that arrive at a pool now. given is the CPU of the VMs that it had at
+// first.
+func (f *Forecast) Observe(now time.Time, pool csmodel.PoolID, work csmodel.MilliCPU, jobs int, given csmodel.MilliCPU) {
 	if f.pools == nil {
 		f.pools = map[csmodel.PoolID]*season{}
 	}
+	if jobs > 0 && f.first.IsZero() {
+		f.first = now
+	}
 	s := f.pools[pool]
 	if s == nil {
 		s = &season{at: now}
@@ -73,12 +98,14 @@
 	s.peak = max(s.peak, level)
 	reference := max(s.peak, leastPhase*s.given)
 	switch {
-	case !s.busy && level > 0 && level >= busyFrom*reference:
+	case !s.busy && jobs >= leastJobs && level >= busyFrom*reference:
 		s.begin(now)
+		f.changeTurn(now, pool)
 	case s.busy && s.samples > 0 && s.sum/float64(s.samples) < busyTo*level:
 		// What looked like a phase was the quiet time before the first real one.
 		s.starts = s.starts[:max(0, len(s.starts)-1)]
 		s.begin(now)
+		f.changeTurn(now, pool)
 	case s.busy && level >= busyTo*reference:
 		s.low = time.Time{}
 	case s.busy && s.low.IsZero():
@@ -103,7 +130,7 @@
 	}
 	from, to := 0, 0
 	for at := arrivals[0].At; at.Before(now); at = at.Add(decideEvery) {
-		rates := map[csmodel.PoolID]csmodel.MilliCPU{}
+		rates, jobs := map[csmodel.PoolID]csmodel.MilliCPU{}, map[csmodel.PoolID]int{}
 		for to < len(arrivals) && !arrivals[to].At.After(at) {
 			to++
 		}
@@ -112,9 +139,10 @@
 		}
 		for _, a := range arrivals[from:to] {
 			rates[a.Pool] += csmodel.MilliCPU(float64(a.Work) / csrun.OfferedWindow.Seconds())
+			jobs[a.Pool]++
 		}
 		for _, p := range csmodel.SortedKeys(pools) {
-			f.Observe(at, p, rates[p], given(p))
+			f.Observe(at, p, rates[p], jobs[p], given(p))
 		}
 	}
 }
@@ -158,6 +186,120 @@
 	return all[len(all)/2], true
 }
 
+// changeTurn notes that a phase of a pool has begun. The first one began with the first work: some pool is always busy.
+func (f *Forecast) changeTurn(now time.Time, pool csmodel.PoolID) {
+	n := len(f.turns)
+	if n == 0 {
+		now = f.first
+	}
+	if n > 0 {
+		last := &f.turns[n-1]
+		if last.pool == pool {
+			return
+		}
+		if now.Sub(last.at) < shortestTurn {
+			last.pool = pool // what looked like a phase was noise before this one
+			return
+		}
+	}
+	f.turns = append(f.turns, turn{pool, now})
+}
+
+// turnLength returns the usual time from the turn of one pool to that of the next one, and false where it is not known.
+func (f *Forecast) turnLength() (time.Duration, bool) {
+	var all []time.Duration
+	for i := 1; i < len(f.turns); i++ {
+		all = append(all, f.turns[i].at.Sub(f.turns[i-1].at))
+	}
+	if len(all) == 0 {
+		return 0, false
+	}
+	slices.Sort(all)
+	return all[len(all)/2], true
+}
+
+// Turn returns the present turn, and the usual length of a turn where it is known.
+func (f *Forecast) Turn() (turn, time.Duration, bool) {
+	if len(f.turns) == 0 {
+		return turn{}, 0, false
+	}
+	length, known := f.turnLength()
+	return f.turns[len(f.turns)-1], length, known
+}
+
+// steady tells whether the turns so far were about equally long, so that the end of the present one can be relied on.
+func (f *Forecast) steady() bool {
+	if len(f.turns) < 3 {
+		return false
+	}
+	shortest, longest := time.Duration(math.MaxInt64), time.Duration(0)
+	for i := 1; i < len(f.turns); i++ {
+		d := f.turns[i].at.Sub(f.turns[i-1].at)
+		shortest, longest = min(shortest, d), max(longest, d)
+	}
+	return float64(longest) <= steadyRatio*float64(shortest)
+}
+
+// changing tells whether the present turn is about to end, or has ended and the next one has not begun.
+func (f *Forecast) changing(now time.Time, ahead time.Duration) bool {
+	length, known := f.turnLength()
+	if !known {
+		return false
+	}
+	next := f.turns[len(f.turns)-1].at.Add(length)
+	return !now.Before(next.Add(-ahead-prepareFor-emptyFor)) && !now.After(next.Add(waitFor))
+}
+
+// Ending tells whether the turn of a pool is about to end, as far as that can be relied on.
+func (f *Forecast) Ending(now time.Time, pool csmodel.PoolID, ahead time.Duration) bool {
+	return f.steady() && f.changing(now, ahead) && f.turns[len(f.turns)-1].pool == pool
+}
+
+// NextTurn returns the work that the next turn is expected to bring to each of the pools that may have it, if it begins
+// within the given time. Pools that have had no turn yet are next; then the one whose turn is the longest ago.
+func (f *Forecast) NextTurn(now time.Time, pools []csmodel.PoolID, ahead time.Duration) map[csmodel.PoolID]csmodel.MilliCPU {
+	if !f.changing(now, ahead) {
+		return nil
+	}
+	had := map[csmodel.PoolID]time.Time{}
+	var levels []float64
+	for _, t := range f.turns {
+		had[t.pool] = t.at
+	}
+	for _, id := range csmodel.SortedKeys(had) {
+		s := f.pools[id]
+		switch {
+		case s.mean > 0:
+			levels = append(levels, s.mean)
+		case s.samples > 0:
+			levels = append(levels, s.sum/float64(s.samples))
+		}
+	}
+	if len(levels) == 0 {
+		return nil
+	}
+	slices.Sort(levels)
+	level := levels[len(levels)/2]
+	var next []csmodel.PoolID
+	oldest := f.turns[len(f.turns)-1]
+	for _, id := range pools {
+		at, ok := had[id]
+		if !ok {
+			next = append(next, id)
+		} else if at.Before(oldest.at) {
+			oldest = turn{id, at}
+		}
+	}
+	if len(next) == 0 {
+		next = []csmodel.PoolID{oldest.pool}
+	}
+	out := map[csmodel.PoolID]csmodel.MilliCPU{}
+	for _, id := range next {
+		out[id] = csmodel.MilliCPU(level / float64(len(next)))
+	}
+	return out
+}
+
 // Begun returns the work that a busy phase which has just begun is expected to bring.
 func (f *Forecast) Begun(now time.Time, pool csmodel.PoolID) csmodel.MilliCPU {
 	if s := f.pools[pool]; s != nil && s.busy && len(s.starts) > 0 {
--- a/internal/fleet/csvms/policy.go
+++ b/internal/fleet/csvms/policy.go
@@ -13,6 +13,11 @@
 	// headroom is the capacity that a pool should have for each unit of work that wants to run. An idle VM costs about a
 	// fifteenth of what a busy one earns, so too much is cheaper than too little.
 	headroom = 1.25
+	// bareHeadroom is the capacity that work takes at the least: tasks do not fill a VM exactly.
+	bareHeadroom = 1.1
+	// longestClear is how long a VM may take to be emptied: the length of a task of the long kind. A busy phase of some
+	// seconds is over when a VM comes much later.
+	longestClear = 2 * time.Second
 	// floorVMs is the number of VMs that a pool keeps for the first moments of its next busy phase.
 	floorVMs = 3
 	// memoryHeadroom allows for memory that no task of the right size fits into.
@@ -27,8 +32,10 @@
 	ID    csmodel.VMID
 	Pool  csmodel.PoolID
 	CPU   csmodel.MilliCPU
-	Idle  bool      // nothing runs there
-	Since time.Time // since when it has been idle
+	Idle  bool          // nothing runs there
+	Clear time.Duration // until its runs have ended, if it gets no new ones
+	Lasts bool          // a task that lasts runs there
+	Since time.Time     // since when it has been idle
 }
 
 // PoolView is what the policy knows of a pool.
@@ -38,6 +45,7 @@
 	Need    csmodel.MilliCPU // work that wants to run now or soon
 	// Expected is work that a forecast expects soon. It takes VMs that no present work needs.
 	Expected csmodel.MilliCPU
+	Certain  csmodel.MilliCPU // the part of it that can be relied on, for which busy VMs are emptied
 	Supply   csmodel.MilliCPU // of VMs that are up or on their way
 	VMs      int              // that are up or on their way
 	Floor    int              // least number of VMs that it keeps
@@ -51,16 +59,28 @@
 	To csmodel.PoolID
 }
 
-// horizon selects the work that a decision is about.
+// horizon selects the capacity that a decision is about.
 type horizon func(*PoolView) csmodel.MilliCPU
 
-func present(p *PoolView) csmodel.MilliCPU { return p.Need }
+func scale(work csmodel.MilliCPU, by float64) csmodel.MilliCPU {
+	return csmodel.MilliCPU(by * float64(work))
+}
+
+// bare is what the present work takes at the least.
+func bare(p *PoolView) csmodel.MilliCPU { return scale(p.Need, bareHeadroom) }
+
+// present is what the present work should have.
+func present(p *PoolView) csmodel.MilliCPU { return scale(p.Need, headroom) }
 
-func soon(p *PoolView) csmodel.MilliCPU { return max(p.Need, p.Expected) }
+// bareSoon also covers the least that work takes which is certain to come.
+func bareSoon(p *PoolView) csmodel.MilliCPU { return scale(max(p.Need, p.Certain), bareHeadroom) }
+
+// soon also covers the work that is expected.
+func soon(p *PoolView) csmodel.MilliCPU { return scale(max(p.Need, p.Expected), headroom) }
 
 // deficit returns what a pool lacks. A pool below its floor lacks something, however many cores it has.
 func (p *PoolView) deficit(h horizon) csmodel.MilliCPU {
-	d := csmodel.MilliCPU(headroom*float64(h(p))) - p.Supply
+	d := h(p) - p.Supply
 	if p.VMs < p.Required {
 		d = max(d, 1)
 	}
@@ -81,19 +101,29 @@
 }
 
 // Balance returns the transfers that cover the deficits, the largest one first, from idle VMs of the pools with the
-// largest surplus. Present work goes before expected work. It changes the views to what they will be.
+// largest surplus. Present work goes before expected work. Where the idle VMs do not cover what present work takes at the
+// least, busy VMs are emptied for it: a pool whose busy phase is over would otherwise keep them for its last runs. It
+// changes the views to what they will be.
 func Balance(pools []*PoolView, candidates []Candidate) []Transfer {
 	byID := map[csmodel.PoolID]*PoolView{}
 	for _, p := range pools {
 		byID[p.ID] = p
 	}
 	taken := csmodel.NewSet[csmodel.VMID]()
-	out := cover(present, pools, byID, candidates, taken)
-	return append(out, cover(soon, pools, byID, candidates, taken)...)
+	out := cover(bare, anyRuns, pools, byID, candidates, taken)
+	out = append(out, cover(present, noRuns, pools, byID, candidates, taken)...)
+	out = append(out, cover(bareSoon, anyRuns, pools, byID, candidates, taken)...)
+	return append(out, cover(soon, noRuns, pools, byID, candidates, taken)...)
 }
 
+// noRuns allows only idle VMs.
+func noRuns(c *Candidate) bool { return c.Idle }
+
+// anyRuns allows VMs that can be emptied soon.
+func anyRuns(c *Candidate) bool { return c.Idle || (!c.Lasts && c.Clear <= longestClear) }
+
 func cover(
-	h horizon, pools []*PoolView, byID map[csmodel.PoolID]*PoolView, candidates []Candidate, taken csmodel.Set[csmodel.VMID],
+	h horizon, allowed func(*Candidate) bool, pools []*PoolView, byID map[csmodel.PoolID]*PoolView, candidates []Candidate, taken csmodel.Set[csmodel.VMID],
 ) []Transfer {
 	var out []Transfer
 	for {
@@ -101,7 +131,7 @@
 		if to == nil {
 			return out
 		}
-		c := donor(h, byID, candidates, taken, to)
+		c := donor(h, allowed, byID, candidates, taken, to)
 		if c == nil {
 			return out
 		}
@@ -162,13 +192,14 @@
 
 // donor returns the best VM to take for a pool, or nil.
 func donor(
-	h horizon, pools map[csmodel.PoolID]*PoolView, candidates []Candidate, taken csmodel.Set[csmodel.VMID], to *PoolView,
+	h horizon, allowed func(*Candidate) bool, pools map[csmodel.PoolID]*PoolView, candidates []Candidate,
+	taken csmodel.Set[csmodel.VMID], to *PoolView,
 ) *Candidate {
 	var fit []*Candidate
 	for i := range candidates {
 		c := &candidates[i]
 		p := pools[c.Pool]
-		if p == nil || p == to || !c.Idle || taken.Has(c.ID) || !spares(h, p, c.CPU) {
+		if p == nil || p == to || !allowed(c) || taken.Has(c.ID) || !spares(h, p, c.CPU) {
 			continue
 		}
 		fit = append(fit, c)
@@ -179,8 +210,10 @@
 	return slices.MinFunc(fit, func(a, b *Candidate) int {
 		x, y := pools[a.Pool], pools[b.Pool]
 		return cmp.Or(
+			compareBool(b.Idle, a.Idle),
 			compareBool(y.Standby, x.Standby), // a VM that is off costs nothing while it waits, but no pool misses it
 			cmp.Compare(x.deficit(soon), y.deficit(soon)),
+			cmp.Compare(a.Clear, b.Clear),
 			cmp.Compare(a.ID, b.ID),
 		)
 	})
--- a/internal/fleet/csvms/policy_test.go
+++ b/internal/fleet/csvms/policy_test.go
@@ -55,6 +55,41 @@
 	}
 }
 
+// Pattern: the busy phase of one pool is over and its last runs are spread over all its VMs, while another pool's phase
+// has begun. VMs are emptied for the new phase, those that are empty first, and never those with tasks that last.
+func TestBusyVMsAreEmptiedForTheNextPhase(t *testing.T) {
+	cases := []struct {
+		name   string
+		need   csmodel.MilliCPU // of the pool whose phase is over
+		demand csmodel.MilliCPU // of the pool whose phase has begun
+		want   int
+	}{
+		{"late work holds no VM", 2 * vmCPU, 8 * vmCPU, 5},
+		{"timely work keeps its VMs", 9 * vmCPU, 8 * vmCPU, 0},
+		{"nothing is lacking", 2 * vmCPU, 3 * vmCPU, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			over, begun := view("over", 10, c.need), view("begun", 4, c.demand)
+			candidates := idleVMs("over", 10, time.Now())
+			for i := range candidates {
+				candidates[i].Idle = false
+				candidates[i].Clear = time.Duration(i) * 100 * time.Millisecond
+				candidates[i].Lasts = i < 3
+			}
+			moves := Balance([]*PoolView{over, begun}, candidates)
+			if got := len(moves); got != c.want {
+				t.Fatalf("got %d moves, want %d", got, c.want)
+			}
+			for i, m := range moves {
+				if want := candidates[3+i].ID; m.VM != want {
+					t.Errorf("got VM %s emptied, want %s", m.VM, want)
+				}
+			}
+		})
+	}
+}
+
 // Pattern: one pool is busy and another one's turn is expected; the VMs do not suffice for both.
 func TestPresentWorkGoesBeforeExpectedWork(t *testing.T) {
 	busy, next, spare := view("busy", 4, 8*vmCPU), view("next", 4, 0), view("spare", 8, 0)
@@ -144,11 +179,11 @@
 				turn := int(at/c.length) % c.pools
 				for p := range c.pools {
 					id := csmodel.PoolID(fmt.Sprint(p))
-					work := csmodel.MilliCPU(5000)
+					work, jobs := csmodel.MilliCPU(5000), 1
 					if p == turn {
-						work = 100_000
+						work, jobs = 100_000, 20
 					}
-					f.Observe(start.Add(at), id, work, 60_000)
+					f.Observe(start.Add(at), id, work, jobs, 60_000)
 					untilTurn := (time.Duration((p-turn+c.pools)%c.pools)*c.length - at%c.length + cycle) % cycle
 					expected := f.Expected(start.Add(at), id, ahead) > 0
 					switch {
@@ -172,3 +207,49 @@
 		})
 	}
 }
+
+// Pattern: queues are busy by turns, in an order that is not known. From the third turn on the work of the next one is
+// expected, spread over the pools that have had no turn yet, and the pool whose turn ends is told apart.
+func TestForecastExpectsTheNextTurn(t *testing.T) {
+	pools := []csmodel.PoolID{"a", "b", "c", "d"}
+	order := []int{3, 1, 2, 0}
+	const length, tick, ahead = 10 * time.Second, 100 * time.Millisecond, 1500 * time.Millisecond
+	start := time.Unix(1_800_000_000, 0)
+	var f Forecast
+	for at := time.Duration(0); at < 4*length; at += tick {
+		now := start.Add(at)
+		turn := int(at / length)
+		for p, id := range pools {
+			work, jobs := csmodel.MilliCPU(5000), 1
+			if p == order[turn] {
+				work, jobs = 100_000, 20
+			}
+			if p == order[3] && at%(5*time.Second) == 2*time.Second {
+				work = 90_000 // a single large job
+			}
+			f.Observe(now, id, work, jobs, 60_000)
+		}
+		next := f.NextTurn(now, pools, ahead)
+		left := length - at%length
+		switch {
+		case turn == 0 || turn == 3:
+			if turn == 0 && len(next) > 0 {
+				t.Fatalf("at %s: got %v expected before any turn has ended", at, next)
+			}
+		case left > ahead+prepareFor+emptyFor+tick && at%length > waitFor:
+			if len(next) > 0 {
+				t.Fatalf("at %s: got %v expected, want nothing", at, next)
+			}
+		case left > tick && left < ahead:
+			if got, want := len(next), 3-turn; got != want {
+				t.Fatalf("at %s: got %d pools that may be next, want %d", at, got, want)
+			}
+			if got, want := next[pools[order[turn+1]]], csmodel.MilliCPU(100_000/(3-turn)); got < want*9/10 || got > want*11/10 {
+				t.Fatalf("at %s: got %d expected, want %d", at, got, want)
+			}
+			if got, want := f.Ending(now, pools[order[turn]], ahead), turn >= 2; got != want {
+				t.Fatalf("at %s: got %t for the end of the turn, want %t", at, got, want)
+			}
+		}
+	}
+}
--- a/internal/jobs/csplan/plan.go
+++ b/internal/jobs/csplan/plan.go
@@ -10,6 +10,18 @@
 	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
 )
 
+const (
+	// noticeTime is the time from the end of a run until the client account can see it: half the spacing of looks, a commit
+	// and the answer to a poll.
+	noticeTime = 120 * time.Millisecond
+	// beginReserve is the time that a job must have to spare to be begun as timely. In an overload the most urgent job is
+	// the one that is almost late, and without the reserve every job would begin too late to be done on time.
+	beginReserve = 200 * time.Millisecond
+	// finishTolerance is how long a job that was begun is still treated as timely after its latest start. It is the error of
+	// the predicted run times: dropping the job would waste what was done for it.
+	finishTolerance = 200 * time.Millisecond
+)
+
 // lateFactor is the multiple of its objective after which a job has no value left, from the platform's rules on credit.
 const lateFactor = 3
 
@@ -116,9 +128,13 @@
 	}
 	onTime, worthless := Objective(e, q, j, occurrence)
 	chain := Chain(e, j, occurrence)
-	u.latest = onTime.Add(-chain)
+	u.latest = onTime.Add(-chain - noticeTime)
+	reserve := beginReserve
+	if begun(j, occurrence) {
+		reserve = -finishTolerance
+	}
 	switch {
-	case !u.latest.Before(now):
+	case !u.latest.Before(now.Add(reserve)):
 		u.class = timely
 	case worthless.Add(-chain).After(now):
 		u.class = late
@@ -128,6 +144,21 @@
 	return u
 }
 
+// begun tells whether any task of an occurrence has been started.
+func begun(j *csjob.Job, occurrence int) bool {
+	for s, tasks := range j.Tasks[occurrence] {
+		if j.Left[occurrence][s] < len(tasks) {
+			return true
+		}
+		for i := range tasks {
+			if tasks[i].Attempts > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Work is a step of an occurrence with tasks that wait.
 type Work struct {
 	Job     *csjob.Job
--- a/internal/jobs/csrun/evict.go
+++ b/internal/jobs/csrun/evict.go
@@ -3,13 +3,24 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"cowslipstream.example/cowslipstream/csmodel"
 	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
 	"cowslipstream.example/cowslipstream/internal/jobs/csplan"
 )
 
+const (
+	// stopTime is how long a stop takes at most, from the platform's bounds.
+	stopTime = 900 * time.Millisecond
+	// stopGain is the least remaining time of a run for which stopping it frees its VM sooner.
+	stopGain = 700 * time.Millisecond
+	// restartReserve is the time that a job must have to spare, besides the stop, for its run to be started again elsewhere.
+	restartReserve = 400 * time.Millisecond
+)
+
 // evict stops the runs that last on VMs that are about to be taken away, as far as the availability of their steps
-// allows. Runs that end by themselves are left to end.
+// allows, and those that can be started again elsewhere or are late anyway. Other runs are left to end.
 func (r *runner) evict(now time.Time, t *csjob.Table) {
 	if r.o.Fleet == nil {
 		return
@@ -25,7 +36,11 @@
 			continue
 		}
 		for key, u := range w.runs {
-			if !u.lasting || u.stop {
+			if u.stop {
+				continue
+			}
+			if !u.lasting {
+				r.evictRun(now, t, w, u)
 				continue
 			}
 			step := stepOf(key.task)
@@ -42,6 +57,35 @@
 	}
 }
 
+// evictRun stops a run that would keep its VM for long.
+func (r *runner) evictRun(now time.Time, t *csjob.Table, w *target, u *run) {
+	j := t.Job(u.key.task.Job)
+	if j == nil || j.Tasks == nil || !u.started || !r.stoppable(now, t, j, u) {
+		return
+	}
+	u.stop = true
+	r.log.Info("run stopped to free its VM", zap.String("job", string(u.key.task.Job)), zap.Stringer("task", u.key.task),
+		zap.String("target", string(w.life.Target)), zap.Time("on_time", u.onTime), zap.Duration("left", r.left(now, j, u)))
+}
+
+// left is the predicted time until a run ends.
+func (r *runner) left(now time.Time, j *csjob.Job, u *run) time.Duration {
+	return r.learned.Duration(j.Submission.Queue, j.Submission.Steps[u.key.task.Step]) - now.Sub(u.since)
+}
+
+// stoppable tells whether stopping a run frees its VM sooner and costs its job nothing but the work: the job is late
+// already, or the run can be started again in time.
+func (r *runner) stoppable(now time.Time, t *csjob.Table, j *csjob.Job, u *run) bool {
+	if r.left(now, j, u) < stopGain {
+		return false
+	}
+	if r.overdue(now, t, j, u) {
+		return true
+	}
+	chain := csplan.Chain(&r.learned, j, u.key.task.Occurrence)
+	return now.Add(stopTime + restartReserve + chain).Before(u.onTime)
+}
+
 // listFresh is how long the list of a target's runs says that they are at work. Looks come at least once per second.
 const listFresh = 2 * time.Second
 
--- a/internal/jobs/csrun/leader.go
+++ b/internal/jobs/csrun/leader.go
@@ -50,7 +50,7 @@
 	// Round is called on the leader in each round. It must not block, and must not keep the table.
 	Round(Round)
 	// Held returns the lives that must not get new tasks, because their VM is about to be taken away. Tasks that last are
-	// stopped there, as far as their availability allows.
+	// stopped there, as far as their availability allows, and so are runs that can be started again in time or are late.
 	Held() csmodel.Set[csjob.Life]
 	// Due returns the lives whose VMs will be taken away soon. Tasks that last should run elsewhere.
 	Due() csmodel.Set[csjob.Life]
@@ -69,9 +69,18 @@
 	// Arrivals returns the jobs that the table still knows, for what is learned from them.
 	Arrivals func() []Arrival
 	Busy     func(csjob.Life) bool // something runs there or is on its way
+	Load     func(csjob.Life) Load // what runs there
 	Usable   func(csjob.Life) bool // the target answers
 }
 
+// Load is what runs on a target.
+type Load struct {
+	Timely  csmodel.MilliCPU // of runs whose job can meet its objective
+	Lasting csmodel.MilliCPU // of tasks that last
+	Lasts   bool             // a task that lasts runs there
+	Clear   time.Duration    // until the other runs have ended or can have been stopped
+}
+
 // Demand is the work that waits and runs, by pool.
 type Demand map[csmodel.PoolID]PoolDemand
 
@@ -79,9 +88,10 @@
 type PoolDemand struct {
 	Waiting csmodel.MilliCPU // of tasks that could start now and are not late
 	Behind  csmodel.MilliCPU // of tasks that have missed their objective
-	Running csmodel.MilliCPU // of tasks that end by themselves
+	Running csmodel.MilliCPU // of tasks that end by themselves, whose job is not late, on VMs that stay in the pool
 	Lasting csmodel.MilliCPU // of tasks that last, running or waiting
 	Offered csmodel.MilliCPU // work that arrived lately, as the cores that it keeps busy
+	Jobs    int              // that arrived in the same time
 	// Width is the number of targets that the tasks of the widest step that lasts have to be spread over.
 	Width int
 	// Memory is the memory of the tasks that last, running or waiting.
--- a/internal/jobs/csrun/offered.go
+++ b/internal/jobs/csrun/offered.go
@@ -17,24 +17,31 @@
 	last     csmodel.Index
 	arrivals []Arrival
 	rates    map[csmodel.PoolID]csmodel.MilliCPU
+	jobs     map[csmodel.PoolID]int
 }
 
-// Arrival is a job that was accepted.
+// Arrival is an accepted job whose tasks end by themselves.
 type Arrival struct {
 	At   time.Time
 	Pool csmodel.PoolID
 	Work csmodel.MilliCPU // thousandths of a core times seconds
 }
 
-// arrivals returns the jobs that the table still knows, in order of acceptance.
+// arrivals returns the jobs that the table still knows and that end by themselves, in order of acceptance.
 func arrivals(t *csjob.Table, e csplan.Estimator) []Arrival {
 	var out []Arrival
 	for _, j := range t.Accepted() {
-		out = append(out, Arrival{At: j.Accepted, Pool: t.QueueOf(j).Pool, Work: workOf(j, e)})
+		if a := arrivalOf(j, t, e); a.Work > 0 {
+			out = append(out, a)
+		}
 	}
 	return out
 }
 
+func arrivalOf(j *csjob.Job, t *csjob.Table, e csplan.Estimator) Arrival {
+	return Arrival{At: j.Accepted, Pool: t.QueueOf(j).Pool, Work: workOf(j, e)}
+}
+
 // observe takes in the jobs that were accepted since the last call.
 func (o *offered) observe(now time.Time, t *csjob.Table, e csplan.Estimator) {
 	jobs := t.Active()
@@ -44,13 +51,16 @@
 	}
 	for _, j := range jobs[first:] {
 		o.last = j.Order
-		o.arrivals = append(o.arrivals, Arrival{At: j.Accepted, Pool: t.QueueOf(j).Pool, Work: workOf(j, e)})
+		if a := arrivalOf(j, t, e); a.Work > 0 {
+			o.arrivals = append(o.arrivals, a)
+		}
 	}
 	kept := o.arrivals[:0]
-	o.rates = map[csmodel.PoolID]csmodel.MilliCPU{}
+	o.rates, o.jobs = map[csmodel.PoolID]csmodel.MilliCPU{}, map[csmodel.PoolID]int{}
 	for _, a := range o.arrivals {
 		if now.Sub(a.At) < OfferedWindow {
 			kept = append(kept, a)
+			o.jobs[a.Pool]++
 			o.rates[a.Pool] += csmodel.MilliCPU(float64(a.Work) / OfferedWindow.Seconds())
 		}
 	}
--- a/internal/jobs/csrun/runner.go
+++ b/internal/jobs/csrun/runner.go
@@ -162,6 +162,12 @@
 				Now: now, Table: t, Fence: csmodel.Fence(r.term), Demand: r.leader.outlook.Load().demand,
 				Arrivals: func() []Arrival { return arrivals(t, &r.learned) },
 				Busy:     func(l csjob.Life) bool { return r.occupied(t, l) },
+				Load: func(l csjob.Life) Load {
+					if w := r.target(l); w != nil {
+						return r.load(now, t, w)
+					}
+					return Load{}
+				},
 				Usable: func(l csjob.Life) bool {
 					w := r.target(l)
 					return w != nil && w.usable(now, r.o.Timing.Beat)
--- a/internal/jobs/csrun/schedule.go
+++ b/internal/jobs/csrun/schedule.go
@@ -37,7 +37,7 @@
 		demand[pool] = r.demandOf(work)
 		starts = append(starts, r.intend(t, placed)...)
 	}
-	r.countRunning(t, demand)
+	r.countRunning(now, t, demand)
 	countLasting(t, demand)
 	r.leader.outlook.Store(&outlook{demand: demand})
 	return starts
@@ -59,9 +59,9 @@
 
 // slots returns the room of the usable targets by pool.
 func (r *runner) slots(now time.Time, t *csjob.Table) map[csmodel.PoolID][]*csplan.Slot {
-	held, due := csmodel.Set[csjob.Life]{}, csmodel.Set[csjob.Life]{}
+	held, due := r.held(), csmodel.Set[csjob.Life]{}
 	if r.o.Fleet != nil {
-		held, due = r.o.Fleet.Held(), r.o.Fleet.Due()
+		due = r.o.Fleet.Due()
 	}
 	out := map[csmodel.PoolID][]*csplan.Slot{}
 	for _, id := range csmodel.SortedKeys(r.targets) {
@@ -140,29 +140,67 @@
 	return d
 }
 
-func (r *runner) countRunning(t *csjob.Table, d Demand) {
+// countRunning adds what runs on targets that stay in their pools.
+func (r *runner) countRunning(now time.Time, t *csjob.Table, d Demand) {
+	held := r.held()
 	for _, w := range r.targets {
-		p := d[w.record.Pool]
-		for key := range w.runs {
-			j := t.Job(key.task.Job)
-			if j == nil || j.Tasks == nil {
-				continue
-			}
-			if step := j.Submission.Steps[key.task.Step]; step.Lasting {
-				p.Lasting += step.Needs().CPU
-			} else {
-				p.Running += step.Needs().CPU
-			}
+		if held.Has(w.life) {
+			continue
 		}
+		l := r.load(now, t, w)
+		p := d[w.record.Pool]
+		p.Lasting += l.Lasting
+		p.Running += l.Timely
 		d[w.record.Pool] = p
 	}
 	for pool, cores := range r.offered.rates {
 		p := d[pool]
-		p.Offered = cores
+		p.Offered, p.Jobs = cores, r.offered.jobs[pool]
 		d[pool] = p
 	}
 }
 
+// load adds up what runs on a target.
+func (r *runner) load(now time.Time, t *csjob.Table, w *target) Load {
+	var l Load
+	for key, u := range w.runs {
+		j := t.Job(key.task.Job)
+		if j == nil || j.Tasks == nil {
+			continue
+		}
+		need := j.Submission.Steps[key.task.Step].Needs().CPU
+		if j.Submission.Steps[key.task.Step].Lasting {
+			l.Lasting += need
+			l.Lasts = true
+			continue
+		}
+		if !r.overdue(now, t, j, u) {
+			l.Timely += need
+		}
+		clear := r.left(now, j, u)
+		if u.stop || r.stoppable(now, t, j, u) {
+			clear = min(clear, stopTime)
+		}
+		l.Clear = max(l.Clear, clear)
+	}
+	return l
+}
+
+// overdue tells whether the job of a run that ends by itself has missed its objective.
+func (r *runner) overdue(now time.Time, t *csjob.Table, j *csjob.Job, u *run) bool {
+	if u.onTime.IsZero() {
+		u.onTime, _ = csplan.Objective(&r.learned, t.QueueOf(j), j, u.key.task.Occurrence)
+	}
+	return now.After(u.onTime)
+}
+
+func (r *runner) held() csmodel.Set[csjob.Life] {
+	if r.o.Fleet == nil {
+		return csmodel.Set[csjob.Life]{}
+	}
+	return r.o.Fleet.Held()
+}
+
 // countLasting adds what the tasks that last need besides cores.
 func countLasting(t *csjob.Table, d Demand) {
 	for _, j := range t.Active() {
--- a/internal/jobs/csrun/target.go
+++ b/internal/jobs/csrun/target.go
@@ -42,7 +42,8 @@
 	missing int // looks that did not list it
 	percent int
 	load    float64
-	settled bool // it has been at full work
+	settled bool      // it has been at full work
+	onTime  time.Time // when its job misses its objective; zero while not computed
 }
 
 // target is what the leader knows of one life of a target.
