Let maintenance waves take idle VMs first

Change: idle VMs that no pool needs are taken as soon as the wave allows, others only as fast as the deadline asks, those empty soonest first. The log line "capacity" tells the usable targets and the cores left on them.

--- a/internal/fleet/csvms/balance.go
+++ b/internal/fleet/csvms/balance.go
@@ -1,6 +1,8 @@
 package csvms
 
 import (
+	"slices"
+
 	"go.uber.org/zap"
 
 	"cowslipstream.example/cowslipstream/csmodel"
@@ -15,24 +17,51 @@
 	Memory csjob.MiB
 }
 
-// balance reserves VMs for moves to pools that need them.
-func (f *Fleet) balance(r csrun.Round) {
-	config := r.Table.Config()
-	if config == nil {
-		return
-	}
+// survey is what a round knows of the pools and of the VMs that may be taken from them.
+type survey struct {
+	pools      []*PoolView
+	byID       map[csmodel.PoolID]*PoolView
+	candidates []Candidate
+}
+
+func (f *Fleet) survey(r csrun.Round, config *csjob.Config) *survey {
 	given := f.given(config)
 	if !f.learned {
 		f.learned = true
 		f.forecast = Forecast{}
 		f.forecast.Replay(r.Now, r.Arrivals(), func(csmodel.PoolID) csmodel.MilliCPU { return given.CPU })
 	}
-	pools, byID := f.views(r, config, given)
-	candidates := f.candidates(r, byID)
-	f.withdraw(byID)
-	transfers := Balance(pools, candidates)
-	transfers = append(transfers, Park(r.Now, pools, candidates, transfers)...)
-	f.logCapacity(r, pools, len(transfers))
+	s := &survey{}
+	s.pools, s.byID = f.views(r, config, given)
+	s.candidates = f.candidates(r, s.byID)
+	f.withdraw(s.byID)
+	return s
+}
+
+// take removes a VM from its pool.
+func (s *survey) take(v VM) {
+	if p := s.byID[v.Pool]; p != nil {
+		p.Supply -= v.Room.CPU
+		p.VMs--
+	}
+	s.candidates = slices.DeleteFunc(s.candidates, func(c Candidate) bool { return c.ID == v.ID })
+}
+
+// candidate returns a VM that may be taken, and false where it is not known what that would end.
+func (s *survey) candidate(id csmodel.VMID) (Candidate, bool) {
+	for _, c := range s.candidates {
+		if c.ID == id {
+			return c, true
+		}
+	}
+	return Candidate{}, false
+}
+
+// balance reserves VMs for moves to pools that need them.
+func (f *Fleet) balance(r csrun.Round, s *survey) {
+	transfers := Balance(s.pools, s.candidates)
+	transfers = append(transfers, Park(r.Now, s.pools, s.candidates, transfers)...)
+	f.logCapacity(r, s.pools, len(transfers))
 	for _, t := range transfers {
 		f.reserve(r, t.VM, csjob.VMOrder{VM: t.VM, Pool: t.To})
 	}
@@ -56,7 +85,7 @@
 		d := r.Demand[p.ID]
 		d.Offered = max(d.Offered, f.forecast.Begun(r.Now, p.ID))
 		if f.forecast.Ending(r.Now, p.ID, f.o.MoveTime) {
-			d.Offered, d.Running, d.Waiting = 0, scale(d.Running, endingShare), scale(d.Waiting, endingShare)
+			d.Offered, d.Running = 0, scale(d.Running, endingShare)
 		}
 		expected := max(f.forecast.Expected(r.Now, p.ID, f.o.MoveTime), next[p.ID])
 		v := &PoolView{
@@ -97,6 +126,7 @@
 		f.log.Info("capacity", zap.String("pool", string(p.ID)), zap.Int("vms", p.VMs), zap.Int64("supply", int64(p.Supply)),
 			zap.Int64("need", int64(p.Need)), zap.Int64("offered", int64(d.Offered)), zap.Int64("waiting", int64(d.Waiting)),
 			zap.Int64("late", int64(d.Behind)), zap.Int64("running", int64(d.Running)), zap.Int64("lasting", int64(d.Lasting)),
+			zap.Int("targets", d.Targets), zap.Int64("free", int64(d.Free)),
 			zap.Int64("expected", int64(p.Expected)), zap.Int("required", p.Required),
 			zap.Duration("list_age", r.Now.Sub(f.listedAt)))
 	}
--- a/internal/fleet/csvms/fleet.go
+++ b/internal/fleet/csvms/fleet.go
@@ -133,8 +133,11 @@
 		return
 	}
 	f.carryOut(r)
-	f.waves(r)
-	f.balance(r)
+	if config := r.Table.Config(); config != nil {
+		s := f.survey(r, config)
+		f.waves(r, s)
+		f.balance(r, s)
+	}
 	f.hold(r.Table)
 	f.release(r)
 }
--- a/internal/fleet/csvms/forecast.go
+++ b/internal/fleet/csvms/forecast.go
@@ -36,12 +36,12 @@
 	leastJobs = 3
 	// shortestTurn keeps a ragged change of turns from being taken for two.
 	shortestTurn = 3 * time.Second
-	// steadyRatio is the largest ratio of two turns that count as equally long.
-	steadyRatio = 1.25
-	// emptyFor is the time that it takes to empty the VMs of the pool whose turn ends.
-	emptyFor = time.Second
-	// endingShare is the part of the waiting and running work of a pool whose turn is about to end that needs VMs beyond the
-	// end: the rest is done by then.
+	// steadyError is how far turns may be off a regular sequence, in parts of a turn. A turn of few jobs is noticed late.
+	steadyError = 0.25
+	// emptyFor is the time that it takes to empty the first VMs of the pool whose turn ends.
+	emptyFor = 300 * time.Millisecond
+	// endingShare is the part of the running work of a pool whose turn is about to end that needs VMs beyond the end: the
+	// rest is done by then.
 	endingShare = 0.5
 	// prepareFor is how long before a phase is noticed its VMs should be there: half a second until enough work has
 	// arrived to tell, and the time of a round.
@@ -71,6 +71,7 @@
 	at      time.Time
 	busy    bool
 	low     time.Time // since when little work arrives in a busy phase
+	since   time.Time // start of the present run of arrivals without a pause
 	starts  []time.Time
 	sum     float64 // of the work in this phase
 	samples int
@@ -91,6 +92,12 @@
 		s = &season{at: now}
 		f.pools[pool] = s
 	}
+	switch {
+	case jobs < 2:
+		s.since = time.Time{}
+	case s.since.IsZero():
+		s.since = now
+	}
 	s.peak *= 1 - 0.5*min(1, now.Sub(s.at).Seconds()/forgetPeak.Seconds())
 	s.at = now
 	s.given = float64(given)
@@ -100,12 +107,12 @@
 	switch {
 	case !s.busy && jobs >= leastJobs && level >= busyFrom*reference:
 		s.begin(now)
-		f.changeTurn(now, pool)
+		f.changeTurn(s.since, pool)
 	case s.busy && s.samples > 0 && s.sum/float64(s.samples) < busyTo*level:
 		// What looked like a phase was the quiet time before the first real one.
 		s.starts = s.starts[:max(0, len(s.starts)-1)]
 		s.begin(now)
-		f.changeTurn(now, pool)
+		f.changeTurn(s.since, pool)
 	case s.busy && level >= busyTo*reference:
 		s.low = time.Time{}
 	case s.busy && s.low.IsZero():
@@ -187,35 +194,38 @@
 }
 
 // changeTurn notes that a phase of a pool has begun. The first one began with the first work: some pool is always busy.
-func (f *Forecast) changeTurn(now time.Time, pool csmodel.PoolID) {
+func (f *Forecast) changeTurn(at time.Time, pool csmodel.PoolID) {
 	n := len(f.turns)
 	if n == 0 {
-		now = f.first
+		f.turns = append(f.turns, turn{pool, f.first})
+		return
 	}
-	if n > 0 {
-		last := &f.turns[n-1]
-		if last.pool == pool {
-			return
-		}
-		if now.Sub(last.at) < shortestTurn {
-			last.pool = pool // what looked like a phase was noise before this one
-			return
-		}
+	last := &f.turns[n-1]
+	switch {
+	case last.pool == pool:
+	case at.Sub(last.at) < shortestTurn:
+		last.pool = pool // what looked like a phase was noise before this one
+	default:
+		f.turns = append(f.turns, turn{pool, at})
 	}
-	f.turns = append(f.turns, turn{pool, now})
 }
 
-// turnLength returns the usual time from the turn of one pool to that of the next one, and false where it is not known.
+// turnLength returns the usual time from the turn of one pool to that of the next one, and false where it is not known. A
+// turn is never noticed before it begins, so the shortest mean is the best one.
 func (f *Forecast) turnLength() (time.Duration, bool) {
-	var all []time.Duration
+	length := time.Duration(0)
 	for i := 1; i < len(f.turns); i++ {
-		all = append(all, f.turns[i].at.Sub(f.turns[i-1].at))
-	}
-	if len(all) == 0 {
-		return 0, false
+		mean := f.turns[i].at.Sub(f.turns[0].at) / time.Duration(i)
+		if length == 0 || mean < length {
+			length = mean
+		}
 	}
-	slices.Sort(all)
-	return all[len(all)/2], true
+	return length, length > 0
+}
+
+// place returns how many turns of a length there were before a time, as a fraction.
+func (f *Forecast) place(at time.Time, length time.Duration) float64 {
+	return float64(at.Sub(f.turns[0].at)) / float64(length)
 }
 
 // Turn returns the present turn, and the usual length of a turn where it is known.
@@ -229,15 +239,17 @@
 
 // steady tells whether the turns so far were about equally long, so that the end of the present one can be relied on.
 func (f *Forecast) steady() bool {
-	if len(f.turns) < 3 {
+	length, known := f.turnLength()
+	if !known || len(f.turns) < 3 {
 		return false
 	}
-	shortest, longest := time.Duration(math.MaxInt64), time.Duration(0)
-	for i := 1; i < len(f.turns); i++ {
-		d := f.turns[i].at.Sub(f.turns[i-1].at)
-		shortest, longest = min(shortest, d), max(longest, d)
+	for _, t := range f.turns {
+		place := f.place(t.at, length)
+		if math.Abs(place-math.Round(place)) > steadyError {
+			return false
+		}
 	}
-	return float64(longest) <= steadyRatio*float64(shortest)
+	return true
 }
 
 // changing tells whether the present turn is about to end, or has ended and the next one has not begun.
@@ -246,7 +258,8 @@
 	if !known {
 		return false
 	}
-	next := f.turns[len(f.turns)-1].at.Add(length)
+	present := math.Round(f.place(f.turns[len(f.turns)-1].at, length))
+	next := f.turns[0].at.Add(time.Duration((present + 1) * float64(length)))
 	return !now.Before(next.Add(-ahead-prepareFor-emptyFor)) && !now.After(next.Add(waitFor))
 }
 
--- a/internal/fleet/csvms/wave.go
+++ b/internal/fleet/csvms/wave.go
@@ -1,6 +1,8 @@
 package csvms
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -9,34 +11,35 @@
 	"cowslipstream.example/cowslipstream/internal/jobs/csrun"
 )
 
+// emptyTime is the time of a VM's maintenance besides the maintenance itself: until its runs have ended or were stopped, and
+// until the first heartbeat.
+const emptyTime = 2500 * time.Millisecond
+
 // waves reserves VMs for the waves in progress.
-func (f *Fleet) waves(r csrun.Round) {
-	if r.Table.Config() == nil {
-		return
-	}
+func (f *Fleet) waves(r csrun.Round, s *survey) {
 	for _, w := range r.Table.Waves() {
 		delete(f.due, w.Wave.ID)
 		if !w.Completed() {
-			f.wave(r, w)
+			f.wave(r, s, w)
 		}
 	}
 }
 
-func (f *Fleet) wave(r csrun.Round, w *csjob.WaveState) {
+func (f *Fleet) wave(r csrun.Round, s *survey, w *csjob.WaveState) {
 	var waiting []csmodel.VMID
 	var removed []csjob.VMOrder
 	down := 0
 	for _, id := range w.Wave.VMs {
 		_, begun := w.Begun[id]
-		s := f.reserved[id]
+		o := f.reserved[id]
 		v, exists := f.vms[id]
 		switch {
 		case w.Done.Has(id):
-		case begun, s != nil && s.order.Wave == w.Wave.ID:
+		case begun, o != nil && o.order.Wave == w.Wave.ID:
 			down++
 		case !exists && r.Now.Sub(f.listedAt) < listEvery:
 			removed = append(removed, csjob.VMOrder{VM: id, Wave: w.Wave.ID, Done: true})
-		case s == nil && exists && f.takeable(r, v):
+		case o == nil && exists && f.takeable(r, v):
 			if _, ordered := r.Table.VMOrders()[id]; !ordered {
 				waiting = append(waiting, id)
 			}
@@ -45,15 +48,38 @@
 	if len(removed) > 0 {
 		f.propose(csjob.Command{VMs: removed})
 	}
-	slices.SortStableFunc(waiting, func(a, b csmodel.VMID) int { return f.burden(r, a) - f.burden(r, b) })
 	f.due[w.Wave.ID] = f.livesOf(r.Table, waiting)
+	for _, id := range f.pickWave(r, s, w, waiting, down) {
+		f.reserve(r, id, csjob.VMOrder{VM: id, Wave: w.Wave.ID})
+	}
+}
+
+// pickWave takes VMs from their pools and returns them: idle ones that no pool needs as soon as the wave allows, others only as fast as
+// its deadline asks, because every busy VM that is taken is missed.
+func (f *Fleet) pickWave(r csrun.Round, s *survey, w *csjob.WaveState, waiting []csmodel.VMID, down int) []csmodel.VMID {
+	var out, needed []csmodel.VMID
 	for _, id := range waiting {
-		if down >= f.pace(r.Now, w) {
-			return
+		v := f.vms[id]
+		c, known := s.candidate(id)
+		p := s.byID[v.Pool]
+		if !known || !c.Idle || p == nil || !spares(soon, p, v.Room.CPU) {
+			needed = append(needed, id)
+			continue
 		}
-		f.reserve(r, id, csjob.VMOrder{VM: id, Wave: w.Wave.ID})
-		down++
+		if down+len(out) < w.Wave.AtOnce {
+			out = append(out, id)
+			s.take(v)
+		}
+	}
+	slices.SortStableFunc(needed, func(a, b csmodel.VMID) int { return cmp.Compare(f.burden(r, a), f.burden(r, b)) })
+	for _, id := range needed {
+		if down+len(out) >= f.pace(r.Now, w) {
+			break
+		}
+		out = append(out, id)
+		s.take(f.vms[id])
 	}
+	return out
 }
 
 // takeable tells whether it is known what an order for a VM would end.
@@ -75,10 +101,10 @@
 // pace returns how many VMs of a wave should be down at once to end in time.
 func (f *Fleet) pace(now time.Time, w *csjob.WaveState) int {
 	left := len(w.Wave.VMs) - len(w.Done)
-	cycle := 2*f.o.Upkeep + time.Second // emptying, maintenance, and the first heartbeat
+	cycle := f.o.Upkeep + emptyTime
 	remaining := w.Accepted.Add(w.Wave.Deadline).Sub(now) - waveMargin
 	need := float64(left) * float64(cycle) / float64(max(remaining, cycle))
-	return min(w.Wave.AtOnce, int(need)+1)
+	return min(w.Wave.AtOnce, int(math.Ceil(need)))
 }
 
 func (f *Fleet) livesOf(t *csjob.Table, vms []csmodel.VMID) []csjob.Life {
@@ -91,19 +117,16 @@
 	return out
 }
 
-// burden ranks VMs for a wave. Those with tasks that last go first, because the tasks leave one at a time; then VMs that
-// are off, then those with the least work.
-func (f *Fleet) burden(r csrun.Round, id csmodel.VMID) int {
+// burden ranks the VMs of a wave. Those with tasks that last go first, because the tasks leave one at a time; then those
+// that are empty soonest.
+func (f *Fleet) burden(r csrun.Round, id csmodel.VMID) time.Duration {
 	t, ok := f.life(r.Table, f.vms[id])
 	if !ok {
 		return 0
 	}
-	n := 1
-	for _, k := range r.Table.TasksOn(t.Life) {
-		n++
-		if j := r.Table.Job(k.Job); j != nil && j.Tasks != nil && j.Submission.Steps[k.Step].Lasting {
-			n -= 100
-		}
+	l := r.Load(t.Life)
+	if l.Lasts {
+		return l.Clear - time.Hour
 	}
-	return n
+	return l.Clear
 }
--- a/internal/jobs/csrun/leader.go
+++ b/internal/jobs/csrun/leader.go
@@ -92,6 +92,8 @@
 	Lasting csmodel.MilliCPU // of tasks that last, running or waiting
 	Offered csmodel.MilliCPU // work that arrived lately, as the cores that it keeps busy
 	Jobs    int              // that arrived in the same time
+	Targets int              // that can take tasks now
+	Free    csmodel.MilliCPU // of these, after what was placed
 	// Width is the number of targets that the tasks of the widest step that lasts have to be spread over.
 	Width int
 	// Memory is the memory of the tasks that last, running or waiting.
--- a/internal/jobs/csrun/looks.go
+++ b/internal/jobs/csrun/looks.go
@@ -108,7 +108,7 @@
 	w.lookedAt = now
 	r.leader.poke()
 	if m.err != nil {
-		w.failures++
+		w.unanswered(now)
 		r.log.Info("look not answered", zap.String("target", string(w.life.Target)), zap.Int("failures", w.failures), zap.Error(m.err))
 		return
 	}
@@ -117,7 +117,7 @@
 		return
 	}
 	if m.look.Born != 0 && m.look.Born != w.life.Born {
-		w.failures++ // restarted; its heartbeat tells more
+		w.unanswered(now) // restarted; its heartbeat tells more
 		return
 	}
 	w.reading(m.look.Clock, now, r.o.Timing.LongestLease)
--- a/internal/jobs/csrun/orders.go
+++ b/internal/jobs/csrun/orders.go
@@ -135,7 +135,7 @@
 }
 
 func (r *runner) unanswered(w *target, u *run, m *ordered, now time.Time) {
-	w.failures++
+	w.unanswered(now)
 	r.log.Info("order not answered", zap.String("order", orderNames[m.kind]), zap.String("job", string(m.key.task.Job)),
 		zap.Stringer("task", m.key.task), zap.Int("attempt", int(m.key.attempt)), zap.String("target", string(w.life.Target)),
 		zap.Duration("after", now.Sub(m.began)), zap.Error(m.err))
--- a/internal/jobs/csrun/runner.go
+++ b/internal/jobs/csrun/runner.go
@@ -158,6 +158,7 @@
 		r.closeLost(now, t)
 		starts = r.schedule(now, t)
 		if r.o.Fleet != nil {
+			silent := r.silentZones()
 			r.o.Fleet.Round(Round{
 				Now: now, Table: t, Fence: csmodel.Fence(r.term), Demand: r.leader.outlook.Load().demand,
 				Arrivals: func() []Arrival { return arrivals(t, &r.learned) },
@@ -170,7 +171,7 @@
 				},
 				Usable: func(l csjob.Life) bool {
 					w := r.target(l)
-					return w != nil && w.usable(now, r.o.Timing.Beat)
+					return w != nil && w.usable(now, r.o.Timing.Beat) && !silent.Has(w.record.Zone)
 				},
 			})
 		}
--- a/internal/jobs/csrun/schedule.go
+++ b/internal/jobs/csrun/schedule.go
@@ -34,7 +34,12 @@
 	for _, pool := range csmodel.SortedKeys(jobs) {
 		work := r.waiting(now, t, jobs[pool])
 		placed := csplan.Place(work, slots[pool], r.onItsWay)
-		demand[pool] = r.demandOf(work)
+		d := r.demandOf(work)
+		for _, s := range slots[pool] {
+			d.Targets++
+			d.Free += s.Free.CPU
+		}
+		demand[pool] = d
 		starts = append(starts, r.intend(t, placed)...)
 	}
 	r.countRunning(now, t, demand)
@@ -64,9 +69,10 @@
 		due = r.o.Fleet.Due()
 	}
 	out := map[csmodel.PoolID][]*csplan.Slot{}
+	silent := r.silentZones()
 	for _, id := range csmodel.SortedKeys(r.targets) {
 		w := r.targets[id]
-		if held.Has(w.life) || !w.usable(now, r.o.Timing.Beat) || w.grades.quarantined(now) {
+		if held.Has(w.life) || !w.usable(now, r.o.Timing.Beat) || w.grades.quarantined(now) || silent.Has(w.record.Zone) {
 			continue
 		}
 		s := &csplan.Slot{
--- a/internal/jobs/csrun/target.go
+++ b/internal/jobs/csrun/target.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cowslipstream.example/cowslipstream/csmodel"
 	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
 )
 
@@ -14,6 +15,9 @@
 	lapseSlack = 500 * time.Millisecond
 	// silentBeats is the number of heartbeat intervals after which a target gets no new tasks.
 	silentBeats = 2.5
+	// silentTargets is the number of targets that have to be silent for their availability zone to count as cut off: one
+	// alone is more likely at fault itself.
+	silentTargets = 2
 	// restAfterRefusal keeps new tasks off a target that refused one.
 	restAfterRefusal = 500 * time.Millisecond
 	// restUnhealthy keeps new tasks off a target that called itself unhealthy.
@@ -67,7 +71,9 @@
 	taken    int64     // ends on their way to being committed
 	told     int64     // noted ends that the target was told of
 	calls    int
-	failures int // unanswered calls in a row
+	failures int       // unanswered calls in a row
+	failedAt time.Time // the first of them
+	answerAt time.Time // last answered call
 	restTill time.Time
 	fencing  bool // the life is over, or about to end in the table: no orders and looks
 	stopping bool // the runs of a life that is over are being stopped on the new one
@@ -77,6 +83,7 @@
 // reading takes in the clock of an answer that arrived now.
 func (t *target) reading(clock time.Duration, now time.Time, longest time.Duration) {
 	t.heardAt = now
+	t.answerAt = now
 	t.failures = 0
 	if clock > 0 {
 		if t.clockAt.IsZero() {
@@ -86,6 +93,14 @@
 	}
 }
 
+// unanswered counts a call that was not answered.
+func (t *target) unanswered(now time.Time) {
+	if t.failures == 0 {
+		t.failedAt = now
+	}
+	t.failures++
+}
+
 // until returns the end of a lease of a length from now, on the target's clock.
 func (t *target) until(now time.Time, lease time.Duration) time.Duration {
 	if t.clockAt.IsZero() {
@@ -103,11 +118,42 @@
 	return least > t.granted+lapseSlack
 }
 
-// usable tells whether the target may get new tasks.
+// usable tells whether the target counts as part of its pool.
 func (t *target) usable(now time.Time, beat time.Duration) bool {
 	return !t.record.Leaving && !t.clockAt.IsZero() && t.failures < silentFailures && !t.fencing && !t.fresh &&
 		now.Sub(t.heardAt) < silentAfter(beat) && now.After(t.restTill)
 }
 
+// silentZones returns the availability zones in which several targets do not answer and none has answered since. A cut
+// reaches all targets of a zone at once, and each task that is sent there waits for the end of its lease.
+func (r *runner) silentZones() csmodel.Set[csmodel.AvailabilityZone] {
+	type signs struct {
+		failing  int
+		failedAt time.Time // the first unanswered call
+		answerAt time.Time // the last answered one
+	}
+	zones := map[csmodel.AvailabilityZone]signs{}
+	for _, w := range r.targets {
+		z := zones[w.record.Zone]
+		if w.failures > 0 {
+			z.failing++
+			if z.failedAt.IsZero() || w.failedAt.Before(z.failedAt) {
+				z.failedAt = w.failedAt
+			}
+		}
+		if w.answerAt.After(z.answerAt) {
+			z.answerAt = w.answerAt
+		}
+		zones[w.record.Zone] = z
+	}
+	out := csmodel.NewSet[csmodel.AvailabilityZone]()
+	for zone, z := range zones {
+		if z.failing >= silentTargets && !z.answerAt.After(z.failedAt) {
+			out.Add(zone)
+		}
+	}
+	return out
+}
+
 // silentAfter returns the time without a sign after which a target counts as silent.
 func silentAfter(beat time.Duration) time.Duration { return time.Duration(silentBeats * float64(beat)) }
