Notice lost answers of targets sooner; take busy VMs no earlier than needed

One order in eighteen was not answered. A start waited 400 ms and then 400 ms more for its second try, and a lost answer to a look hid all ends of its target for up to 1.4 s, with 0.6 to 1 s to spare for a job.

Change: calls wait 200 ms, the second try follows at once, and a look waits no longer than until shortly after the next expected end. Busy VMs leave the pool whose turn ends 1.5 s ahead, no longer 2.5 s.

--- a/cmd/cowslipstream/roles.go
+++ b/cmd/cowslipstream/roles.go
@@ -40,10 +40,11 @@
 	settingsPoll = time.Second
 )
 
-// Timing of the leader. Leases cover a change of the leader: election timeout, catching up and a first look.
+// Timing of the leader. Leases cover a change of the leader: election timeout, catching up and a first look. Targets answer
+// within some milliseconds, and jobs have 600 ms and more to spare: the timeout leaves time for a second try.
 const (
 	runLease    = 5 * time.Second
-	callTimeout = 400 * time.Millisecond
+	callTimeout = 200 * time.Millisecond
 	lookSpacing = 100 * time.Millisecond
 	lookWait    = time.Second
 )
--- a/internal/fleet/csvms/balance.go
+++ b/internal/fleet/csvms/balance.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -67,6 +68,9 @@
 	}
 }
 
+// emptyFor is the time that it takes to empty the first VMs for another pool.
+const emptyFor = 300 * time.Millisecond
+
 // views returns what is known and expected of each pool.
 func (f *Fleet) views(r csrun.Round, config *csjob.Config, given allotment) ([]*PoolView, map[csmodel.PoolID]*PoolView) {
 	var pools []*PoolView
@@ -80,7 +84,9 @@
 		}
 	}
 	f.logTurn(r)
-	next := f.forecast.NextTurn(r.Now, working, f.o.MoveTime)
+	next := f.forecast.NextTurn(r.Now, working, f.o.MoveTime+prepareFor+emptyFor)
+	// Busy VMs are taken no earlier than they are needed: the work of the pool that loses them goes on.
+	certain := f.forecast.steady() && f.forecast.changing(r.Now, f.o.MoveTime)
 	for _, p := range config.Pools {
 		d := r.Demand[p.ID]
 		d.Offered = max(d.Offered, f.forecast.Begun(r.Now, p.ID))
@@ -91,7 +97,7 @@
 		v := &PoolView{
 			ID: p.ID, Standby: p.Standby, Need: d.Need(), Expected: d.Lasting + expected, Floor: floorVMs, Keep: !f.forecast.Seen(p.ID),
 		}
-		if f.forecast.steady() {
+		if certain {
 			v.Certain = d.Lasting + next[p.ID]
 		}
 		if !p.Standby {
--- a/internal/fleet/csvms/forecast.go
+++ b/internal/fleet/csvms/forecast.go
@@ -38,8 +38,6 @@
 	shortestTurn = 3 * time.Second
 	// steadyError is how far turns may be off a regular sequence, in parts of a turn. A turn of few jobs is noticed late.
 	steadyError = 0.25
-	// emptyFor is the time that it takes to empty the first VMs of the pool whose turn ends.
-	emptyFor = 300 * time.Millisecond
 	// endingShare is the part of the running work of a pool whose turn is about to end that needs VMs beyond the end: the
 	// rest is done by then.
 	endingShare = 0.5
@@ -252,7 +250,7 @@
 	return true
 }
 
-// changing tells whether the present turn is about to end, or has ended and the next one has not begun.
+// changing tells whether the present turn ends within some time, or has ended and the next one has not begun.
 func (f *Forecast) changing(now time.Time, ahead time.Duration) bool {
 	length, known := f.turnLength()
 	if !known {
@@ -260,16 +258,16 @@
 	}
 	present := math.Round(f.place(f.turns[len(f.turns)-1].at, length))
 	next := f.turns[0].at.Add(time.Duration((present + 1) * float64(length)))
-	return !now.Before(next.Add(-ahead-prepareFor-emptyFor)) && !now.After(next.Add(waitFor))
+	return !now.Before(next.Add(-ahead)) && !now.After(next.Add(waitFor))
 }
 
-// Ending tells whether the turn of a pool is about to end, as far as that can be relied on.
+// Ending tells whether the turn of a pool ends within some time, as far as that can be relied on.
 func (f *Forecast) Ending(now time.Time, pool csmodel.PoolID, ahead time.Duration) bool {
 	return f.steady() && f.changing(now, ahead) && f.turns[len(f.turns)-1].pool == pool
 }
 
 // NextTurn returns the work that the next turn is expected to bring to each of the pools that may have it, if it begins
-// within the given time. Pools that have had no turn yet are next; then the one whose turn is the longest ago.
+// within some time. Pools that have had no turn yet are next; then the one whose turn is the longest ago.
 func (f *Forecast) NextTurn(now time.Time, pools []csmodel.PoolID, ahead time.Duration) map[csmodel.PoolID]csmodel.MilliCPU {
 	if !f.changing(now, ahead) {
 		return nil
--- a/internal/jobs/csrun/evict.go
+++ b/internal/jobs/csrun/evict.go
@@ -65,18 +65,16 @@
 	}
 	u.stop = true
 	r.log.Info("run stopped to free its VM", zap.String("job", string(u.key.task.Job)), zap.Stringer("task", u.key.task),
-		zap.String("target", string(w.life.Target)), zap.Time("on_time", u.onTime), zap.Duration("left", r.left(now, j, u)))
+		zap.String("target", string(w.life.Target)), zap.Time("on_time", u.onTime), zap.Duration("left", u.left(now)))
 }
 
 // left is the predicted time until a run ends.
-func (r *runner) left(now time.Time, j *csjob.Job, u *run) time.Duration {
-	return r.learned.Duration(j.Submission.Queue, j.Submission.Steps[u.key.task.Step]) - now.Sub(u.since)
-}
+func (u *run) left(now time.Time) time.Duration { return u.expected - now.Sub(u.since) }
 
 // stoppable tells whether stopping a run frees its VM sooner and costs its job nothing but the work: the job is late
 // already, or the run can be started again in time.
 func (r *runner) stoppable(now time.Time, t *csjob.Table, j *csjob.Job, u *run) bool {
-	if r.left(now, j, u) < stopGain {
+	if u.left(now) < stopGain {
 		return false
 	}
 	if r.overdue(now, t, j, u) {
--- a/internal/jobs/csrun/looks.go
+++ b/internal/jobs/csrun/looks.go
@@ -13,6 +13,11 @@
 const (
 	// lookRetry is the pause after a look that was not answered.
 	lookRetry = 250 * time.Millisecond
+	// leastWait bounds the wait of a look from below, so that looks at a target whose runs take longer than predicted stay
+	// rare.
+	leastWait = 200 * time.Millisecond
+	// waitMargin is added to the predicted time of the next end: predictions are off by about a fifth.
+	waitMargin = 150 * time.Millisecond
 	// silentFailures is the number of unanswered calls in a row after which looks no longer extend the lease: an extension
 	// that may or may not have arrived would keep the runs open for ever.
 	silentFailures = 2
@@ -32,7 +37,7 @@
 
 func (r *runner) lookDue(w *target, now time.Time) bool {
 	spacing := r.o.Timing.LookSpacing
-	if w.failures > 0 {
+	if w.failures > 1 {
 		spacing = lookRetry
 	}
 	if w.looking || w.fencing || now.Sub(w.lookedAt) < spacing {
@@ -55,10 +60,7 @@
 		o.Until = w.until(now, r.o.Timing.Lease)
 		w.granted = max(w.granted, o.Until)
 		if !w.fresh {
-			o.Wait = r.o.Timing.LookWait
-			if w.unsettled() {
-				o.Wait = min(o.Wait, settleWait)
-			}
+			o.Wait = r.lookWait(w, now)
 		}
 	}
 	w.looking = true
@@ -74,6 +76,21 @@
 	}()
 }
 
+// lookWait returns how long the answer to a look may wait for an end. It is no longer than until the next end is expected:
+// if the answer is lost, all ends of the target are noticed only after the wait.
+func (r *runner) lookWait(w *target, now time.Time) time.Duration {
+	wait := r.o.Timing.LookWait
+	for _, u := range w.runs {
+		if !u.lasting {
+			wait = min(wait, max(leastWait, u.expected-now.Sub(u.since)+waitMargin))
+		}
+	}
+	if w.unsettled() {
+		wait = min(wait, settleWait)
+	}
+	return wait
+}
+
 // settleWait is the wait of a look while a task that lasts has started and is not at work yet: others of its step may
 // wait for it.
 const settleWait = 250 * time.Millisecond
--- a/internal/jobs/csrun/orders.go
+++ b/internal/jobs/csrun/orders.go
@@ -14,7 +14,8 @@
 	// callsPerTarget bounds the orders on their way to one target. Its connections are bounded, and each new one is
 	// charged.
 	callsPerTarget = 3
-	// orderRetry is the pause before an order is sent again. It doubles up to orderRetryMost.
+	// orderRetry is the pause before an order is sent for the third time. It doubles up to orderRetryMost. The second time
+	// follows at once: most targets that leave one order unanswered answer the next one.
 	orderRetry     = 200 * time.Millisecond
 	orderRetryMost = time.Second
 	// startTries is the number of unanswered starts after which the run is stopped instead.
@@ -143,7 +144,10 @@
 		return
 	}
 	u.busy = false
-	u.nextAt = now.Add(min(orderRetry<<min(u.tries, 4), orderRetryMost))
+	u.nextAt = now
+	if u.tries > 1 {
+		u.nextAt = now.Add(min(orderRetry<<min(u.tries-2, 4), orderRetryMost))
+	}
 	if m.kind == orderStart && u.tries >= startTries && !u.started {
 		u.stop = true
 	}
--- a/internal/jobs/csrun/runner.go
+++ b/internal/jobs/csrun/runner.go
@@ -312,7 +312,7 @@
 			open.Add(key)
 			u := w.runs[key]
 			if u == nil {
-				u = &run{key: key, since: o.Since}
+				u = &run{key: key, since: o.Since, expected: r.learned.Duration(j.Submission.Queue, step)}
 				w.runs[key] = u
 			}
 			if j.State.Final() || task.Done || (w.record.Leaving && step.Lasting) {
--- a/internal/jobs/csrun/schedule.go
+++ b/internal/jobs/csrun/schedule.go
@@ -183,7 +183,7 @@
 		if !r.overdue(now, t, j, u) {
 			l.Timely += need
 		}
-		clear := r.left(now, j, u)
+		clear := u.left(now)
 		if u.stop || r.stoppable(now, t, j, u) {
 			clear = min(clear, stopTime)
 		}
--- a/internal/jobs/csrun/target.go
+++ b/internal/jobs/csrun/target.go
@@ -32,22 +32,23 @@
 
 // run is what the leader knows of an open run on a target.
 type run struct {
-	key     runKey
-	since   time.Time
-	started bool // the target has acknowledged or listed it
-	ackedAt time.Time
-	lasting bool
-	stop    bool // it has to end
-	stopped bool // the target has acknowledged the stop
-	stopAt  time.Time
-	busy    bool // an order is on its way
-	nextAt  time.Time
-	tries   int
-	missing int // looks that did not list it
-	percent int
-	load    float64
-	settled bool      // it has been at full work
-	onTime  time.Time // when its job misses its objective; zero while not computed
+	key      runKey
+	since    time.Time
+	expected time.Duration // predicted run time
+	started  bool          // the target has acknowledged or listed it
+	ackedAt  time.Time
+	lasting  bool
+	stop     bool // it has to end
+	stopped  bool // the target has acknowledged the stop
+	stopAt   time.Time
+	busy     bool // an order is on its way
+	nextAt   time.Time
+	tries    int
+	missing  int // looks that did not list it
+	percent  int
+	load     float64
+	settled  bool      // it has been at full work
+	onTime   time.Time // when its job misses its objective; zero while not computed
 }
 
 // target is what the leader knows of one life of a target.
