--- a/internal/jobs/csrun/leader_test.go
+++ b/internal/jobs/csrun/leader_test.go
@@ -372,6 +372,41 @@
 	i.checkRules()
 }
 
+// Pattern: the busy phase of a pool is over, and its last runs keep VMs that another pool needs. A run that can be started
+// again in time is stopped; one that ends soon is left to end.
+func TestRunsLeaveTheVMsOfAnotherPool(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name     string
+		duration time.Duration
+		want     csjob.Attempt
+	}{
+		{"can be started again", 1500 * time.Millisecond, 2},
+		{"ends soon", 600 * time.Millisecond, 1},
+	}
+	for n, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			i := install(t, uint64(20+n), 2, faults{})
+			time.Sleep(3 * testBeat)
+			i.submit("00000000000000aa", step(1, 1000, c.duration))
+			time.Sleep(200 * time.Millisecond)
+			i.state.View(func(table *csjob.Table) {
+				for _, l := range table.BusyLives() {
+					i.fleet.hold(l)
+				}
+			})
+			i.settle(5 * time.Second)
+			i.checkRules()
+			i.world.mu.Lock()
+			defer i.world.mu.Unlock()
+			if got := i.world.runs[len(i.world.runs)-1].attempt; got != c.want {
+				t.Errorf("got %d attempts, want %d", got, c.want)
+			}
+		})
+	}
+}
+
 // Pattern: targets go silent with all that they run. Their tasks run elsewhere once the lease is over, however often the
 // leader tries to reach them in the meantime.
 func TestSilentTargetsAreGivenUp(t *testing.T) {
