Trial: no spare VM for tasks that last

Cause: four pools keep one VM more than their lasting tasks need; three of them stand idle while the fourth is overloaded.

A test asserts the spare VM, which takes in lasting tasks while another VM is away.

--- a/internal/fleet/csvms/policy.go
+++ b/internal/fleet/csvms/policy.go
@@ -97,7 +97,7 @@
 	if n == 0 {
 		return 0
 	}
-	return n + 1
+	return n
 }
 
 // Balance returns the transfers that cover the deficits, the largest one first, from idle VMs of the pools with the
