Repeat requests that a lost leader has not answered

Cause: a request that was sent on a link that then fell silent waited for the client's deadline and ended with 504. Jobs are known by their identifiers, so the entry can send it again itself. Entries in a cut zone also stayed in rotation for 1.5 s longer than needed.

Change: calls end when their peer's link is lost; an entry repeats them for up to 1.5 s, also at the new leader, and answers 504 only if no leader does. A submission that was sent once is never refused afterwards. An entry without a leader for 0.9 s is not ready.

--- a/internal/node/csentry/entry.go
+++ b/internal/node/csentry/entry.go
@@ -19,18 +19,23 @@
 )
 
 const (
-	linkHeartbeat = 300 * time.Millisecond
-	linkSilence   = 1000 * time.Millisecond // an open connection without a byte is replaced
+	linkHeartbeat = 200 * time.Millisecond
+	linkSilence   = 650 * time.Millisecond // an open connection without a byte is replaced
 	// askInterval is how often the entry asks who leads.
 	askInterval = 400 * time.Millisecond
 	askTimeout  = 800 * time.Millisecond
-	// staleLeader is the time without an answer of the leader after which the entry does not call itself ready. The
-	// platform checks once per second and needs two misses.
-	staleLeader = 1500 * time.Millisecond
+	// staleLeader is the time without an answer of the leader after which the entry does not call itself ready: two
+	// questions. The platform checks once per second and needs two misses, so the change of a leader rarely counts.
+	staleLeader = 900 * time.Millisecond
 	// search is how long a request waits for a leader. Requests that are refused later than a quarter of the shortest
 	// objective of 600 ms would have been better off at another entry.
 	search      = 140 * time.Millisecond
 	searchPause = 20 * time.Millisecond
+	// answerTimeout is how long one attempt waits for the leader, which answers within some tens of milliseconds.
+	answerTimeout = 700 * time.Millisecond
+	// repeatFor is how long a request that was sent without an answer is sent again. Jobs are known by their identifiers, so
+	// a repetition is harmless; after this time the client account may as well try another entry.
+	repeatFor = 1500 * time.Millisecond
 	// retryAfter tells a client account when a new leader can be expected: the election timeout and a margin.
 	retryAfter = time.Second
 )
@@ -215,7 +220,7 @@
 // Do passes a request on to the leader. The context holds the deadline of the client account.
 func (e *Entry) Do(ctx context.Context, r csrpc.JobRequest) csrpc.JobAnswer {
 	started := e.options.Clock.Now()
-	a := e.do(ctx, started, csrpc.Encode(r))
+	a := e.do(ctx, started, r.Action, csrpc.Encode(r))
 	after := e.options.Clock.Now().Sub(started)
 	e.latency.Observe(after.Seconds())
 	e.requests.WithLabelValues(resultNames[a.Result]).Inc()
@@ -232,34 +237,56 @@
 	csrpc.ResultUnknown: "unknown",
 }
 
-// do tries the known leader until one answers. A request that was sent without an answer is not sent again: it may have
-// been carried out, and only the client account may repeat it.
-func (e *Entry) do(ctx context.Context, started time.Time, payload []byte) csrpc.JobAnswer {
+// do tries the known leader until one answers. Where an attempt was sent without an answer, the request may have been
+// carried out: it is sent again, and is unknown if no leader answers.
+func (e *Entry) do(ctx context.Context, started time.Time, action csrpc.JobAction, payload []byte) csrpc.JobAnswer {
+	sent := false
 	for {
 		if leader := e.current(); leader != "" {
-			b, err := e.calls.Call(ctx, leader, csrpc.MethodJob, payload)
-			if errors.Is(err, csrpc.ErrNoAnswer) {
-				return csrpc.JobAnswer{Result: csrpc.ResultUnknown}
-			}
-			if err == nil {
-				a, err := csrpc.Decode[csrpc.JobAnswer](b)
-				if err != nil {
-					e.log.Warn("malformed answer", zap.String("peer", string(leader)), zap.Error(err))
-					return csrpc.JobAnswer{Result: csrpc.ResultUnknown}
-				}
-				if a.Result != csrpc.ResultMoved {
-					return a
-				}
+			a, err := e.attempt(ctx, leader, payload)
+			switch {
+			case errors.Is(err, csrpc.ErrNoAnswer):
+				sent = true
+				e.log.Info("leader has not answered", zap.String("leader", string(leader)), zap.Duration("after", e.options.Clock.Now().Sub(started)))
+			case err != nil: // not sent
+			case a.Result == csrpc.ResultMoved:
 				e.moved(leader, a.Leader)
+			case sent && action == csrpc.ActionSubmit && a.Result != csrpc.ResultDone:
+				return csrpc.JobAnswer{Result: csrpc.ResultUnknown} // an earlier attempt may have been carried out
+			default:
+				return a
 			}
 		}
-		if ctx.Err() != nil || e.options.Clock.Now().Sub(started) > search {
+		limit := search
+		if sent {
+			limit = repeatFor
+		}
+		if ctx.Err() != nil || e.options.Clock.Now().Sub(started) > limit {
+			if sent {
+				return csrpc.JobAnswer{Result: csrpc.ResultUnknown}
+			}
 			return csrpc.JobAnswer{Result: csrpc.ResultMoved, Retry: retryAfter}
 		}
 		e.options.Clock.Sleep(searchPause)
 	}
 }
 
+// attempt sends a request to a leader.
+func (e *Entry) attempt(ctx context.Context, leader csmodel.NodeID, payload []byte) (csrpc.JobAnswer, error) {
+	limited, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	b, err := e.calls.Call(limited, leader, csrpc.MethodJob, payload)
+	if err != nil {
+		return csrpc.JobAnswer{}, err
+	}
+	a, err := csrpc.Decode[csrpc.JobAnswer](b)
+	if err != nil {
+		e.log.Warn("malformed answer", zap.String("peer", string(leader)), zap.Error(err))
+		return csrpc.JobAnswer{Result: csrpc.ResultUnknown}, nil
+	}
+	return a, nil
+}
+
 // moved follows a hint of a store that does not lead.
 func (e *Entry) moved(from, to csmodel.NodeID) {
 	if to == "" || to == from {
--- a/internal/node/csrpc/rpc.go
+++ b/internal/node/csrpc/rpc.go
@@ -46,6 +46,12 @@
 	Payload []byte
 }
 
+// waiter is a call without an answer.
+type waiter struct {
+	to     csmodel.NodeID
+	answer chan []byte // closed when the peer is no longer connected
+}
+
 // Caller makes and answers calls. Use New.
 type Caller struct {
 	sender  Sender
@@ -54,7 +60,7 @@
 
 	mu      sync.Mutex
 	last    uint64
-	waiting map[uint64]chan []byte
+	waiting map[uint64]waiter
 	up      csmodel.Set[csmodel.NodeID]
 }
 
@@ -65,7 +71,7 @@
 func New(s Sender, h Handler) *Caller {
 	return &Caller{
 		sender: s, handler: h, slots: make(chan struct{}, maxCalls),
-		waiting: map[uint64]chan []byte{}, up: csmodel.NewSet[csmodel.NodeID](),
+		waiting: map[uint64]waiter{}, up: csmodel.NewSet[csmodel.NodeID](),
 	}
 }
 
@@ -76,11 +82,17 @@
 	c.up.Add(n)
 }
 
-// Down tells that a peer is not connected.
+// Down tells that a peer is not connected. Its calls end without an answer.
 func (c *Caller) Down(n csmodel.NodeID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.up.Delete(n)
+	for id, w := range c.waiting {
+		if w.to == n {
+			close(w.answer)
+			delete(c.waiting, id)
+		}
+	}
 }
 
 // Connected tells whether a peer is connected.
@@ -97,7 +109,7 @@
 	return csmodel.SortedKeys(c.up)
 }
 
-// Call sends a call and waits for its answer until the context ends.
+// Call sends a call and waits for its answer until the context ends or the peer is no longer connected.
 func (c *Caller) Call(ctx context.Context, to csmodel.NodeID, m Method, payload []byte) ([]byte, error) {
 	answer := make(chan []byte, 1)
 	c.mu.Lock()
@@ -107,7 +119,7 @@
 	}
 	c.last++
 	id := c.last
-	c.waiting[id] = answer
+	c.waiting[id] = waiter{to, answer}
 	c.mu.Unlock()
 	defer c.forget(id)
 	b, err := cbor.Marshal(envelope{ID: id, Method: m, Payload: payload})
@@ -118,7 +130,10 @@
 		return nil, errors.Join(ErrUnsent, err)
 	}
 	select {
-	case b := <-answer:
+	case b, answered := <-answer:
+		if !answered {
+			return nil, ErrNoAnswer
+		}
 		return b, nil
 	case <-ctx.Done():
 		return nil, errors.Join(ErrNoAnswer, ctx.Err())
@@ -158,9 +173,9 @@
 func (c *Caller) deliver(e envelope) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if w := c.waiting[e.ID]; w != nil {
+	if w, ok := c.waiting[e.ID]; ok {
 		select {
-		case w <- e.Payload:
+		case w.answer <- e.Payload:
 		default: // a second answer
 		}
 	}
--- a/internal/node/csrpc/rpc_test.go
+++ b/internal/node/csrpc/rpc_test.go
@@ -84,3 +84,28 @@
 		t.Errorf("got error %v, want %v", err, csrpc.ErrCodec)
 	}
 }
+
+// Pattern: the peer's connection is lost while calls wait for their answers. They end at once, so that they can be sent to
+// another peer.
+func TestCallsEndWithTheConnection(t *testing.T) {
+	caller, there, _ := pair(func(csmodel.NodeID, csrpc.Method, []byte) []byte { return nil })
+	there.lose = true
+	caller.Up("server")
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() {
+		_, err := caller.Call(ctx, "server", csrpc.MethodJob, nil)
+		ended <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	caller.Down("server")
+	select {
+	case err := <-ended:
+		if !errors.Is(err, csrpc.ErrNoAnswer) {
+			t.Errorf("got error %v, want %v", err, csrpc.ErrNoAnswer)
+		}
+	case <-time.After(2 * time.Second):
+		t.Error("the call still waits")
+	}
+}
