--- a/internal/fleet/csvms/balance.go
+++ b/internal/fleet/csvms/balance.go
@@ -25,6 +25,7 @@
 	candidates []Candidate
 }
 
+// survey counts the supply of the pools and derives what they need.
 func (f *Fleet) survey(r csrun.Round, config *csjob.Config) *survey {
 	given := f.given(config)
 	if !f.learned {
@@ -39,13 +40,15 @@
 	return s
 }
 
-// take removes a VM from its pool.
-func (s *survey) take(v VM) {
-	if p := s.byID[v.Pool]; p != nil {
-		p.Supply -= v.Room.CPU
-		p.VMs--
+// take removes a VM from the candidates and from the supply of its pool. Others are in no supply.
+func (s *survey) take(id csmodel.VMID) {
+	c, known := s.candidate(id)
+	if !known {
+		return
 	}
-	s.candidates = slices.DeleteFunc(s.candidates, func(c Candidate) bool { return c.ID == v.ID })
+	s.byID[c.Pool].Supply -= c.CPU
+	s.byID[c.Pool].VMs--
+	s.candidates = slices.DeleteFunc(s.candidates, func(o Candidate) bool { return o.ID == id })
 }
 
 // candidate returns a VM that may be taken, and false where it is not known what that would end.
@@ -111,7 +114,7 @@
 
 // logTurn writes a line when another pool has begun its busy phase.
 func (f *Fleet) logTurn(r csrun.Round) {
-	last, length, known := f.forecast.Turn()
+	last, length, known := f.forecast.present()
 	if last == f.turn {
 		return
 	}
--- a/internal/fleet/csvms/fleet.go
+++ b/internal/fleet/csvms/fleet.go
@@ -124,7 +124,9 @@
 func (f *Fleet) Round(r csrun.Round) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.carryOut(r) // what was committed waits for no decision
+	if !f.listedAt.IsZero() {
+		f.carryOut(r) // what was committed waits for no decision
+	}
 	if r.Now.Sub(f.decided) < decideEvery {
 		return
 	}
--- a/internal/fleet/csvms/forecast.go
+++ b/internal/fleet/csvms/forecast.go
@@ -226,8 +226,8 @@
 	return float64(at.Sub(f.turns[0].at)) / float64(length)
 }
 
-// Turn returns the present turn, and the usual length of a turn where it is known.
-func (f *Forecast) Turn() (turn, time.Duration, bool) {
+// present returns the present turn, and the usual length of a turn where it is known.
+func (f *Forecast) present() (turn, time.Duration, bool) {
 	if len(f.turns) == 0 {
 		return turn{}, 0, false
 	}
@@ -256,8 +256,8 @@
 	if !known {
 		return false
 	}
-	present := math.Round(f.place(f.turns[len(f.turns)-1].at, length))
-	next := f.turns[0].at.Add(time.Duration((present + 1) * float64(length)))
+	number := math.Round(f.place(f.turns[len(f.turns)-1].at, length))
+	next := f.turns[0].at.Add(time.Duration((number + 1) * float64(length)))
 	return !now.Before(next.Add(-ahead)) && !now.After(next.Add(waitFor))
 }
 
@@ -272,12 +272,40 @@
 	if !f.changing(now, ahead) {
 		return nil
 	}
-	had := map[csmodel.PoolID]time.Time{}
-	var levels []float64
+	had := map[csmodel.PoolID]time.Time{} // last turn of each pool
 	for _, t := range f.turns {
 		had[t.pool] = t.at
 	}
-	for _, id := range csmodel.SortedKeys(had) {
+	next := nextPools(pools, had)
+	out := map[csmodel.PoolID]csmodel.MilliCPU{}
+	for _, id := range next {
+		out[id] = csmodel.MilliCPU(f.usualLevel(csmodel.SortedKeys(had)) / float64(len(next)))
+	}
+	return out
+}
+
+// nextPools returns the pools that may have the next turn.
+func nextPools(pools []csmodel.PoolID, had map[csmodel.PoolID]time.Time) []csmodel.PoolID {
+	var unseen []csmodel.PoolID
+	var oldest csmodel.PoolID
+	for _, id := range pools {
+		switch at, ok := had[id]; {
+		case !ok:
+			unseen = append(unseen, id)
+		case oldest == "" || at.Before(had[oldest]):
+			oldest = id
+		}
+	}
+	if len(unseen) == 0 && oldest != "" {
+		return []csmodel.PoolID{oldest}
+	}
+	return unseen
+}
+
+// usualLevel returns the median work of the phases of some pools.
+func (f *Forecast) usualLevel(pools []csmodel.PoolID) float64 {
+	var levels []float64
+	for _, id := range pools {
 		s := f.pools[id]
 		switch {
 		case s.mean > 0:
@@ -287,28 +315,10 @@
 		}
 	}
 	if len(levels) == 0 {
-		return nil
+		return 0
 	}
 	slices.Sort(levels)
-	level := levels[len(levels)/2]
-	var next []csmodel.PoolID
-	oldest := f.turns[len(f.turns)-1]
-	for _, id := range pools {
-		at, ok := had[id]
-		if !ok {
-			next = append(next, id)
-		} else if at.Before(oldest.at) {
-			oldest = turn{id, at}
-		}
-	}
-	if len(next) == 0 {
-		next = []csmodel.PoolID{oldest.pool}
-	}
-	out := map[csmodel.PoolID]csmodel.MilliCPU{}
-	for _, id := range next {
-		out[id] = csmodel.MilliCPU(level / float64(len(next)))
-	}
-	return out
+	return levels[len(levels)/2]
 }
 
 // Begun returns the work that a busy phase which has just begun is expected to bring.
--- a/internal/fleet/csvms/policy.go
+++ b/internal/fleet/csvms/policy.go
@@ -97,7 +97,7 @@
 	if n == 0 {
 		return 0
 	}
-	return n
+	return n + 1
 }
 
 // Balance returns the transfers that cover the deficits, the largest one first, from idle VMs of the pools with the
@@ -109,11 +109,21 @@
 	for _, p := range pools {
 		byID[p.ID] = p
 	}
-	taken := csmodel.NewSet[csmodel.VMID]()
-	out := cover(bare, anyRuns, pools, byID, candidates, taken)
-	out = append(out, cover(present, noRuns, pools, byID, candidates, taken)...)
-	out = append(out, cover(bareSoon, anyRuns, pools, byID, candidates, taken)...)
-	return append(out, cover(soon, noRuns, pools, byID, candidates, taken)...)
+	a := assignment{pools: pools, byID: byID, candidates: candidates, taken: csmodel.NewSet[csmodel.VMID]()}
+	a.cover(bare, anyRuns)
+	a.cover(present, noRuns)
+	a.cover(bareSoon, anyRuns)
+	a.cover(soon, noRuns)
+	return a.transfers
+}
+
+// assignment is the state of Balance.
+type assignment struct {
+	pools      []*PoolView
+	byID       map[csmodel.PoolID]*PoolView
+	candidates []Candidate
+	taken      csmodel.Set[csmodel.VMID]
+	transfers  []Transfer
 }
 
 // noRuns allows only idle VMs.
@@ -122,26 +132,24 @@
 // anyRuns allows VMs that can be emptied soon.
 func anyRuns(c *Candidate) bool { return c.Idle || (!c.Lasts && c.Clear <= longestClear) }
 
-func cover(
-	h horizon, allowed func(*Candidate) bool, pools []*PoolView, byID map[csmodel.PoolID]*PoolView, candidates []Candidate, taken csmodel.Set[csmodel.VMID],
-) []Transfer {
-	var out []Transfer
+// cover takes allowed VMs to the pools that lack capacity within a horizon.
+func (a *assignment) cover(h horizon, allowed func(*Candidate) bool) {
 	for {
-		to := neediest(h, pools)
+		to := neediest(h, a.pools)
 		if to == nil {
-			return out
+			return
 		}
-		c := donor(h, allowed, byID, candidates, taken, to)
+		c := a.donor(h, allowed, to)
 		if c == nil {
-			return out
+			return
 		}
-		from := byID[c.Pool]
+		from := a.byID[c.Pool]
 		from.Supply -= c.CPU
 		from.VMs--
 		to.Supply += c.CPU
 		to.VMs++
-		taken.Add(c.ID)
-		out = append(out, Transfer{VM: c.ID, To: to.ID})
+		a.taken.Add(c.ID)
+		a.transfers = append(a.transfers, Transfer{VM: c.ID, To: to.ID})
 	}
 }
 
@@ -191,15 +199,12 @@
 }
 
 // donor returns the best VM to take for a pool, or nil.
-func donor(
-	h horizon, allowed func(*Candidate) bool, pools map[csmodel.PoolID]*PoolView, candidates []Candidate,
-	taken csmodel.Set[csmodel.VMID], to *PoolView,
-) *Candidate {
+func (a *assignment) donor(h horizon, allowed func(*Candidate) bool, to *PoolView) *Candidate {
 	var fit []*Candidate
-	for i := range candidates {
-		c := &candidates[i]
-		p := pools[c.Pool]
-		if p == nil || p == to || !allowed(c) || taken.Has(c.ID) || !spares(h, p, c.CPU) {
+	for i := range a.candidates {
+		c := &a.candidates[i]
+		p := a.byID[c.Pool]
+		if p == nil || p == to || !allowed(c) || a.taken.Has(c.ID) || !spares(h, p, c.CPU) {
 			continue
 		}
 		fit = append(fit, c)
@@ -207,14 +212,14 @@
 	if len(fit) == 0 {
 		return nil
 	}
-	return slices.MinFunc(fit, func(a, b *Candidate) int {
-		x, y := pools[a.Pool], pools[b.Pool]
+	return slices.MinFunc(fit, func(c, d *Candidate) int {
+		x, y := a.byID[c.Pool], a.byID[d.Pool]
 		return cmp.Or(
-			compareBool(b.Idle, a.Idle),
+			compareBool(d.Idle, c.Idle),
 			compareBool(y.Standby, x.Standby), // a VM that is off costs nothing while it waits, but no pool misses it
 			cmp.Compare(x.deficit(soon), y.deficit(soon)),
-			cmp.Compare(a.Clear, b.Clear),
-			cmp.Compare(a.ID, b.ID),
+			cmp.Compare(c.Clear, d.Clear),
+			cmp.Compare(c.ID, d.ID),
 		)
 	})
 }
--- a/internal/fleet/csvms/wave.go
+++ b/internal/fleet/csvms/wave.go
@@ -54,8 +54,8 @@
 	}
 }
 
-// pickWave takes VMs from their pools and returns them: idle ones that no pool needs as soon as the wave allows, others only as fast as
-// its deadline asks, because every busy VM that is taken is missed.
+// pickWave takes VMs from their pools and returns them: idle ones that no pool needs as soon as the wave allows, others
+// only as fast as its deadline asks, because every busy VM that is taken is missed.
 func (f *Fleet) pickWave(r csrun.Round, s *survey, w *csjob.WaveState, waiting []csmodel.VMID, down int) []csmodel.VMID {
 	var out, needed []csmodel.VMID
 	for _, id := range waiting {
@@ -68,7 +68,7 @@
 		}
 		if down+len(out) < w.Wave.AtOnce {
 			out = append(out, id)
-			s.take(v)
+			s.take(id)
 		}
 	}
 	slices.SortStableFunc(needed, func(a, b csmodel.VMID) int { return cmp.Compare(f.burden(r, a), f.burden(r, b)) })
@@ -77,7 +77,7 @@
 			break
 		}
 		out = append(out, id)
-		s.take(f.vms[id])
+		s.take(id)
 	}
 	return out
 }
