Do not take VMs that were never listed for removed ones

The leader changed while the platform's VM interface was silent. A failed listing set the time of the list, so the new leader's empty list was fresh, and every VM of the wave counted as removed.

TestWaveWaitsForTheListOfVMs fails before.

--- a/internal/fleet/csvms/fleet.go
+++ b/internal/fleet/csvms/fleet.go
@@ -48,7 +48,8 @@
 	mu       sync.Mutex
 	epoch    int // increases with each change of the leader, so that late results are dropped
 	vms      map[csmodel.VMID]VM
-	listedAt time.Time
+	listedAt time.Time // last list that was answered; zero before the first one
+	askedAt  time.Time // end of the last listing, answered or not
 	listing  bool
 	decided  time.Time
 	loggedAt time.Time
@@ -74,7 +75,7 @@
 func (f *Fleet) clear() {
 	f.epoch++
 	f.vms = map[csmodel.VMID]VM{}
-	f.listedAt, f.decided, f.listing = time.Time{}, time.Time{}, false
+	f.listedAt, f.askedAt, f.decided, f.listing = time.Time{}, time.Time{}, time.Time{}, false
 	f.reserved = map[csmodel.VMID]*reservation{}
 	f.calls = map[csmodel.VMID]*orderCall{}
 	f.arriving = map[csmodel.VMID]time.Time{}
@@ -146,7 +147,7 @@
 
 // list asks for the VMs where something is not known or expected to change.
 func (f *Fleet) list(r csrun.Round) {
-	if f.listing || r.Now.Sub(f.listedAt) < listEvery || !f.outdated(r) {
+	if f.listing || r.Now.Sub(f.askedAt) < listEvery || !f.outdated(r) {
 		return
 	}
 	f.listing = true
@@ -161,11 +162,12 @@
 			return
 		}
 		f.listing = false
-		f.listedAt = f.o.Clock.Now()
+		f.askedAt = f.o.Clock.Now()
 		if err != nil {
-			f.log.Warn("VMs not listed", zap.Error(err))
+			f.log.Warn("VMs not listed", zap.Duration("list_age", f.askedAt.Sub(f.listedAt)), zap.Error(err))
 			return
 		}
+		f.listedAt = f.askedAt
 		f.vms = map[csmodel.VMID]VM{}
 		for _, v := range vms {
 			f.vms[v.ID] = v
--- a/internal/fleet/csvms/fleet_test.go
+++ b/internal/fleet/csvms/fleet_test.go
@@ -28,6 +28,7 @@
 	lives  map[csmodel.VMID]int
 	most   int // VMs that were down for maintenance at once
 	orders map[csmodel.VMID]string
+	silent int // listings that get no answer
 }
 
 func newCloud(pools map[csmodel.PoolID]int) *cloud {
@@ -42,13 +43,25 @@
 }
 
 func (c *cloud) VMs(context.Context) ([]VM, error) {
+	c.mu.Lock()
+	silent := c.silent > 0
+	c.silent--
+	c.mu.Unlock()
+	if silent {
+		return nil, ErrNoAnswer
+	}
+	return c.list(), nil
+}
+
+// list returns what the platform knows, whether or not it answers.
+func (c *cloud) list() []VM {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out []VM
 	for _, id := range csmodel.SortedKeys(c.vms) {
 		out = append(out, *c.vms[id])
 	}
-	return out, nil
+	return out
 }
 
 func (c *cloud) Move(_ context.Context, id csmodel.VMID, p csmodel.PoolID, _ csmodel.Fence) (Answer, error) {
@@ -156,8 +169,7 @@
 func (s *stage) run(limit time.Duration, until func(*csjob.Table) bool) {
 	s.t.Helper()
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		vms, _ := s.cloud.VMs(context.Background())
-		for _, v := range vms {
+		for _, v := range s.cloud.list() {
 			life := csjob.Life{Target: v.Target, Born: 1}
 			known := false
 			s.group.View(func(t *csjob.Table) { _, known = t.Target(v.Target) })
@@ -197,6 +209,25 @@
 	}
 }
 
+// Pattern: the interface to the VMs is down when a new leader begins. VMs that it has not listed yet are not removed ones,
+// so the wave must not count as completed without their maintenance.
+func TestWaveWaitsForTheListOfVMs(t *testing.T) {
+	t.Parallel()
+	s := newStage(t, map[csmodel.PoolID]int{"a": 2})
+	s.do(csjob.Command{Wave: &csjob.Wave{ID: "1", AtOnce: 2, Deadline: time.Second, VMs: csmodel.SortedKeys(s.cloud.vms)}})
+	s.cloud.mu.Lock()
+	s.cloud.silent = 2
+	s.cloud.mu.Unlock()
+	s.run(30*time.Second, func(t *csjob.Table) bool { return t.Wave("1").Completed() })
+	s.cloud.mu.Lock()
+	defer s.cloud.mu.Unlock()
+	for _, id := range csmodel.SortedKeys(s.cloud.vms) {
+		if got, want := s.cloud.lives[id], 1; got != want {
+			t.Errorf("VM %s had its maintenance %d times before the wave was completed, want %d", id, got, want)
+		}
+	}
+}
+
 // Pattern: the leader is lost after a VM has come back from its maintenance and before that was recorded. The repeated
 // order must not end the new life of the VM's target.
 func TestRepeatedOrderSparesTheNewLife(t *testing.T) {
--- a/internal/jobs/csrun/schedule.go
+++ b/internal/jobs/csrun/schedule.go
@@ -183,11 +183,11 @@
 		if !r.overdue(now, t, j, u) {
 			l.Timely += need
 		}
-		clear := u.left(now)
+		left := u.left(now)
 		if u.stop || r.stoppable(now, t, j, u) {
-			clear = min(clear, stopTime)
+			left = min(left, stopTime)
 		}
-		l.Clear = max(l.Clear, clear)
+		l.Clear = max(l.Clear, left)
 	}
 	return l
 }
--- a/internal/jobs/csrun/silence_test.go
+++ b/internal/jobs/csrun/silence_test.go
@@ -14,8 +14,8 @@
 	now := time.Unix(1_800_000_000, 0)
 	type seen struct {
 		zone     csmodel.AvailabilityZone
-		failedAt time.Duration // zero where the target answers
-		answerAt time.Duration
+		failedAt int // in seconds; zero where the target answers
+		answerAt int
 	}
 	cases := []struct {
 		name    string
@@ -32,9 +32,9 @@
 		t.Run(c.name, func(t *testing.T) {
 			r := &runner{tenure: tenure{targets: map[csjob.TargetID]*target{}}}
 			for i, s := range c.targets {
-				w := &target{record: csjob.Target{Zone: s.zone}, answerAt: now.Add(s.answerAt * time.Second)}
+				w := &target{record: csjob.Target{Zone: s.zone}, answerAt: now.Add(time.Duration(s.answerAt) * time.Second)}
 				if s.failedAt > 0 {
-					w.unanswered(now.Add(s.failedAt * time.Second))
+					w.unanswered(now.Add(time.Duration(s.failedAt) * time.Second))
 				}
 				r.targets[csjob.TargetID(rune('0'+i))] = w
 			}
