Give the spare VMs of quiet pools to a busy pool that lacks cores

Change: the spare VM counts where the present work of another pool takes more than it has, and comes back when there is room.

--- a/internal/fleet/csvms/policy.go
+++ b/internal/fleet/csvms/policy.go
@@ -20,6 +20,9 @@
 	longestClear = 2 * time.Second
 	// floorVMs is the number of VMs that a pool keeps for the first moments of its next busy phase.
 	floorVMs = 3
+	// spareVMs is the number of VMs beyond those that the tasks that last need: they move there while a VM is away. A pool
+	// whose present work lacks cores gets the spare VM of another one.
+	spareVMs = 1
 	// memoryHeadroom allows for memory that no task of the right size fits into.
 	memoryHeadroom = 1.3
 	// parkAfter is how long a VM has been idle and not needed before it is switched off. It is longer than the pause between
@@ -59,36 +62,46 @@
 	To csmodel.PoolID
 }
 
-// horizon selects the capacity that a decision is about.
-type horizon func(*PoolView) csmodel.MilliCPU
+// horizon is what a decision is about.
+type horizon struct {
+	capacity func(*PoolView) csmodel.MilliCPU // that a pool should have
+	tight    bool                             // the spare VM of tasks that last counts as well
+}
 
 func scale(work csmodel.MilliCPU, by float64) csmodel.MilliCPU {
 	return csmodel.MilliCPU(by * float64(work))
 }
 
-// bare is what the present work takes at the least.
-func bare(p *PoolView) csmodel.MilliCPU { return scale(p.Need, bareHeadroom) }
-
-// present is what the present work should have.
-func present(p *PoolView) csmodel.MilliCPU { return scale(p.Need, headroom) }
-
-// bareSoon also covers the least that work takes which is certain to come.
-func bareSoon(p *PoolView) csmodel.MilliCPU { return scale(max(p.Need, p.Certain), bareHeadroom) }
+var (
+	// bare is what the present work takes at the least.
+	bare = horizon{func(p *PoolView) csmodel.MilliCPU { return scale(p.Need, bareHeadroom) }, true}
+	// present is what the present work should have.
+	present = horizon{func(p *PoolView) csmodel.MilliCPU { return scale(p.Need, headroom) }, false}
+	// bareSoon also covers the least that work takes which is certain to come.
+	bareSoon = horizon{func(p *PoolView) csmodel.MilliCPU { return scale(max(p.Need, p.Certain), bareHeadroom) }, true}
+	// soon also covers the work that is expected.
+	soon = horizon{func(p *PoolView) csmodel.MilliCPU { return scale(max(p.Need, p.Expected), headroom) }, false}
+)
 
-// soon also covers the work that is expected.
-func soon(p *PoolView) csmodel.MilliCPU { return scale(max(p.Need, p.Expected), headroom) }
+// required returns the VMs that a pool needs for its tasks that last.
+func (p *PoolView) required(h horizon) int {
+	if h.tight {
+		return p.Required - spareVMs
+	}
+	return p.Required
+}
 
-// deficit returns what a pool lacks. A pool below its floor lacks something, however many cores it has.
+// deficit returns what a pool lacks. A pool with too few VMs lacks something, however many cores it has.
 func (p *PoolView) deficit(h horizon) csmodel.MilliCPU {
-	d := h(p) - p.Supply
-	if p.VMs < p.Required {
+	d := h.capacity(p) - p.Supply
+	if p.VMs < p.required(h) {
 		d = max(d, 1)
 	}
 	return d
 }
 
-// requiredVMs returns the number of VMs that the tasks that last need to be spread over and to have their memory. One more
-// takes them in while another one is away.
+// requiredVMs returns the number of VMs that the tasks that last need to be spread over and to have their memory, with a
+// spare one.
 func requiredVMs(width int, memory, perVM float64) int {
 	n := width
 	if perVM > 0 {
@@ -97,7 +110,7 @@
 	if n == 0 {
 		return 0
 	}
-	return n + 1
+	return n + spareVMs
 }
 
 // Balance returns the transfers that cover the deficits, the largest one first, from idle VMs of the pools with the
@@ -229,7 +242,7 @@
 	if p.Standby {
 		return true
 	}
-	return p.VMs > max(p.Floor, p.Required) && p.deficit(h)+cpu <= 0
+	return p.VMs > max(p.Floor, p.required(h)) && p.deficit(h)+cpu <= 0
 }
 
 func compareBool(a, b bool) int {
--- a/internal/fleet/csvms/policy_test.go
+++ b/internal/fleet/csvms/policy_test.go
@@ -128,6 +128,33 @@
 	}
 }
 
+// Pattern: an availability zone is cut off in a busy phase, and quiet pools keep more VMs than their tasks that last need.
+// Their spare VMs go to the busy pool, and no further ones.
+func TestSpareVMsServeTheBusyPool(t *testing.T) {
+	cases := []struct {
+		name string
+		need csmodel.MilliCPU
+		want int
+	}{
+		{"cores are lacking", 12 * vmCPU, 2},
+		{"only headroom is lacking", 8 * vmCPU, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			busy, first, second := view("busy", 9, c.need), view("first", 5, 0), view("second", 6, 0)
+			first.Required, second.Required = requiredVMs(4, 0, 0), requiredVMs(5, 0, 0)
+			candidates := append(idleVMs("first", 5, time.Now()), idleVMs("second", 6, time.Now())...)
+			moves := Balance([]*PoolView{busy, first, second}, candidates)
+			if got := len(moves); got != c.want {
+				t.Errorf("got %d moves, want %d", got, c.want)
+			}
+			if first.VMs < 4 || second.VMs < 5 {
+				t.Errorf("got %d and %d VMs left, want 4 and 5 at least", first.VMs, second.VMs)
+			}
+		})
+	}
+}
+
 // Pattern: a busy phase is over and its VMs stay idle.
 func TestParkSwitchesIdleVMsOff(t *testing.T) {
 	now := time.Now()
