--- a/internal/fleet/csvms/balance.go
+++ b/internal/fleet/csvms/balance.go
@@ -71,8 +71,13 @@
 	}
 }
 
-// emptyFor is the time that it takes to empty the first VMs for another pool.
-const emptyFor = 300 * time.Millisecond
+const (
+	// emptyFor is the time that it takes to empty a VM for another pool: the longest stop of a run.
+	emptyFor = 900 * time.Millisecond
+	// endingFor is how long before the end of its turn a pool gives up VMs that its own work would use. It is shorter than
+	// the time to empty them, because the end may be expected too early.
+	endingFor = 450 * time.Millisecond
+)
 
 // views returns what is known and expected of each pool.
 func (f *Fleet) views(r csrun.Round, config *csjob.Config, given allotment) ([]*PoolView, map[csmodel.PoolID]*PoolView) {
@@ -88,19 +93,17 @@
 	}
 	f.logTurn(r)
 	next := f.forecast.NextTurn(r.Now, working, f.o.MoveTime+prepareFor+emptyFor)
-	// Busy VMs are taken no earlier than they are needed: the work of the pool that loses them goes on.
-	certain := f.forecast.steady() && f.forecast.changing(r.Now, f.o.MoveTime)
 	for _, p := range config.Pools {
 		d := r.Demand[p.ID]
 		d.Offered = max(d.Offered, f.forecast.Begun(r.Now, p.ID))
-		if f.forecast.Ending(r.Now, p.ID, f.o.MoveTime) {
+		if f.forecast.Ending(r.Now, p.ID, f.o.MoveTime+endingFor) {
 			d.Offered, d.Running = 0, scale(d.Running, endingShare)
 		}
 		expected := max(f.forecast.Expected(r.Now, p.ID, f.o.MoveTime), next[p.ID])
 		v := &PoolView{
 			ID: p.ID, Standby: p.Standby, Need: d.Need(), Expected: d.Lasting + expected, Floor: floorVMs, Keep: !f.forecast.Seen(p.ID),
 		}
-		if certain {
+		if f.forecast.steady() {
 			v.Certain = d.Lasting + next[p.ID]
 		}
 		if !p.Standby {
@@ -185,6 +188,13 @@
 		}
 		_, ordered := orders[id]
 		t, up := f.life(r.Table, v)
+		if s != nil && !s.sent && up && !r.Usable(t.Life) {
+			// Nobody can tell when its runs end, so it would only seem to be on its way.
+			delete(f.reserved, id)
+			f.log.Info("VM move withdrawn", zap.String("vm", string(id)), zap.String("from", string(v.Pool)),
+				zap.String("pool", string(s.order.Pool)), zap.String("reason", "target is silent"))
+			continue
+		}
 		_, arriving := f.arriving[id]
 		if !up && !p.Standby && !arriving && !ordered && s == nil {
 			continue // its target is lost, or not known yet
@@ -221,7 +231,8 @@
 			from.VMs++
 		}
 		delete(f.reserved, id)
-		f.log.Info("VM move withdrawn", zap.String("vm", string(id)), zap.String("from", string(v.Pool)), zap.String("pool", string(s.order.Pool)))
+		f.log.Info("VM move withdrawn", zap.String("vm", string(id)), zap.String("from", string(v.Pool)),
+			zap.String("pool", string(s.order.Pool)), zap.String("reason", "not needed"))
 	}
 }
 
--- a/internal/fleet/csvms/fleet_test.go
+++ b/internal/fleet/csvms/fleet_test.go
@@ -255,3 +255,40 @@
 		}
 	})
 }
+
+// Pattern: a zone is cut off while VMs there are emptied for another pool. They never arrive, so they must not count as its
+// supply.
+func TestSilentTargetIsNoSupply(t *testing.T) {
+	life := csjob.Life{Target: "a-0.0", Born: 1}
+	cases := []struct {
+		name   string
+		usable bool
+		want   int // VMs of the other pool
+	}{
+		{"the target answers", true, 1},
+		{"the target is silent", false, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newStage(t, map[csmodel.PoolID]int{"a": 1, "b": 0})
+			s.do(csjob.Command{Targets: []csjob.TargetEvent{{Target: csjob.Target{Life: life, Pool: "a"}}}})
+			for _, v := range s.cloud.list() {
+				s.fleet.vms[v.ID] = v
+			}
+			s.fleet.reserved["a-0"] = &reservation{order: csjob.VMOrder{VM: "a-0", Pool: "b", Life: life}}
+			pools := map[csmodel.PoolID]*PoolView{"a": {ID: "a"}, "b": {ID: "b"}}
+			s.group.View(func(table *csjob.Table) {
+				s.fleet.candidates(csrun.Round{
+					Now: time.Now(), Table: table, Busy: func(csjob.Life) bool { return true },
+					Load: func(csjob.Life) csrun.Load { return csrun.Load{} }, Usable: func(csjob.Life) bool { return c.usable },
+				}, pools)
+			})
+			if got := pools["b"].VMs; got != c.want {
+				t.Errorf("got %d VMs on their way, want %d", got, c.want)
+			}
+			if got, want := s.fleet.reserved["a-0"] != nil, c.usable; got != want {
+				t.Errorf("got the move still planned %t, want %t", got, want)
+			}
+		})
+	}
+}
--- a/internal/fleet/csvms/policy_test.go
+++ b/internal/fleet/csvms/policy_test.go
@@ -128,6 +128,28 @@
 	}
 }
 
+// Pattern: the turn of a pool is about to end, and its last runs are spread over more VMs than they need. Where the next
+// turn is certain, VMs beyond the present work are emptied ahead of it; where it is only expected, none is.
+func TestBusyVMsAreEmptiedForACertainTurn(t *testing.T) {
+	for _, certain := range []bool{true, false} {
+		t.Run(fmt.Sprint(certain), func(t *testing.T) {
+			ending, next := view("ending", 10, 5*vmCPU), view("next", 4, 0)
+			next.Expected = 10 * vmCPU
+			want := 0
+			if certain {
+				next.Certain, want = next.Expected, 4
+			}
+			candidates := idleVMs("ending", 10, time.Now())
+			for i := range candidates {
+				candidates[i].Idle = false
+			}
+			if got := len(Balance([]*PoolView{ending, next}, candidates)); got != want {
+				t.Errorf("got %d moves, want %d", got, want)
+			}
+		})
+	}
+}
+
 // Pattern: an availability zone is cut off in a busy phase, and quiet pools keep more VMs than their tasks that last need.
 // Their spare VMs go to the busy pool, and no further ones.
 func TestSpareVMsServeTheBusyPool(t *testing.T) {
