--- a/internal/fleet/csvms/balance.go
+++ b/internal/fleet/csvms/balance.go
@@ -71,13 +71,8 @@
 	}
 }
 
-const (
-	// emptyFor is the time that it takes to empty a VM for another pool: the longest stop of a run.
-	emptyFor = 900 * time.Millisecond
-	// endingFor is how long before the end of its turn a pool gives up VMs that its own work would use. It is shorter than
-	// the time to empty them, because the end may be expected too early.
-	endingFor = 450 * time.Millisecond
-)
+// emptyFor is the time that it takes to empty the first VMs for another pool.
+const emptyFor = 300 * time.Millisecond
 
 // views returns what is known and expected of each pool.
 func (f *Fleet) views(r csrun.Round, config *csjob.Config, given allotment) ([]*PoolView, map[csmodel.PoolID]*PoolView) {
@@ -93,17 +88,19 @@
 	}
 	f.logTurn(r)
 	next := f.forecast.NextTurn(r.Now, working, f.o.MoveTime+prepareFor+emptyFor)
+	// Busy VMs are taken no earlier than they are needed: the work of the pool that loses them goes on.
+	certain := f.forecast.steady() && f.forecast.changing(r.Now, f.o.MoveTime)
 	for _, p := range config.Pools {
 		d := r.Demand[p.ID]
 		d.Offered = max(d.Offered, f.forecast.Begun(r.Now, p.ID))
-		if f.forecast.Ending(r.Now, p.ID, f.o.MoveTime+endingFor) {
+		if f.forecast.Ending(r.Now, p.ID, f.o.MoveTime) {
 			d.Offered, d.Running = 0, scale(d.Running, endingShare)
 		}
 		expected := max(f.forecast.Expected(r.Now, p.ID, f.o.MoveTime), next[p.ID])
 		v := &PoolView{
 			ID: p.ID, Standby: p.Standby, Need: d.Need(), Expected: d.Lasting + expected, Floor: floorVMs, Keep: !f.forecast.Seen(p.ID),
 		}
-		if f.forecast.steady() {
+		if certain {
 			v.Certain = d.Lasting + next[p.ID]
 		}
 		if !p.Standby {
