Tell what a slow leader spends its time on

A line workload per second and two histograms: time of each part of a round, delay of a due round in the mailbox, longest commit, calls in flight and not answered. Without them a leader short of processor time could not be told from slow targets or a slow group. No decision changes.

--- a/internal/jobs/csrun/beats.go
+++ b/internal/jobs/csrun/beats.go
@@ -18,6 +18,7 @@
 		return
 	}
 	now := r.now()
+	r.work.beats++
 	b := m.beat
 	life := b.Target.Life
 	w := r.targets[life.Target]
--- a/internal/jobs/csrun/leader.go
+++ b/internal/jobs/csrun/leader.go
@@ -131,7 +131,7 @@
 
 // Messages of the actor.
 type (
-	pulse   struct{}
+	pulse   struct{ at time.Time }
 	leading struct{ term csmodel.Term }
 	caught  struct{ term csmodel.Term }
 	stopped struct{}
@@ -167,6 +167,7 @@
 		command csjob.Command
 		noted   map[csjob.Life]int64
 		waiters []chan error
+		began   time.Time
 		err     error
 	}
 )
@@ -189,7 +190,7 @@
 	if due.CompareAndSwap(false, true) {
 		l.options.Clock.AfterFunc(d, func() {
 			due.Store(false)
-			l.root.Send(l.pid, &pulse{})
+			l.root.Send(l.pid, &pulse{l.options.Clock.Now()})
 		})
 	}
 }
--- a/internal/jobs/csrun/looks.go
+++ b/internal/jobs/csrun/looks.go
@@ -66,6 +66,8 @@
 	w.looking = true
 	w.lookedAt = now
 	r.o.Metrics.looks.Inc()
+	r.work.called()
+	r.work.looks++
 	ctx, life, record := r.ctx, w.life, w.record
 	go func() {
 		limited, cancel := context.WithTimeout(ctx, r.o.Timing.CallTimeout+o.Wait)
@@ -116,6 +118,7 @@
 }
 
 func (r *runner) looked(m *looked) {
+	r.work.returned(m.err)
 	w := r.target(m.life)
 	if w == nil {
 		return
@@ -174,6 +177,7 @@
 		}
 		w.taken = e.Number
 		r.noted[w.life] = e.Number
+		r.work.ends++
 		key := runKey{e.Task, e.Attempt}
 		delete(w.strays, key)
 		if u := w.runs[key]; u != nil {
--- a/internal/jobs/csrun/metrics.go
+++ b/internal/jobs/csrun/metrics.go
@@ -8,6 +8,8 @@
 	ends      *prometheus.CounterVec
 	looks     prometheus.Counter
 	startTime prometheus.Histogram
+	phaseTime *prometheus.HistogramVec
+	mailDelay prometheus.Histogram
 }
 
 // NewMetrics registers the metrics.
@@ -26,7 +28,15 @@
 			Name: "cowslipstream_start_seconds", Help: "Time from the commit of a start to its acknowledgement by the target.",
 			Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
 		}),
+		phaseTime: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "cowslipstream_round_seconds", Help: "Time of a round of decisions, by part of the round.",
+			Buckets: prometheus.ExponentialBuckets(0.0001, 2, 14),
+		}, []string{"part"}),
+		mailDelay: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "cowslipstream_round_delay_seconds", Help: "Time from when a round was due until it began.",
+			Buckets: prometheus.ExponentialBuckets(0.0001, 2, 14),
+		}),
 	}
-	r.MustRegister(m.orders, m.ends, m.looks, m.startTime)
+	r.MustRegister(m.orders, m.ends, m.looks, m.startTime, m.phaseTime, m.mailDelay)
 	return m
 }
--- a/internal/jobs/csrun/orders.go
+++ b/internal/jobs/csrun/orders.go
@@ -84,6 +84,12 @@
 	u.busy = true
 	u.tries++
 	w.calls++
+	r.work.called()
+	if kind == orderStart {
+		r.work.starts++
+	} else {
+		r.work.stops++
+	}
 	r.o.Metrics.orders.WithLabelValues(orderNames[kind]).Inc()
 	ctx, timeout := r.ctx, r.o.Timing.CallTimeout
 	m := &ordered{life: w.life, key: u.key, kind: kind, began: r.now()}
@@ -108,6 +114,7 @@
 }
 
 func (r *runner) ordered(m *ordered) {
+	r.work.returned(m.err)
 	w := r.target(m.life)
 	if w == nil {
 		return
--- a/internal/jobs/csrun/runner.go
+++ b/internal/jobs/csrun/runner.go
@@ -48,6 +48,7 @@
 	events  []csjob.TargetEvent
 	waiters []chan error
 	unended csmodel.Set[csjob.ID] // jobs that have not ended
+	work    workload
 }
 
 func newRunner(l *Leader) *runner {
@@ -64,6 +65,7 @@
 	case *caught:
 		r.caughtUp(m.term)
 	case *pulse:
+		r.due(m.at)
 		r.round()
 	case *beaten:
 		r.beat(m)
@@ -152,11 +154,15 @@
 		return
 	}
 	now := r.now()
+	r.work.begin(now)
+	defer func() { r.work.report(r.now(), r.log, len(r.targets)) }()
 	var starts []csjob.Start
 	r.o.State.View(func(t *csjob.Table) {
 		r.sync(t, now)
 		r.closeLost(now, t)
+		r.lap(partSync)
 		starts = r.schedule(now, t)
+		r.lap(partSchedule)
 		if r.o.Fleet != nil {
 			silent := r.silentZones()
 			r.o.Fleet.Round(Round{
@@ -175,11 +181,27 @@
 				},
 			})
 		}
+		r.lap(partFleet)
 		r.evict(now, t)
+		r.lap(partEvict)
 		r.sendOrders(now, t)
 	})
 	r.propose(starts)
+	r.lap(partOrders)
 	r.sendLooks(now)
+	r.lap(partLooks)
+}
+
+func (r *runner) lap(p part) { r.work.lap(p, r.now(), r.o.Metrics) }
+
+// due notes how long a round that was due at a time has waited for earlier messages.
+func (r *runner) due(at time.Time) {
+	if !r.active {
+		return
+	}
+	d := r.now().Sub(at)
+	r.work.delay = max(r.work.delay, d)
+	r.o.Metrics.mailDelay.Observe(d.Seconds())
 }
 
 // occupied tells whether something runs on a life or is on its way there.
@@ -201,7 +223,7 @@
 	if len(c.Ends) == 0 && len(c.Targets) == 0 && len(c.Starts) == 0 {
 		return
 	}
-	m := &committed{command: c, noted: r.noted, waiters: r.waiters}
+	m := &committed{command: c, noted: r.noted, waiters: r.waiters, began: r.now()}
 	r.ends, r.events, r.waiters = nil, nil, nil
 	r.noted = map[csjob.Life]int64{}
 	ctx := r.ctx
@@ -218,6 +240,7 @@
 	if !r.active {
 		return
 	}
+	r.work.slowest = max(r.work.slowest, r.now().Sub(m.began))
 	for _, s := range m.command.Starts {
 		delete(r.pending, s.Task)
 	}
