Add a soak of real processes and a load run with profiles

platform/cssoak runs stores and entries as separate processes against stand-ins of the platform and checks what targets and client accounts see: TWICE, UNASKED, REFUSED, ORDER, LIMIT, ONE, MIXED, LOST, CONFIG. Faults come in series and overlap: kills, stops and pauses of processes, crashed, silent and slow targets, lost answers, changes of the configuration, maintenance.

--- a/Makefile
+++ b/Makefile
@@ -10,8 +10,9 @@
 
 # The tests with real processes run alone, because their deadlines are the stated targets of a node with its own processor.
 test:
-	.ci/test $$(go list ./... | grep -v /csproof)
+	.ci/test $$(go list ./... | grep -vE '/(csproof|cssoak)$$')
 	.ci/test ./csproof
+	.ci/test ./platform/cssoak
 
 check:
 	@unformatted="$$(gofmt -l .)"; if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
--- a/cmd/cowslipstream/roles.go
+++ b/cmd/cowslipstream/roles.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/http/pprof" // #nosec G108 -- served on the metrics address only
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -100,6 +101,8 @@
 func (p *process) metrics() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	return mux
 }
 
