Begin a round of decisions at most every 10 ms and after a rest

Cause: each commit of decisions began a round of its own, beside the one that is scheduled 10 ms after an event. Commits take about 8 ms, each round with something to decide proposes another one, and so several chains of commits and rounds ran beside each other. Each round walks all targets, runs and jobs.

A round now begins 10 ms after the start of the last one at the earliest, and after a rest of three times its duration, so rounds take a quarter of the time at most.

--- a/internal/jobs/csrun/leader.go
+++ b/internal/jobs/csrun/leader.go
@@ -18,6 +18,12 @@
 	pulseDelay = 10 * time.Millisecond
 	// idlePulse is the interval of rounds without events, for deadlines.
 	idlePulse = 100 * time.Millisecond
+	// roundSpacing is the least time between the starts of two rounds, the same as for collecting events. A commit takes
+	// about 8 ms, and without the spacing each one of several on their way would bring a round of its own.
+	roundSpacing = 10 * time.Millisecond
+	// restFactor is the rest after a round as a multiple of its duration. Rounds take a quarter of the time at most, so that
+	// a burst of work leaves the larger part to the group and to the calls.
+	restFactor = 3
 )
 
 // State is the replicated state as a leader uses it.
@@ -126,6 +132,7 @@
 	pid     *actor.PID
 	poked   atomic.Bool // a round is due after pulseDelay
 	idle    atomic.Bool // a round is due after idlePulse
+	rest    atomic.Bool // a round is due when the next one may begin
 	outlook atomic.Pointer[outlook]
 }
 
--- a/internal/jobs/csrun/runner.go
+++ b/internal/jobs/csrun/runner.go
@@ -49,6 +49,8 @@
 	waiters []chan error
 	unended csmodel.Set[csjob.ID] // jobs that have not ended
 	work    workload
+
+	nextRound time.Time // no round begins earlier
 }
 
 func newRunner(l *Leader) *runner {
@@ -56,8 +58,10 @@
 }
 
 // Receive implements actor.Actor.
-func (r *runner) Receive(ctx actor.Context) {
-	switch m := ctx.Message().(type) {
+func (r *runner) Receive(ctx actor.Context) { r.handle(ctx.Message()) }
+
+func (r *runner) handle(message any) {
+	switch m := message.(type) {
 	case *actor.Stopping, *actor.Restarting, *stopped:
 		r.resign("another node leads")
 	case *leading:
@@ -66,7 +70,7 @@
 		r.caughtUp(m.term)
 	case *pulse:
 		r.due(m.at)
-		r.round()
+		r.paced()
 	case *beaten:
 		r.beat(m)
 	case *left:
@@ -144,6 +148,15 @@
 	}
 }
 
+// paced begins a round, or schedules it where the last one was too recent.
+func (r *runner) paced() {
+	if d := r.nextRound.Sub(r.now()); r.active && d > 0 {
+		r.leader.schedule(&r.leader.rest, d)
+		return
+	}
+	r.round()
+}
+
 // round makes all decisions that are due.
 func (r *runner) round() {
 	if !r.active {
@@ -155,7 +168,7 @@
 	}
 	now := r.now()
 	r.work.begin(now)
-	defer func() { r.work.report(r.now(), r.log, len(r.targets)) }()
+	defer func() { r.ended(now, r.now()) }()
 	var starts []csjob.Start
 	r.o.State.View(func(t *csjob.Table) {
 		r.sync(t, now)
@@ -192,6 +205,19 @@
 	r.lap(partLooks)
 }
 
+// ended notes that a round has ended, and when the next one may begin.
+func (r *runner) ended(began, now time.Time) {
+	r.nextRound = later(began.Add(roundSpacing), now.Add(restFactor*now.Sub(began)))
+	r.work.report(now, r.log, len(r.targets))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (r *runner) lap(p part) { r.work.lap(p, r.now(), r.o.Metrics) }
 
 // due notes how long a round that was due at a time has waited for earlier messages.
@@ -259,7 +285,7 @@
 			t.noted = max(t.noted, n)
 		}
 	}
-	r.round()
+	r.paced()
 }
 
 // sync takes over the targets and open runs of the table.
