Let a held-up leader and voter read their messages before they give up

Cause: a tick that comes late is handled before the acknowledgements that wait behind it. The leader followed one lease (550 ms) after the newest round that it knew to be acknowledged, 150 ms before any other node may elect a leader; a voter that was late itself began a campaign although heartbeats of the leader were waiting to be read.

Now a leader follows after the election timeout, and neither gives up at a tick that came more than a heartbeat late or within a heartbeat of one, up to two heartbeats beyond the longest election timeout, because a node that is always late has to take part in elections. This changes nothing about the lease: a leader decides and answers reads only by the clock. The lease is 650 ms, 7% under the election timeout of 700 ms.

Found in place: a pre-vote, and voters that refuse to elect while they have heard from a leader within the election timeout.

TestHeldUpNodeReadsBeforeItGivesUp failed before, for the leader and the voter.

--- a/csraft/core.go
+++ b/csraft/core.go
@@ -30,6 +30,8 @@
 	out      []Command
 	contact  time.Time // of the leader; the start of the process counts, because it may have acknowledged just before
 	deadline time.Time // of the next election attempt
+	tickedAt time.Time
+	lateAt   time.Time // last tick that came late
 	fetchAt  time.Time
 	joinAt   time.Time
 
@@ -185,7 +187,19 @@
 	return time.Duration(c.random.Int64N(int64(d) + 1))
 }
 
+// heldUp tells whether this node itself was late, so that messages may wait to be read and the silence since a time proves
+// nothing. It is bounded by two heartbeats after the longest election timeout, because a node that is always late has to
+// take part in elections as well.
+func (c *Core) heldUp(since time.Time) bool {
+	recent := !c.lateAt.IsZero() && c.now.Before(c.lateAt.Add(c.config.Heartbeat))
+	return recent && c.now.Before(since.Add(c.config.Election+c.config.Jitter+2*c.config.Heartbeat))
+}
+
 func (c *Core) tick() {
+	if !c.tickedAt.IsZero() && c.now.Sub(c.tickedAt) > c.config.Heartbeat {
+		c.lateAt = c.now
+	}
+	c.tickedAt = c.now
 	switch {
 	case c.role == Leader:
 		c.tickLeader()
--- a/csraft/core_test.go
+++ b/csraft/core_test.go
@@ -113,6 +113,93 @@
 	testChanges(t, c, now)
 }
 
+// leading returns a leader of three voters, and a function that acknowledges its newest round.
+func leading(t *testing.T) (c *Core, now time.Time, ack func(time.Time)) {
+	t.Helper()
+	c, now = testCore(t, "a", HardState{Term: 1}, Entry{Term: 1, Index: 2})
+	now = now.Add(time.Second)
+	c.Step(now, Tick{})
+	for _, k := range []MessageKind{MessagePreVoteReply, MessageVoteReply} {
+		c.Step(now, Receive{Message: Message{Kind: k, From: "b", Incarnation: 1, Term: 2}})
+	}
+	if c.role != Leader {
+		t.Fatalf("got role %v, want leader", c.role)
+	}
+	return c, now, func(at time.Time) {
+		c.Step(at, Receive{Message: Message{
+			Kind: MessageAppendReply, From: "b", Incarnation: 1, Term: 2, Index: c.log.lastIndex(), Round: c.lead.round,
+		}})
+	}
+}
+
+// TestHeldUpNodeReadsBeforeItGivesUp guards against a busy leader that follows, and a busy voter that campaigns, although the
+// messages that prove the connection have arrived and wait behind a late tick.
+func TestHeldUpNodeReadsBeforeItGivesUp(t *testing.T) {
+	c, now, ack := leading(t)
+	for range 20 {
+		now = now.Add(50 * time.Millisecond)
+		c.Step(now, Tick{})
+		ack(now)
+	}
+	now = now.Add(DefaultElection + DefaultElection/2) // held up
+	c.Step(now, Tick{})
+	if c.role != Leader || c.Leading(now) {
+		t.Errorf("got role %v, leading %t after a late tick, want a leader without a lease", c.role, c.Leading(now))
+	}
+	ack(now)
+	if !c.Leading(now.Add(time.Millisecond)) {
+		t.Errorf("not leading after an acknowledgement of the newest round")
+	}
+
+	voter, now := testCore(t, "a", HardState{Term: 1}, Entry{Term: 1, Index: 2})
+	beat := Receive{Message: Message{Kind: MessageAppend, From: "b", Incarnation: 1, Term: 1, Index: 2, LogTerm: 1}}
+	for range 20 {
+		now = now.Add(50 * time.Millisecond)
+		voter.Step(now, Tick{})
+		voter.Step(now, beat)
+	}
+	now = now.Add(DefaultElection + DefaultElection/2)
+	if out := voter.Step(now, Tick{}); voter.role != Follower || len(sent(out, MessagePreVote)) > 0 {
+		t.Errorf("got role %v after a late tick, want a follower that reads its messages first", voter.role)
+	}
+}
+
+// TestDesertedNodeGivesUp guards against a leader that stays one without connections, and a voter that never campaigns,
+// because each tick comes late.
+func TestDesertedNodeGivesUp(t *testing.T) {
+	const tick = 50 * time.Millisecond
+	tests := []struct {
+		name  string
+		every time.Duration
+		limit time.Duration
+	}{
+		{"on time", tick, DefaultElection + tick},
+		{"always late", 4 * DefaultHeartbeat, DefaultElection + DefaultJitter + 6*DefaultHeartbeat},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c, now, ack := leading(t)
+			ack(now)
+			end := now.Add(tt.limit)
+			for c.role == Leader && now.Before(end) {
+				now = now.Add(tt.every)
+				c.Step(now, Tick{})
+			}
+			if c.role == Leader {
+				t.Errorf("still leader %v after the last acknowledgement", tt.limit)
+			}
+			end = now.Add(tt.limit + DefaultElection + DefaultJitter)
+			for c.role != Candidate && now.Before(end) {
+				now = now.Add(tt.every)
+				c.Step(now, Tick{})
+			}
+			if c.role != Candidate {
+				t.Errorf("got role %v, want a candidate after a silence", c.role)
+			}
+		})
+	}
+}
+
 // TestAddedVoterCounts guards against a group without a leader after the loss of the one that added a voter: c is lost, the
 // commit of the addition of b is not known, and a majority of the voters before it is gone.
 func TestAddedVoterCounts(t *testing.T) {
--- a/csraft/election.go
+++ b/csraft/election.go
@@ -34,7 +34,7 @@
 func (c *Core) tickVoter() {
 	c.fetchWhenStale()
 	alone := len(c.log.membership().Voters()) == 1
-	if c.now.Before(c.deadline) && !alone {
+	if (c.now.Before(c.deadline) || c.heldUp(c.contact)) && !alone {
 		return
 	}
 	c.startCampaign(campaign{kind: MessagePreVote, members: c.log.membership()})
--- a/csraft/leader.go
+++ b/csraft/leader.go
@@ -181,8 +181,19 @@
 	}
 }
 
+// deserted tells whether no majority has acknowledged this leader for so long that it should follow. Its lease has ended
+// before, so it decides nothing meanwhile, and the others elect a leader only after the election timeout. After a tick that
+// came late the acknowledgements may wait behind the tick.
+func (c *Core) deserted() bool {
+	from := c.leaseFrom(c.now)
+	if from.Before(c.lead.since) {
+		from = c.lead.since
+	}
+	return !c.now.Before(from.Add(c.config.Election)) && !c.heldUp(from)
+}
+
 func (c *Core) tickLeader() {
-	if !c.now.Before(c.leaseFrom(c.now).Add(c.config.Lease)) && !c.now.Before(c.lead.since.Add(c.config.Lease)) {
+	if c.deserted() {
 		c.deadline = c.now.Add(c.electionTimeout())
 		c.follow(c.state.Term, "")
 		return
--- a/internal/node/csstore/store.go
+++ b/internal/node/csstore/store.go
@@ -28,11 +28,12 @@
 
 // Timing of the group. The election timeout is a fourth of the contact time of the platform's pages, so that a new leader
 // acts well within it: while there is none, every job waits. It is more than four heartbeats and forty syncs of a disk. A
-// heartbeat costs one small message for each store.
+// heartbeat costs one small message for each store. The lease is shorter by the drift of two steady clocks, at most 7%: a
+// busy leader needs up to half a second from a heartbeat to its acknowledgement, and decides nothing without a lease.
 const (
 	electionTimeout = 700 * time.Millisecond
 	electionJitter  = 250 * time.Millisecond
-	leaderLease     = 550 * time.Millisecond
+	leaderLease     = 650 * time.Millisecond
 	heartbeat       = 150 * time.Millisecond
 )
 
