Send the entries of a probe once

After a rejection the leader guesses what a member lacks and sends that. It sent the same entries again with each proposal, each news of a commit and each heartbeat until the member answered.

While a member is probed, it now gets heartbeats only. If the entries were lost, the answer to a heartbeat lets the leader send them again.

The new test failed before: 500 entries were sent again within 20 proposals, now none. Ruled out: plans and moves of VMs.

--- a/csraft/core_test.go
+++ b/csraft/core_test.go
@@ -207,3 +207,48 @@
 		t.Errorf("got %+v from a node that was replaced, want nothing", out)
 	}
 }
+
+// TestProbeSendsEntriesOnce guards against a leader that floods its links: a member that lacks entries gets them once, and
+// not again with each proposal and each news of a commit before it has answered.
+func TestProbeSendsEntriesOnce(t *testing.T) {
+	c, now := testCore(t, "a", HardState{Term: 2}, Entry{Term: 2, Index: 2, Data: make([]byte, 1000)})
+	now = now.Add(time.Second)
+	c.Step(now, Tick{})
+	c.Step(now, Receive{Message: Message{Kind: MessagePreVoteReply, From: "b", Incarnation: 1, Term: 3}})
+	c.Step(now, Receive{Message: Message{Kind: MessageVoteReply, From: "b", Incarnation: 1, Term: 3}})
+	count := func(out []Command) (entries int) {
+		for _, o := range out {
+			if s, ok := o.(Send); ok && s.To == "c" && s.Message.Kind == MessageAppend {
+				entries += len(s.Message.Entries)
+			}
+		}
+		return entries
+	}
+	lacks := Message{Kind: MessageAppendReply, From: "c", Incarnation: 1, Term: 3, Index: 1, Round: 1, Reject: true}
+	if got := count(c.Step(now, Receive{Message: lacks})); got != 2 {
+		t.Fatalf("got %d entries after the rejection, want the 2 that are missing", got)
+	}
+	again, beats := 0, 0
+	for i := range 20 {
+		out := c.Step(now, Propose{Proposals: []Proposal{{ID: ProposalID{Node: "a", Incarnation: 1, Sequence: uint64(i + 1)}, Data: []byte("x")}}})
+		again += count(out)
+		ack := Message{Kind: MessageAppendReply, From: "b", Incarnation: 1, Term: 3, Index: c.log.lastIndex(), Round: c.lead.round}
+		again += count(c.Step(now, Receive{Message: ack}))
+		now = now.Add(50 * time.Millisecond)
+		out = c.Step(now, Tick{})
+		again += count(out)
+		for _, o := range out {
+			if s, ok := o.(Send); ok && s.To == "c" && s.Message.Kind == MessageAppend {
+				beats++
+			}
+		}
+	}
+	if again != 0 || beats == 0 {
+		t.Errorf("got %d entries and %d heartbeats before the answer, want heartbeats only", again, beats)
+	}
+	// The answer to a heartbeat shows that the entries were lost. All that is missing follows.
+	found := Message{Kind: MessageAppendReply, From: "c", Incarnation: 1, Term: 3, Index: 1, Round: c.lead.round}
+	if got, want := count(c.Step(now, Receive{Message: found})), int(c.log.lastIndex()-1); got != want {
+		t.Errorf("got %d entries after the answer, want %d", got, want)
+	}
+}
--- a/csraft/leader.go
+++ b/csraft/leader.go
@@ -106,7 +106,7 @@
 	}
 	c.syncPeers()
 	for _, n := range csmodel.SortedKeys(c.lead.peers) {
-		if p := c.lead.peers[n]; p.voter {
+		if p := c.lead.peers[n]; p.voter && !p.probe {
 			c.replicate(n, p)
 		}
 	}
@@ -154,6 +154,15 @@
 
 // replicate sends the entries that the member lacks, or a heartbeat where there are none.
 func (c *Core) replicate(n csmodel.NodeID, p *peer) {
+	c.sendFrom(n, p, min(c.log.lastIndex(), p.match+window))
+}
+
+// beat sends a heartbeat. If the entries of a probe were lost, its acknowledgement lets the leader send them again: sending
+// them with each heartbeat would fill the link to a member that is merely slow to answer.
+func (c *Core) beat(n csmodel.NodeID, p *peer) { c.sendFrom(n, p, p.next-1) }
+
+// sendFrom sends the entries from the next one of a member to the last given one, or a heartbeat where there are none.
+func (c *Core) sendFrom(n csmodel.NodeID, p *peer, last csmodel.Index) {
 	interval := c.config.Heartbeat
 	if !p.voter {
 		interval *= learnerBeats
@@ -164,7 +173,6 @@
 		c.offer(n, c.lead.round)
 		return
 	}
-	last := min(c.log.lastIndex(), p.match+window)
 	for first := true; first || p.next <= last; first = false {
 		entries := c.log.slice(p.next, last, c.config.Batch)
 		prev := p.next - 1
@@ -189,8 +197,10 @@
 	}
 	c.nextRound()
 	for _, n := range csmodel.SortedKeys(c.lead.peers) {
-		p := c.lead.peers[n]
-		if p.news(&c.log, c.commit) || !c.now.Before(p.beatAt) {
+		switch p := c.lead.peers[n]; {
+		case p.probe && !c.now.Before(p.beatAt):
+			c.beat(n, p)
+		case !p.probe && (p.news(&c.log, c.commit) || !c.now.Before(p.beatAt)):
 			c.replicate(n, p)
 		}
 	}
@@ -249,7 +259,7 @@
 // news tells whether the member should hear from the leader before its next heartbeat.
 func (p *peer) news(l *memoryLog, commit csmodel.Index) bool {
 	entries := p.next <= min(l.lastIndex(), p.match+window)
-	return p.sentCommit < commit || (entries && !p.probe && p.next > l.base)
+	return p.sentCommit < commit || (entries && p.next > l.base)
 }
 
 // advanceCommit commits what a majority has synced.
