Keep entries of the group in order whatever their size

Messages of the group above 16 KiB used the data channel and smaller ones the control channel. Order holds within a channel only, so the small entries after a large configuration overtook it, each was rejected, and each rejection made the leader send everything again. Entries now use one channel.

The test of the choice of the channel is new; there was no function to test before. csnode chooses the channel of the groups of `cowslipstream serve` by size in the same way; that is not changed here.

--- a/internal/node/csstore/store.go
+++ b/internal/node/csstore/store.go
@@ -41,7 +41,7 @@
 	linkHeartbeat = 300 * time.Millisecond
 	linkSilence   = 1000 * time.Millisecond // an open connection without a byte is replaced
 	kindRaft      = cslink.Kind(1)
-	// largeMessage is the size in bytes above which a message of the group uses the data channel.
+	// largeMessage is the size in bytes above which a message of the group whose order does not matter uses the data channel.
 	largeMessage = 16 << 10
 )
 
@@ -204,11 +204,7 @@
 		s.log.Error("group message not encoded", zap.Error(err))
 		return
 	}
-	channel := cslink.Control
-	if len(payload) > largeMessage {
-		channel = cslink.Data
-	}
-	err = sender{s}.Send(to, channel, kindRaft, payload, "")
+	err = sender{s}.Send(to, channelOf(m.Kind, len(payload)), kindRaft, payload, "")
 	if errors.Is(err, cslink.ErrUnknownPeer) {
 		s.meet(to)
 	}
@@ -218,6 +214,15 @@
 	}
 }
 
+// channelOf returns the channel for a message of the group. Entries stay on one channel whatever their size: a follower
+// refuses entries that overtake earlier ones, and the leader then sends all of them again.
+func channelOf(k csraft.MessageKind, size int) cslink.Channel {
+	if size > largeMessage && k != csraft.MessageAppend {
+		return cslink.Data
+	}
+	return cslink.Control
+}
+
 // meet adds a store that became a member while this one ran. The one with the smaller name dials.
 func (s *Store) meet(n csmodel.NodeID) {
 	links := s.links.Load()
