Give a run up only where its only start was refused

The reading of the code for TWICE (a task ran twice) found three ways in which the leader took a run for one that never began, although it may run: the refusal of a stop (no room, invalid) counted like the refusal of a start; the answer to an order of an earlier term, still in the mailbox when the node led again, counted as the answer to the order of this term; and the refusal of a start counted although the run had been listed meanwhile.

Cause: the number of unanswered orders stood for the number of starts that were sent, and answers did not say which term their order belonged to.

Now a run counts its starts, and answers of an earlier term are dropped. A run ends as never started only where the one start of this term was refused.

Ruled out: that the start of an earlier leader arrives after the refusal of the new leader's. The first look of the new leader carries its fence, and orders of the new leader wait for that look.

--- /dev/null
+++ b/internal/jobs/csrun/answers_test.go
@@ -0,0 +1,69 @@
+package csrun
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"cowslipstream.example/cowslipstream/csmodel"
+	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
+)
+
+// newTestRunner returns a runner that leads in a term and knows one target, whose clock shows a minute. Nothing runs on its
+// own.
+func newTestRunner(term csmodel.Term) (*runner, *target) {
+	clock := clockwork.NewFakeClock()
+	o := Options{
+		Clock: clock, Log: zap.NewNop(), Metrics: NewMetrics(prometheus.NewRegistry()),
+		Timing: Timing{Lease: 5 * time.Second, LongestLease: 6 * time.Second, Beat: time.Second, CallTimeout: 200 * time.Millisecond},
+	}
+	w := &target{
+		life: csjob.Life{Target: "1", Born: 1}, runs: map[runKey]*run{}, strays: map[runKey]bool{},
+		clock: time.Minute, clockAt: clock.Now(),
+	}
+	r := newRunner(&Leader{options: o})
+	r.tenure = tenure{
+		term: term, active: true, since: clock.Now(), targets: map[csjob.TargetID]*target{"1": w}, noted: map[csjob.Life]int64{},
+	}
+	return r, w
+}
+
+// Guards against a run being given up that a target may still start: only the refusal of the one start that this leader has
+// sent tells that there is no run.
+func TestRunIsGivenUpOnlyWhereItsOnlyStartWasRefused(t *testing.T) {
+	key := runKey{task: csjob.TaskKey{Job: "a"}, attempt: 1}
+	cases := []struct {
+		name    string
+		run     run
+		term    csmodel.Term // of the order
+		kind    orderKind
+		refusal Refusal
+		want    bool // the run is given up
+	}{
+		{"only start, unhealthy", run{tries: 1, starts: 1}, 2, orderStart, RefusedUnhealthy, true},
+		{"only start, no room", run{tries: 1, starts: 1}, 2, orderStart, RefusedRoom, true},
+		{"second start", run{tries: 2, starts: 2}, 2, orderStart, RefusedUnhealthy, false},
+		{"start of the term before", run{tries: 1, starts: 1}, 1, orderStart, RefusedUnhealthy, false},
+		{"stop of a run that started", run{tries: 1, starts: 1, started: true, stop: true}, 2, orderStop, RefusedInvalid, false},
+		{"stop after a start without an answer", run{tries: 1, starts: 1, stop: true}, 2, orderStop, RefusedRoom, false},
+		{"listed before the refusal arrived", run{tries: 1, starts: 1, started: true}, 2, orderStart, RefusedUnhealthy, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r, w := newTestRunner(2)
+			u := c.run
+			u.key = key
+			w.runs[key] = &u
+			r.ordered(&ordered{
+				term: c.term, life: w.life, key: key, kind: c.kind, began: r.now(),
+				reply: Reply{Clock: time.Minute, Refusal: c.refusal},
+			})
+			if got := len(r.ends) > 0; got != c.want {
+				t.Errorf("got the run given up %t, want %t", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/jobs/csrun/beats.go
+++ b/internal/jobs/csrun/beats.go
@@ -108,9 +108,9 @@
 	for key := range w.runs {
 		stops = append(stops, StopOrder{Task: key.task, Attempt: key.attempt, Fence: csmodel.Fence(r.term)})
 	}
-	ctx, fence := r.ctx, csmodel.Fence(r.term)
+	ctx, term, fence := r.ctx, r.term, csmodel.Fence(r.term)
 	go func() {
-		m := &fenced{beat: b}
+		m := &fenced{term: term, beat: b}
 		m.ends, m.err = r.fence(ctx, b, stops, fence)
 		r.send(m)
 	}()
@@ -140,7 +140,7 @@
 
 func (r *runner) fenced(m *fenced) {
 	w := r.targets[m.beat.Target.Life.Target]
-	if !r.active || w == nil {
+	if !r.active || m.term != r.term || w == nil {
 		return
 	}
 	if m.err != nil {
--- a/internal/jobs/csrun/leader.go
+++ b/internal/jobs/csrun/leader.go
@@ -144,6 +144,7 @@
 		done chan error
 	}
 	looked struct {
+		term    csmodel.Term
 		life    csjob.Life
 		order   LookOrder
 		started time.Time
@@ -151,6 +152,7 @@
 		err     error
 	}
 	ordered struct {
+		term  csmodel.Term
 		life  csjob.Life
 		key   runKey
 		kind  orderKind
@@ -159,6 +161,7 @@
 		err   error
 	}
 	fenced struct {
+		term csmodel.Term
 		beat Beat
 		ends []Ended
 		err  error
--- a/internal/jobs/csrun/leader_test.go
+++ b/internal/jobs/csrun/leader_test.go
@@ -134,7 +134,7 @@
 		i.world.mu.Lock()
 		var beats []csrun.Beat
 		for address, k := range i.world.workers {
-			if k.dark {
+			if k.dark || k.mute {
 				continue
 			}
 			beats = append(beats, csrun.Beat{
--- a/internal/jobs/csrun/looks.go
+++ b/internal/jobs/csrun/looks.go
@@ -68,11 +68,11 @@
 	r.o.Metrics.looks.Inc()
 	r.work.called()
 	r.work.looks++
-	ctx, life, record := r.ctx, w.life, w.record
+	ctx, term, life, record := r.ctx, r.term, w.life, w.record
 	go func() {
 		limited, cancel := context.WithTimeout(ctx, r.o.Timing.CallTimeout+o.Wait)
 		defer cancel()
-		m := &looked{life: life, order: o, started: now}
+		m := &looked{term: term, life: life, order: o, started: now}
 		m.look, m.err = r.o.Workers.Look(limited, record, o)
 		r.send(m)
 	}()
@@ -106,6 +106,15 @@
 	return false
 }
 
+// called returns the target that a call of a term was sent to, or nil where its answer no longer matters. An answer from
+// before this node led anew is dropped: it tells nothing about the orders that were sent since.
+func (r *runner) called(term csmodel.Term, l csjob.Life) *target {
+	if term != r.term {
+		return nil
+	}
+	return r.target(l)
+}
+
 // target returns the state of a life, or nil where it is over.
 func (r *runner) target(l csjob.Life) *target {
 	if !r.active {
@@ -119,7 +128,7 @@
 
 func (r *runner) looked(m *looked) {
 	r.work.returned(m.err)
-	w := r.target(m.life)
+	w := r.called(m.term, m.life)
 	if w == nil {
 		return
 	}
--- a/internal/jobs/csrun/orders.go
+++ b/internal/jobs/csrun/orders.go
@@ -86,13 +86,14 @@
 	w.calls++
 	r.work.called()
 	if kind == orderStart {
+		u.starts++
 		r.work.starts++
 	} else {
 		r.work.stops++
 	}
 	r.o.Metrics.orders.WithLabelValues(orderNames[kind]).Inc()
 	ctx, timeout := r.ctx, r.o.Timing.CallTimeout
-	m := &ordered{life: w.life, key: u.key, kind: kind, began: r.now()}
+	m := &ordered{term: r.term, life: w.life, key: u.key, kind: kind, began: r.now()}
 	go func() {
 		limited, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
@@ -115,7 +116,7 @@
 
 func (r *runner) ordered(m *ordered) {
 	r.work.returned(m.err)
-	w := r.target(m.life)
+	w := r.called(m.term, m.life)
 	if w == nil {
 		return
 	}
@@ -186,7 +187,7 @@
 		u.stop = true // it has ended there, or a stop has overtaken it
 	case RefusedUnhealthy:
 		r.refused(w, m.reply.Refusal, now)
-		if m.kind == orderStart && u.tries <= 1 {
+		if u.onlyStart(m) {
 			r.unrun(w, u)
 			return
 		}
@@ -194,15 +195,24 @@
 		u.nextAt = now.Add(orderRetry)
 	case RefusedRoom, RefusedTicket, RefusedInvalid:
 		w.restTill = now.Add(restAfterRefusal)
-		if u.tries <= 1 {
+		if u.onlyStart(m) {
 			r.unrun(w, u)
 			return
 		}
 		u.stop = true // an earlier copy of the order may still arrive
+		if m.kind == orderStop {
+			u.nextAt = now.Add(orderRetry)
+		}
 	case RefusedNot:
 	}
 }
 
+// onlyStart tells whether an answer is to the only start of this term. Then its refusal means that the run does not exist
+// and never will: starts of earlier terms are refused since the first look of this one, by their fence.
+func (u *run) onlyStart(m *ordered) bool {
+	return m.kind == orderStart && u.starts == 1 && !u.started
+}
+
 // unrun ends a run that the target has refused.
 func (r *runner) unrun(w *target, u *run) {
 	u.busy = true // no further order
--- a/internal/jobs/csrun/target.go
+++ b/internal/jobs/csrun/target.go
@@ -44,6 +44,7 @@
 	busy     bool // an order is on its way
 	nextAt   time.Time
 	tries    int
+	starts   int // starts that were sent in this term
 	missing  int // looks that did not list it
 	percent  int
 	load     float64
--- a/internal/jobs/csrun/world_test.go
+++ b/internal/jobs/csrun/world_test.go
@@ -50,6 +50,12 @@
 	return v, nil
 }
 
+// held is a start that is carried out when the test releases it. Its answer is lost.
+type held struct {
+	target csjob.Target
+	order  csrun.StartOrder
+}
+
 // faults are the probabilities of what goes wrong in one call or run.
 type faults struct {
 	lost float64 // the answer is lost
@@ -68,6 +74,18 @@
 	limit   int // attempts of a task
 	runs    []*seenRun
 	broken  []string
+	hold    func(csjob.Target, csrun.StartOrder) bool // tells which starts are held; nil is none
+	held    []held
+}
+
+// release carries out the starts that were held. They reach whoever has the address by now.
+func (w *world) release() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, h := range w.held {
+		w.start(h.target, h.order)
+	}
+	w.held = nil
 }
 
 // worker is one target.
@@ -82,9 +100,12 @@
 	noted   int64
 	until   time.Duration
 	wake    chan struct{}
-	dead    bool // fails whatever it starts
-	dark    bool // neither answers nor announces itself
-	reset   int  // looks that find their connection closed by the restart
+	dead    bool          // fails whatever it starts
+	dark    bool          // neither answers nor announces itself
+	mute    bool          // answers and does not announce itself
+	ill     bool          // refuses all calls as unhealthy
+	fence   csmodel.Fence // the highest one that was seen
+	reset   int           // looks that find their connection closed by the restart
 }
 
 type seenRun struct {
@@ -167,28 +188,58 @@
 
 // Start implements csrun.Workers.
 func (w *world) Start(ctx context.Context, t csjob.Target, o csrun.StartOrder) (csrun.Reply, error) {
-	return w.deliver(ctx, t, func() csrun.Reply {
-		k := w.at(t)
-		if k == nil {
-			return csrun.Reply{Refusal: csrun.RefusedLife}
-		}
-		w.expire(k)
-		reply := csrun.Reply{Clock: k.clock()}
-		if r := k.running[o.Task]; r != nil && r.attempt == o.Attempt {
-			return reply
-		}
-		if o.Attempt <= k.last[o.Task] || k.running[o.Task] != nil {
-			reply.Refusal = csrun.RefusedOld
-			return reply
-		}
-		if o.Until <= k.clock() {
-			reply.Refusal = csrun.RefusedLate
-			return reply
-		}
-		k.until = max(k.until, o.Until)
-		w.begin(k, o)
+	w.mu.Lock()
+	hold := w.hold != nil && w.hold(t, o)
+	if hold {
+		w.held = append(w.held, held{t, o})
+	}
+	w.mu.Unlock()
+	if hold {
+		return csrun.Reply{}, csrun.ErrNoAnswer
+	}
+	return w.deliver(ctx, t, func() csrun.Reply { return w.start(t, o) })
+}
+
+// admit returns the target that an order reaches, and why it refuses the order.
+func (w *world) admit(t csjob.Target, f csmodel.Fence) (*worker, csrun.Reply) {
+	k := w.at(t)
+	if k == nil {
+		return nil, csrun.Reply{Refusal: csrun.RefusedLife}
+	}
+	reply := csrun.Reply{Clock: k.clock()}
+	switch {
+	case k.ill:
+		reply.Refusal = csrun.RefusedUnhealthy
+	case f < k.fence:
+		reply.Refusal = csrun.RefusedFence
+	default:
+		k.fence = f
+	}
+	return k, reply
+}
+
+// start carries out a start. The lease of a target covers all that runs there, so a start is late only where no newer
+// order has extended the lease.
+func (w *world) start(t csjob.Target, o csrun.StartOrder) csrun.Reply {
+	k, reply := w.admit(t, o.Fence)
+	if reply.Refusal != csrun.RefusedNot {
 		return reply
-	})
+	}
+	w.expire(k)
+	if r := k.running[o.Task]; r != nil && r.attempt == o.Attempt {
+		return reply
+	}
+	if o.Attempt <= k.last[o.Task] || k.running[o.Task] != nil {
+		reply.Refusal = csrun.RefusedOld
+		return reply
+	}
+	k.until = max(k.until, o.Until)
+	if k.until <= k.clock() {
+		reply.Refusal = csrun.RefusedLate
+		return reply
+	}
+	w.begin(k, o)
+	return reply
 }
 
 // begin starts a run and checks the rules that a start can break.
@@ -294,16 +345,16 @@
 // Stop implements csrun.Workers.
 func (w *world) Stop(ctx context.Context, t csjob.Target, o csrun.StopOrder) (csrun.Reply, error) {
 	return w.deliver(ctx, t, func() csrun.Reply {
-		k := w.at(t)
-		if k == nil {
-			return csrun.Reply{Refusal: csrun.RefusedLife}
+		k, reply := w.admit(t, o.Fence)
+		if reply.Refusal != csrun.RefusedNot {
+			return reply
 		}
 		k.last[o.Task] = max(k.last[o.Task], o.Attempt)
 		if r := k.running[o.Task]; r != nil && r.attempt <= o.Attempt {
 			w.checkAbsent(r)
 			w.finish(k, r, csjob.OutcomeStopped)
 		}
-		return csrun.Reply{Clock: k.clock()}
+		return reply
 	})
 }
 
@@ -337,6 +388,10 @@
 		return csrun.Look{}, csrun.ErrNoAnswer
 	}
 	if k != nil {
+		if _, reply := w.admit(t, o.Fence); reply.Refusal != csrun.RefusedNot {
+			w.mu.Unlock()
+			return csrun.Look{Reply: reply}, nil
+		}
 		w.expire(k)
 		k.until = max(k.until, o.Until)
 		k.noted = max(k.noted, o.Noted)
