Acknowledge ends only to the life that is known to run them

What callers saw: tasks that had ended done ran again (TWICE). docs/platform.md listed the case as not covered.

Cause: a look acknowledged the last recorded end of a target unless a call had just failed. Where a target starts again between two calls, the next call opens a new connection without an error, and an acknowledged start sets the count of failures back. The new life numbers its ends from one, so it forgot ends up to the old number that nobody had seen. Its runs were then stopped, found neither running nor ended, counted as lapsed with the old life, and started again.

Now a look acknowledges ends only while each run that was ordered in this term is known to be on this life: a look with its birth time has listed it, or the clock in the answer to the start goes on from the last reading. Each life has a clock of its own, and answers to orders name no life. Answers whose clock does not go on no longer give readings either. Readings are dated by the arrival of the answer; they were dated by the time at which the leader handled it, which is seconds later on a busy leader.

--- a/internal/jobs/csrun/answers_test.go
+++ b/internal/jobs/csrun/answers_test.go
@@ -67,3 +67,33 @@
 		})
 	}
 }
+
+// Guards against the clock of another life being taken for the one of the life that is known: its readings are the base of
+// leases, and the acknowledgement of ends rests on who has answered a start.
+func TestClockTellsTheLife(t *testing.T) {
+	base := time.Unix(1_800_000_000, 0)
+	at := func(ms int) time.Time { return base.Add(time.Duration(ms) * time.Millisecond) }
+	cases := []struct {
+		name           string
+		clock          time.Duration
+		began, arrived int // in milliseconds after the last reading, which showed a minute
+		want           bool
+	}{
+		{"goes on", 61 * time.Second, 990, 1010, true},
+		{"goes on slowly", 60*time.Second + 985*time.Millisecond, 1000, 1010, true},
+		{"handled long after its call began", 61 * time.Second, 900, 1200, true},
+		{"overtaken by the last reading", 60*time.Second - 90*time.Millisecond, -100, 20, true},
+		{"started anew", 300 * time.Millisecond, 990, 1010, false},
+		{"an older life with the name", 90 * time.Second, 990, 1010, false},
+		{"no clock", 0, 990, 1010, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := &target{}
+			w.reading(time.Minute, at(-5), at(0), time.Second)
+			if got := w.sameLife(c.clock, at(c.began), at(c.arrived)); got != c.want {
+				t.Errorf("got the same life %t, want %t", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/jobs/csrun/beats.go
+++ b/internal/jobs/csrun/beats.go
@@ -47,7 +47,8 @@
 	w.sequence = b.Sequence
 	w.heardAt = now
 	if w.clockAt.IsZero() {
-		w.reading(b.Clock, now, r.o.Timing.LongestLease)
+		w.reading(b.Clock, time.Time{}, now, r.o.Timing.LongestLease)
+		w.answered(now)
 	}
 	if sameTarget(w.record, b.Target) {
 		m.done <- nil
--- a/internal/jobs/csrun/leader.go
+++ b/internal/jobs/csrun/leader.go
@@ -148,6 +148,7 @@
 		life    csjob.Life
 		order   LookOrder
 		started time.Time
+		arrived time.Time // when the answer arrived, which may be long before it is handled
 		look    Look
 		err     error
 	}
@@ -157,8 +158,10 @@
 		key   runKey
 		kind  orderKind
 		began time.Time
-		reply Reply
-		err   error
+		// arrived is when the answer arrived, which may be long before it is handled.
+		arrived time.Time
+		reply   Reply
+		err     error
 	}
 	fenced struct {
 		term csmodel.Term
--- a/internal/jobs/csrun/looks.go
+++ b/internal/jobs/csrun/looks.go
@@ -51,9 +51,8 @@
 
 func (r *runner) sendLook(w *target, now time.Time) {
 	o := LookOrder{Fence: csmodel.Fence(r.term)}
-	if w.failures == 0 {
-		// After an unanswered call the target may have restarted. Its new life numbers its ends anew and would forget some
-		// that nobody has seen.
+	if w.failures == 0 && w.accounted() {
+		// After an unanswered call the target may have restarted as well.
 		o.Noted = w.noted
 	}
 	if len(w.runs) > 0 && w.failures < silentFailures {
@@ -74,6 +73,7 @@
 		defer cancel()
 		m := &looked{term: term, life: life, order: o, started: now}
 		m.look, m.err = r.o.Workers.Look(limited, record, o)
+		m.arrived = r.now()
 		r.send(m)
 	}()
 }
@@ -149,7 +149,8 @@
 		w.unanswered(now) // restarted; its heartbeat tells more
 		return
 	}
-	w.reading(m.look.Clock, now, r.o.Timing.LongestLease)
+	w.reading(m.look.Clock, m.started, m.arrived, r.o.Timing.LongestLease)
+	w.answered(now)
 	w.fresh = false
 	prompt := m.started.Sub(w.listedAt) < promptLook
 	w.listedAt = now
@@ -238,7 +239,7 @@
 			}
 			continue
 		}
-		u.started = true
+		u.started, u.here = true, true
 		u.percent, u.load, u.missing = p.Percent, p.Load, 0
 		u.settled = u.settled || p.Percent == fullWork
 	}
--- a/internal/jobs/csrun/orders.go
+++ b/internal/jobs/csrun/orders.go
@@ -98,6 +98,7 @@
 		limited, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		m.reply, m.err = call(limited)
+		m.arrived = r.now()
 		r.send(m)
 	}()
 }
@@ -131,18 +132,36 @@
 		r.unanswered(w, u, m, now)
 		return
 	}
-	w.reading(m.reply.Clock, now, r.o.Timing.LongestLease)
+	known := r.replied(w, m, now)
 	if u == nil {
 		return
 	}
 	u.busy = false
 	if m.reply.Refusal == RefusedNot {
+		u.here = u.here || (known && m.kind == orderStart)
 		r.acknowledged(u, m, now)
 		return
 	}
 	r.orderRefused(w, u, m, now)
 }
 
+// replied takes in what the answer to an order tells of the target. It returns whether the clock of the answer shows that it
+// is of the life that is known.
+func (r *runner) replied(w *target, m *ordered, now time.Time) bool {
+	switch {
+	case m.reply.Clock == 0:
+		w.answered(now)
+		return false
+	case !w.sameLife(m.reply.Clock, m.began, m.arrived):
+		r.log.Info("answer of another life", zap.String("target", string(w.life.Target)), zap.Duration("clock", m.reply.Clock),
+			zap.Duration("known", w.clock), zap.Duration("age", m.arrived.Sub(w.clockAt)))
+		return false
+	}
+	w.reading(m.reply.Clock, m.began, m.arrived, r.o.Timing.LongestLease)
+	w.answered(now)
+	return true
+}
+
 func (r *runner) unanswered(w *target, u *run, m *ordered, now time.Time) {
 	w.unanswered(now)
 	r.log.Info("order not answered", zap.String("order", orderNames[m.kind]), zap.String("job", string(m.key.task.Job)),
--- a/internal/jobs/csrun/target.go
+++ b/internal/jobs/csrun/target.go
@@ -11,6 +11,9 @@
 const (
 	// clockDrift is how much slower than ours the clock of a target may run, from the platform's protocol.
 	clockDrift = 0.02
+	// clockSlack is how far the clock of an answer may be off what is expected from an earlier one. Clocks are told in whole
+	// milliseconds; the rest allows for a target that stands still for a moment.
+	clockSlack = 50 * time.Millisecond
 	// lapseSlack is added to the end of a lease before its runs count as over.
 	lapseSlack = 500 * time.Millisecond
 	// silentBeats is the number of heartbeat intervals after which a target gets no new tasks.
@@ -36,6 +39,7 @@
 	since    time.Time
 	expected time.Duration // predicted run time
 	started  bool          // the target has acknowledged or listed it
+	here     bool          // it was this life of the target that did so
 	ackedAt  time.Time
 	lasting  bool
 	stop     bool // it has to end
@@ -60,8 +64,10 @@
 	heardAt  time.Time
 	clock    time.Duration // of the target
 	clockAt  time.Time     // when the answer with the clock arrived; zero where none has
-	granted  time.Duration // latest end of the lease; an upper bound of what earlier leaders granted
-	lapsesAt time.Time     // fallback while the clock is not known
+	// clockFrom is when the call with that answer began; zero where it is not known.
+	clockFrom time.Time
+	granted   time.Duration // latest end of the lease; an upper bound of what earlier leaders granted
+	lapsesAt  time.Time     // fallback while the clock is not known
 
 	runs     map[runKey]*run
 	strays   map[runKey]bool // listed runs that should not be there; true while a stop is on its way
@@ -82,17 +88,51 @@
 	grades   grades
 }
 
-// reading takes in the clock of an answer that arrived now.
-func (t *target) reading(clock time.Duration, now time.Time, longest time.Duration) {
+// answered notes a sign of this life that is handled now.
+func (t *target) answered(now time.Time) {
 	t.heardAt = now
 	t.answerAt = now
 	t.failures = 0
-	if clock > 0 {
-		if t.clockAt.IsZero() {
-			t.granted = clock + longest
+}
+
+// reading takes in the clock of an answer of this life. The answer is to a call that began at a time, which is zero where it
+// is not known.
+func (t *target) reading(clock time.Duration, began, arrived time.Time, longest time.Duration) {
+	if clock <= 0 || arrived.Before(t.clockAt) {
+		return
+	}
+	if t.clockAt.IsZero() {
+		t.granted = clock + longest
+	}
+	t.clock, t.clockAt, t.clockFrom = clock, arrived, began
+}
+
+// sameLife tells whether the clock of an answer goes on from the last reading. Each life has a clock of its own, and the
+// answer to an order names no life.
+func (t *target) sameLife(clock time.Duration, began, arrived time.Time) bool {
+	if clock <= 0 || t.clockAt.IsZero() {
+		return false
+	}
+	since := began.Sub(t.clockAt)
+	if since > 0 {
+		since = time.Duration((1 - clockDrift) * float64(since))
+	}
+	if clock < t.clock+since-clockSlack {
+		return false
+	}
+	return t.clockFrom.IsZero() || clock <= t.clock+time.Duration((1+clockDrift)*float64(arrived.Sub(t.clockFrom)))+clockSlack
+}
+
+// accounted tells whether each run that was ordered in this term is known to be on this life. Otherwise the target may have
+// started again and the run may have ended on the new life, which numbers its ends anew: an acknowledgement of this life's
+// numbers would make it forget an end that nobody has seen.
+func (t *target) accounted() bool {
+	for _, u := range t.runs {
+		if u.starts > 0 && !u.here {
+			return false
 		}
-		t.clock, t.clockAt = clock, now
 	}
+	return true
 }
 
 // unanswered counts a call that was not answered.
--- a/internal/jobs/csrun/twice_test.go
+++ b/internal/jobs/csrun/twice_test.go
@@ -56,3 +56,32 @@
 	i.settle(10 * time.Second)
 	i.checkRules()
 }
+
+// restart replaces a target by a new life under its name and address. Callers are not told: a connection that was closed
+// meanwhile is replaced by a new one without an error.
+func (i *installation) restart(id csjob.TargetID, mute bool) {
+	i.world.mu.Lock()
+	defer i.world.mu.Unlock()
+	k := newWorker(id, wholeTarget)
+	k.mute = mute
+	i.world.workers[addressOf(id)] = k
+}
+
+// Guards against ends of a new life being forgotten unseen: a target starts again between two calls, no call fails, and
+// the leader acknowledges the numbers of the life before. The tasks that had ended there ran again.
+func TestEndsOfANewLifeAreNotAcknowledgedUnseen(t *testing.T) {
+	t.Parallel()
+	i := install(t, 30, 1, faults{})
+	for n := range 12 {
+		i.hand(n, 10*time.Millisecond)
+	}
+	i.settle(5 * time.Second)
+	i.restart("1", true)
+	for n := range 6 {
+		i.hand(100+n, 20*time.Millisecond)
+		time.Sleep(30 * time.Millisecond)
+	}
+	i.with("1", func(k *worker) { k.mute = false })
+	i.settle(5 * time.Second)
+	i.checkRules()
+}
