--- a/internal/jobs/csrun/leader.go
+++ b/internal/jobs/csrun/leader.go
@@ -151,21 +151,27 @@
 		done chan error
 	}
 	looked struct {
+		term    csmodel.Term
 		life    csjob.Life
 		order   LookOrder
 		started time.Time
+		arrived time.Time // when the answer arrived, which may be long before it is handled
 		look    Look
 		err     error
 	}
 	ordered struct {
+		term  csmodel.Term
 		life  csjob.Life
 		key   runKey
 		kind  orderKind
 		began time.Time
-		reply Reply
-		err   error
+		// arrived is when the answer arrived, which may be long before it is handled.
+		arrived time.Time
+		reply   Reply
+		err     error
 	}
 	fenced struct {
+		term csmodel.Term
 		beat Beat
 		ends []Ended
 		err  error
