Let a round of decisions cost what has changed

Cause: each round compared the runs of all 349 targets with the table, added up the runs of each target twice (room, and cores by lateness), copied all targets sorted by name, walked the active jobs five times, and looked up each queue by a concatenated name.

The table now lists the targets and ended jobs that changed since a number of a change (bounded, with a full read as the fallback). The runner keeps the room and the sums of each target until its runs, its starts on their way or its record change, or until the job of one of its runs is late. Steps without a waiting task are not ranked. Decisions are the same.

TestRoundCostsWhatHasChanged fails with a full comparison in each round (698 targets compared for three starts) and with sums that are not kept. TestKeptSumsAreThoseOfTheTable fails when any one of the four ways in which the sums become outdated is left out.

--- a/internal/jobs/csjob/job.go
+++ b/internal/jobs/csjob/job.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -134,9 +135,17 @@
 	Index      int
 }
 
+// taskKeyDigits is room for the numbers of most task names.
+const taskKeyDigits = 12
+
 // String returns the name that targets know the task by.
 func (k TaskKey) String() string {
-	return fmt.Sprintf("%s.%d.%d.%d", k.Job, k.Occurrence, k.Step, k.Index)
+	b := make([]byte, 0, len(k.Job)+taskKeyDigits)
+	b = append(b, k.Job...)
+	for _, n := range [...]int{k.Occurrence, k.Step, k.Index} {
+		b = strconv.AppendInt(append(b, '.'), int64(n), 10)
+	}
+	return string(b)
 }
 
 // ParseTaskKey is the inverse of String.
@@ -207,6 +216,13 @@
 	Left       [][]int       `cbor:"6,keyasint"` // tasks that are not done, by occurrence and step
 	Open       int           `cbor:"7,keyasint,omitempty"`
 	Order      csmodel.Index `cbor:"8,keyasint"` // index of the log entry, a total order of acceptance
+
+	queue *Queue // its newest settings, shared by the jobs of the queue
+}
+
+// lasts tells whether any step lasts.
+func (j *Job) lasts() bool {
+	return slices.ContainsFunc(j.Submission.Steps, func(s Step) bool { return s.Lasting })
 }
 
 // Ready tells whether all steps before a step are done.
--- a/internal/jobs/csjob/read.go
+++ b/internal/jobs/csjob/read.go
@@ -27,10 +27,18 @@
 }
 
 // queueOf returns the newest settings of the queue of a job, which may be out of force.
-func (t *Table) queueOf(j *Job) Queue { return t.state.Queues[queueName(j.Submission.Queue)] }
+func (t *Table) queueOf(j *Job) *Queue {
+	if j.queue == nil {
+		return &Queue{}
+	}
+	return j.queue
+}
 
 // QueueOf returns the newest settings of the queue of a job. The queue may have left the configuration since.
-func (t *Table) QueueOf(j *Job) Queue { return t.queueOf(j) }
+func (t *Table) QueueOf(j *Job) Queue { return *t.queueOf(j) }
+
+// PoolOf returns the pool of a job.
+func (t *Table) PoolOf(j *Job) csmodel.PoolID { return t.queueOf(j).Pool }
 
 // Job returns a job, or nil.
 func (t *Table) Job(id ID) *Job { return t.state.Jobs[id] }
@@ -38,6 +46,9 @@
 // Active returns the jobs that are not final or have open runs, in order of acceptance. The caller must not change it.
 func (t *Table) Active() []*Job { return t.active }
 
+// Lasting returns those of Active that have tasks that last. The caller must not change it.
+func (t *Table) Lasting() []*Job { return t.lasting }
+
 // Accepted returns all jobs, also ended ones, in order of acceptance.
 func (t *Table) Accepted() []*Job {
 	out := make([]*Job, 0, len(t.state.Jobs))
@@ -84,6 +95,13 @@
 	return out
 }
 
+// EachTaskOn calls f for the tasks with open runs on a life of a target, in no order.
+func (t *Table) EachTaskOn(l Life, f func(TaskKey)) {
+	for k := range t.runs[l] {
+		f(k)
+	}
+}
+
 // Busy tells whether a life of a target has open runs.
 func (t *Table) Busy(l Life) bool { return len(t.runs[l]) > 0 }
 
--- a/internal/jobs/csjob/snapshot.go
+++ b/internal/jobs/csjob/snapshot.go
@@ -1,6 +1,7 @@
 package csjob
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -22,7 +23,7 @@
 	if err := cbor.Unmarshal(b, &s); err != nil {
 		return fmt.Errorf("%w: %w", ErrCodec, err)
 	}
-	*t = Table{Retention: t.Retention, changes: t.changes + 1}
+	*t = Table{Retention: t.Retention, changes: t.changes + 1, log: changeLog{since: t.changes + 1}}
 	if s.Jobs == nil {
 		return nil
 	}
@@ -46,16 +47,23 @@
 			w.Done = csmodel.NewSet[csmodel.VMID]()
 		}
 	}
+	for _, q := range s.Queues {
+		t.setQueue(q)
+	}
 	for _, j := range s.Jobs {
+		j.queue = t.queues[queueName(j.Submission.Queue)]
 		if j.State.Final() && j.Open == 0 {
 			continue
 		}
-		t.active = append(t.active, j)
+		t.activate(j)
 		j.eachRun(func(k TaskKey, r Run) { t.note(r.Life, k, 1) })
 	}
-	slices.SortFunc(t.active, func(a, b *Job) int { return int(a.Order) - int(b.Order) })
+	slices.SortFunc(t.active, compareOrder)
+	slices.SortFunc(t.lasting, compareOrder)
 }
 
+func compareOrder(a, b *Job) int { return cmp.Compare(a.Order, b.Order) }
+
 // eachRun calls f for all open runs.
 func (j *Job) eachRun(f func(TaskKey, Run)) {
 	for o, steps := range j.Tasks {
--- a/internal/jobs/csjob/table.go
+++ b/internal/jobs/csjob/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"slices"
 	"time"
 
@@ -24,8 +25,11 @@
 	state   state
 	routing routing
 	active  []*Job // not final, or with open runs, in order of acceptance
+	lasting []*Job // those of active with steps that last
+	queues  map[string]*Queue
 	runs    map[Life]map[TaskKey]int
 	changes uint64
+	log     changeLog
 }
 
 // state is what a snapshot holds.
@@ -70,6 +74,7 @@
 	s.VMs = map[csmodel.VMID]VMOrder{}
 	s.Moved = map[csmodel.VMID]time.Time{}
 	t.runs = map[Life]map[TaskKey]int{}
+	t.queues = map[string]*Queue{}
 }
 
 // Apply implements csraft.Machine. The result is an encoded Verdict.
@@ -144,12 +149,25 @@
 	t.routing = newRouting(c)
 	for _, q := range c.Queues {
 		if _, used := t.state.Queues[queueName(q.Key)]; used {
-			t.state.Queues[queueName(q.Key)] = q
+			t.setQueue(q)
 		}
 	}
 	return Accepted
 }
 
+// setQueue replaces the newest settings of a queue, for its jobs too.
+func (t *Table) setQueue(q Queue) *Queue {
+	name := queueName(q.Key)
+	t.state.Queues[name] = q
+	p := t.queues[name]
+	if p == nil {
+		p = &Queue{}
+		t.queues[name] = p
+	}
+	*p = q
+	return p
+}
+
 func queueName(k QueueKey) string { return k.Host + " " + k.Prefix }
 
 func (t *Table) submit(s Submission, at time.Time, index csmodel.Index) Verdict {
@@ -166,10 +184,10 @@
 	if s.Validate() != nil {
 		return Refused
 	}
-	t.state.Queues[queueName(q.Key)] = *q
 	j := newJob(s, at, index)
+	j.queue = t.setQueue(*q)
 	t.state.Jobs[s.ID] = j
-	t.active = append(t.active, j)
+	t.activate(j)
 	return Accepted
 }
 
@@ -187,6 +205,8 @@
 func (t *Table) finish(j *Job, s State, at time.Time) {
 	j.State = s
 	j.Ended = at
+	t.touchJob(j)
+	t.log.add(change{at: t.changes, ended: j})
 	t.retire(j)
 }
 
@@ -197,8 +217,25 @@
 	}
 	j.Tasks, j.Left = nil, nil
 	j.Submission.Spec = ""
-	if i := slices.Index(t.active, j); i >= 0 {
-		t.active = slices.Delete(t.active, i, i+1)
+	t.active, t.lasting = remove(t.active, j), remove(t.lasting, j)
+}
+
+// remove drops a job from a list in order of acceptance.
+func remove(list []*Job, j *Job) []*Job {
+	i, _ := slices.BinarySearchFunc(list, j.Order, func(o *Job, n csmodel.Index) int { return cmp.Compare(o.Order, n) })
+	for ; i < len(list) && list[i].Order == j.Order; i++ {
+		if list[i] == j {
+			return slices.Delete(list, i, i+1)
+		}
+	}
+	return list
+}
+
+// activate adds a job to the lists of active ones.
+func (t *Table) activate(j *Job) {
+	t.active = append(t.active, j)
+	if j.lasts() {
+		t.lasting = append(t.lasting, j)
 	}
 }
 
@@ -238,6 +275,7 @@
 
 // note counts the open runs of a task on a target.
 func (t *Table) note(l Life, k TaskKey, n int) {
+	t.touch(l.Target)
 	m := t.runs[l]
 	if m == nil {
 		m = map[TaskKey]int{}
@@ -306,12 +344,14 @@
 	if step.Gang {
 		for i := range j.Tasks[key.Occurrence][key.Step] {
 			j.Tasks[key.Occurrence][key.Step][i].Done = true
+			t.touchRuns(&j.Tasks[key.Occurrence][key.Step][i])
 		}
 		*left = 0
 		return
 	}
 	if !k.Done {
 		k.Done = true
+		t.touchRuns(k)
 		*left--
 	}
 }
--- a/internal/jobs/csjob/target.go
+++ b/internal/jobs/csjob/target.go
@@ -9,6 +9,7 @@
 
 func (t *Table) changeTarget(o TargetEvent, at time.Time) {
 	old, known := t.state.Targets[o.Target.Life.Target]
+	t.touch(o.Target.Life.Target)
 	if o.Gone {
 		if known && old.Life == o.Target.Life {
 			delete(t.state.Targets, old.Life.Target)
--- a/internal/jobs/csplan/plan.go
+++ b/internal/jobs/csplan/plan.go
@@ -37,7 +37,7 @@
 	// Due tells that the target will be taken away soon.
 	Due      bool
 	reserved bool // kept free for a more urgent task that does not fit yet
-	// Spread counts the open runs of each step, by occurrence.
+	// Spread counts the open runs of each step whose tasks have to be spread, by occurrence.
 	Spread map[StepKey]int
 }
 
@@ -121,7 +121,7 @@
 }
 
 // rank tells how urgent an occurrence is.
-func rank(now time.Time, e Estimator, q csjob.Queue, j *csjob.Job, occurrence int, step csjob.Step) urgency {
+func rank(now time.Time, e Estimator, q csjob.Queue, j *csjob.Job, occurrence int, step *csjob.Step) urgency {
 	u := urgency{priority: q.Priority, order: j.Order}
 	if step.Lasting {
 		return u
@@ -163,36 +163,50 @@
 type Work struct {
 	Job     *csjob.Job
 	Key     StepKey
-	Step    csjob.Step
+	Step    *csjob.Step
 	urgency urgency
 }
 
 // Late tells whether the work has missed its objective.
 func (w *Work) Late() bool { return w.urgency.class >= late }
 
-// Waiting returns the steps that may run now, the most urgent first.
+// Waiting returns the steps that may run now, in the order of the jobs.
 func Waiting(now time.Time, e Estimator, q csjob.Queue, jobs []*csjob.Job) []Work {
 	var out []Work
 	for _, j := range jobs {
-		if j.State.Final() {
-			continue
+		if !j.State.Final() {
+			out = AppendWaiting(out, now, e, q, j)
 		}
-		for o := range j.Left {
-			if j.Submission.Due(o).After(now) {
-				break // later occurrences are due later
-			}
-			for s, step := range j.Submission.Steps {
-				if j.Ready(o, s) {
-					out = append(out, Work{
-						Job: j, Key: StepKey{j.Submission.ID, o, s}, Step: step, urgency: rank(now, e, q, j, o, step),
-					})
-				}
+	}
+	return out
+}
+
+// AppendWaiting appends the steps of a job that may run now and have a task without a run. The job must not be final.
+func AppendWaiting(out []Work, now time.Time, e Estimator, q csjob.Queue, j *csjob.Job) []Work {
+	for o := range j.Left {
+		if j.Submission.Due(o).After(now) {
+			break // later occurrences are due later
+		}
+		for s := range j.Submission.Steps {
+			if !j.Ready(o, s) || !anyIdle(j.Tasks[o][s]) {
+				continue
 			}
+			step := &j.Submission.Steps[s]
+			out = append(out, Work{Job: j, Key: StepKey{j.Submission.ID, o, s}, Step: step, urgency: rank(now, e, q, j, o, step)})
 		}
 	}
 	return out
 }
 
+func anyIdle(tasks []csjob.Task) bool {
+	for i := range tasks {
+		if tasks[i].Idle() {
+			return true
+		}
+	}
+	return false
+}
+
 // Sort puts the most urgent work first.
 func Sort(w []Work) {
 	slices.SortStableFunc(w, func(a, b Work) int { return compareUrgency(a.urgency, b.urgency) })
@@ -213,6 +227,9 @@
 // Tasks that last and the most urgent other step that does not fit get a slot reserved: otherwise smaller tasks would take
 // each piece of room as it becomes free.
 func Place(work []Work, slots []*Slot, taken func(csjob.TaskKey) bool) []Placement {
+	for _, s := range slots {
+		s.reserved = false
+	}
 	var out []Placement
 	failed := 0
 	first := true
@@ -245,7 +262,7 @@
 		s := choose(w, slots, need, rack)
 		if s == nil {
 			if w.Step.Gang {
-				undo(out, need, w.Key)
+				undo(out, w)
 				return nil, false
 			}
 			return out, false
@@ -253,7 +270,7 @@
 		if w.Step.OneRack {
 			rack = s.Rack
 		}
-		take(s, need, w.Key)
+		s.Take(w.Step, w.Key)
 		out = append(out, Placement{Task: key, Slot: s})
 	}
 	return out, true
@@ -297,18 +314,25 @@
 	}
 }
 
-func take(s *Slot, need csjob.Room, k StepKey) {
-	s.Free = s.Free.Sub(need)
+// Take takes the room of a run of a step.
+func (s *Slot) Take(step *csjob.Step, k StepKey) {
+	s.Free = s.Free.Sub(step.Needs())
+	if step.Spread == 0 {
+		return
+	}
 	if s.Spread == nil {
 		s.Spread = map[StepKey]int{}
 	}
 	s.Spread[k]++
 }
 
-func undo(placed []Placement, need csjob.Room, k StepKey) {
+// undo gives back what a gang has taken.
+func undo(placed []Placement, w *Work) {
 	for _, p := range placed {
-		p.Slot.Free = p.Slot.Free.Add(need)
-		p.Slot.Spread[k]--
+		p.Slot.Free = p.Slot.Free.Add(w.Step.Needs())
+		if w.Step.Spread > 0 {
+			p.Slot.Spread[w.Key]--
+		}
 	}
 }
 
--- a/internal/jobs/csrun/beats.go
+++ b/internal/jobs/csrun/beats.go
@@ -84,8 +84,7 @@
 
 // endPredecessors ends older targets with the address: it is given out again only after they have ended.
 func (r *runner) endPredecessors(t csjob.Target) {
-	for _, id := range csmodel.SortedKeys(r.targets) {
-		w := r.targets[id]
+	for _, w := range r.all() {
 		if w.record.Address == t.Address && w.life.Target != t.Life.Target {
 			r.event(csjob.TargetEvent{Target: w.record, Gone: true}, nil, "target replaced at its address")
 		}
@@ -178,8 +177,7 @@
 
 // closeLost ends the lives of targets that were silent until everything that ran there has ended.
 func (r *runner) closeLost(now time.Time, t *csjob.Table) {
-	for _, id := range csmodel.SortedKeys(r.targets) {
-		w := r.targets[id]
+	for _, w := range r.all() {
 		if w.heardAt.IsZero() {
 			w.heardAt = r.since
 		}
@@ -188,7 +186,7 @@
 			continue
 		}
 		w.fencing, w.stopping = true, true // until the table has dropped it
-		r.log.Warn("target lost", zap.String("target", string(id)), zap.Duration("silent", silent),
+		r.log.Warn("target lost", zap.String("target", string(w.life.Target)), zap.Duration("silent", silent),
 			zap.Int("runs", len(t.TasksOn(w.life))))
 		r.event(csjob.TargetEvent{Target: w.record, Gone: true}, nil, "target ended by its lease")
 	}
--- a/internal/jobs/csrun/evict.go
+++ b/internal/jobs/csrun/evict.go
@@ -5,7 +5,6 @@
 
 	"go.uber.org/zap"
 
-	"cowslipstream.example/cowslipstream/csmodel"
 	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
 	"cowslipstream.example/cowslipstream/internal/jobs/csplan"
 )
@@ -30,8 +29,7 @@
 		return
 	}
 	away := r.absent(now, t)
-	for _, id := range csmodel.SortedKeys(r.targets) {
-		w := r.targets[id]
+	for _, w := range r.all() {
 		if !held.Has(w.life) {
 			continue
 		}
@@ -99,12 +97,12 @@
 // absent counts the tasks that last and are not at work, by step.
 func (r *runner) absent(now time.Time, t *csjob.Table) map[csplan.StepKey]int {
 	out := map[csplan.StepKey]int{}
-	for _, j := range t.Active() {
+	for _, j := range t.Lasting() {
 		if j.State.Final() {
 			continue
 		}
-		for s, step := range j.Submission.Steps {
-			if step.Lasting {
+		for s := range j.Submission.Steps {
+			if step := &j.Submission.Steps[s]; step.Lasting {
 				out[csplan.StepKey{Job: j.Submission.ID, Step: s}] = step.Tasks
 			}
 		}
--- a/internal/jobs/csrun/load_test.go
+++ b/internal/jobs/csrun/load_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math"
 	"math/rand/v2"
 	"runtime"
 	"sync"
@@ -14,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"cowslipstream.example/cowslipstream/cslog"
 	"cowslipstream.example/cowslipstream/csmodel"
@@ -43,7 +43,8 @@
 type load struct {
 	clockwork.Clock
 	now     time.Time
-	random  *rand.Rand
+	random  *rand.Rand // of the jobs
+	luck    *rand.Rand // of the calls and commits, under mu
 	r       *runner
 	mail    chan any
 	timers  []loadTimer
@@ -56,6 +57,9 @@
 	decided time.Time
 	slow    time.Duration // simulated time that a round takes
 	visits  int           // rounds
+	quiet   bool          // no jobs arrive
+	noise   float64       // standard deviation of the logarithm of a run time
+	refusal float64       // probability that decisions are not committed
 
 	mu      sync.Mutex
 	workers map[csjob.TargetID]*loadWorker
@@ -82,24 +86,11 @@
 	done  chan csjob.Verdict
 }
 
-type loadWorker struct {
-	record  csjob.Target
-	running map[csjob.TaskKey]loadRun
-	ended   []Ended
-	next    int64
-	waits   chan struct{} // of the look that waits
-	till    time.Time
-}
-
-type loadRun struct {
-	attempt csjob.Attempt
-	ends    time.Time // zero for a task that lasts
-}
-
 func newLoad(log *zap.Logger) *load {
 	l := &load{
-		Clock: clockwork.NewRealClock(), now: time.Unix(1_800_000_000, 0).UTC(), random: rand.New(rand.NewPCG(1, 1)),
+		Clock: clockwork.NewRealClock(), now: time.Unix(1_800_000_000, 0).UTC(), random: rand.New(rand.NewPCG(1, 1)), luck: rand.New(rand.NewPCG(2, 1)),
 		mail: make(chan any, 1<<16), workers: map[csjob.TargetID]*loadWorker{}, held: csmodel.NewSet[csjob.Life](),
+		noise: 0.2,
 	}
 	system := actor.NewActorSystem(cslog.Actors(zap.NewNop()))
 	leader := &Leader{root: system.Root, options: Options{
@@ -207,13 +198,30 @@
 	return nil
 }
 
-func (l *load) commit(c csjob.Command) csjob.Verdict {
-	began := time.Now()
+// encode returns a command for the log and the processor time that this takes.
+func encode(c csjob.Command) ([]byte, time.Duration) {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	began := threadTime()
 	b, err := c.Encode()
 	if err != nil {
-		panic(err)
+		panic(err) // every command can be encoded
 	}
-	return l.apply(b, time.Since(began))
+	return b, threadTime() - began
+}
+
+// threadTime is the processor time of this thread: the time that passes also holds what other processes take.
+func threadTime() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_THREAD_CPUTIME_ID, &t); err != nil {
+		panic(err) // every supported kernel has the clock
+	}
+	return time.Duration(t.Nano())
+}
+
+func (l *load) commit(c csjob.Command) csjob.Verdict {
+	b, coded := encode(c)
+	return l.apply(b, coded)
 }
 
 // apply applies an encoded command. coded is the time that its coding took.
@@ -223,10 +231,10 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	began := time.Now()
+	began := threadTime()
 	l.index++
 	v := csjob.ParseVerdict(l.table.Apply(csraft.Entry{Index: l.index, At: l.now, Data: b}))
-	l.replayed += coded + time.Since(began)
+	l.replayed += coded + threadTime() - began
 	return v
 }
 
@@ -238,71 +246,19 @@
 func (l *load) Leading() bool { return true }
 
 func (l *load) Propose(_ context.Context, c csjob.Command) (csjob.Verdict, error) {
-	began := time.Now()
-	b, err := c.Encode()
-	if err != nil {
-		return csjob.Refused, err
-	}
-	p := &loadCommitment{data: b, coded: time.Since(began), done: make(chan csjob.Verdict)}
+	p := &loadCommitment{done: make(chan csjob.Verdict)}
+	p.data, p.coded = encode(c)
 	l.mu.Lock()
 	p.at = l.now.Add(loadCommit)
-	l.commits = append(l.commits, p)
-	l.mu.Unlock()
-	return <-p.done, nil
-}
-
-// Start, Stop and Look are the calls to targets.
-func (l *load) Start(_ context.Context, t csjob.Target, o StartOrder) (Reply, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	run := loadRun{attempt: o.Attempt}
-	step := l.table.Job(o.Task.Job).Submission.Steps[o.Task.Step]
-	if !step.Lasting {
-		run.ends = l.now.Add(time.Duration(float64(step.Estimate) * math.Exp(0.2*l.random.NormFloat64())))
+	refused := l.luck.Float64() < l.refusal
+	if !refused {
+		l.commits = append(l.commits, p)
 	}
-	l.workers[t.Life.Target].running[o.Task] = run
-	l.starts++
-	return Reply{Clock: l.clock()}, nil
-}
-
-func (l *load) clock() time.Duration { return l.now.Sub(time.Unix(1_700_000_000, 0)) }
-
-func (l *load) Stop(_ context.Context, t csjob.Target, o StopOrder) (Reply, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	w := l.workers[t.Life.Target]
-	if _, ok := w.running[o.Task]; ok {
-		w.end(o.Task, csjob.OutcomeStopped)
-	}
-	return Reply{Clock: l.clock()}, nil
-}
-
-func (w *loadWorker) end(k csjob.TaskKey, o csjob.Outcome) {
-	w.next++
-	w.ended = append(w.ended, Ended{Number: w.next, Task: k, Attempt: w.running[k].attempt, Outcome: o})
-	delete(w.running, k)
-}
-
-func (l *load) Look(_ context.Context, t csjob.Target, o LookOrder) (Look, error) {
-	l.mu.Lock()
-	w := l.workers[t.Life.Target]
-	for len(w.ended) > 0 && w.ended[0].Number <= o.Noted {
-		w.ended = w.ended[1:]
-	}
-	if len(w.ended) == 0 && o.Wait > 0 {
-		waits := make(chan struct{})
-		w.waits, w.till = waits, l.now.Add(o.Wait)
-		l.blocked++
-		l.mu.Unlock()
-		<-waits
-		l.mu.Lock()
-	}
-	defer l.mu.Unlock()
-	look := Look{Reply: Reply{Clock: l.clock()}, Born: 1, Ended: append([]Ended(nil), w.ended...)}
-	for k, run := range w.running {
-		look.Running = append(look.Running, Progress{Task: k, Attempt: run.attempt, Percent: 100})
+	l.mu.Unlock()
+	if refused {
+		return csjob.Refused, ErrNotLeading
 	}
-	return look, nil
+	return <-p.done, nil
 }
 
 // Round, Held, Due, Dead and Reset are the fleet of the runner: it asks what a fleet asks that moves nothing.
@@ -332,12 +288,16 @@
 
 // pass lets simulated time pass.
 func (l *load) pass(d time.Duration) {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
 	for end := l.now.Add(d); l.now.Before(end); {
 		l.mu.Lock()
 		l.now = l.now.Add(loadTick)
 		l.advance()
 		l.mu.Unlock()
-		l.arrive()
+		if !l.quiet {
+			l.arrive()
+		}
 		l.beat()
 		for _, f := range l.ripe() {
 			f()
@@ -419,9 +379,9 @@
 }
 
 func (l *load) handle(m any) {
-	began := time.Now()
+	began := threadTime()
 	before := l.r.work.rounds
 	l.r.handle(m)
-	l.handled += time.Since(began)
+	l.handled += threadTime() - began
 	l.rounds += max(0, l.r.work.rounds-before)
 }
--- a/internal/jobs/csrun/looks.go
+++ b/internal/jobs/csrun/looks.go
@@ -27,8 +27,7 @@
 
 // sendLooks looks at targets with open runs, with ends to acknowledge, and once at each new one.
 func (r *runner) sendLooks(now time.Time) {
-	for _, id := range csmodel.SortedKeys(r.targets) {
-		w := r.targets[id]
+	for _, w := range r.all() {
 		if r.lookDue(w, now) {
 			r.sendLook(w, now)
 		}
--- a/internal/jobs/csrun/orders.go
+++ b/internal/jobs/csrun/orders.go
@@ -33,8 +33,7 @@
 
 // sendOrders sends the starts and stops that are due.
 func (r *runner) sendOrders(now time.Time, t *csjob.Table) {
-	for _, id := range csmodel.SortedKeys(r.targets) {
-		w := r.targets[id]
+	for _, w := range r.all() {
 		if w.fencing || w.fresh || w.clockAt.IsZero() {
 			continue
 		}
--- a/internal/jobs/csrun/runner.go
+++ b/internal/jobs/csrun/runner.go
@@ -42,15 +42,20 @@
 	changes uint64
 
 	targets map[csjob.TargetID]*target
+	sorted  []*target                    // by name; nil where it has to be sorted anew
 	pending map[csjob.TaskKey]csjob.Life // starts on their way to being committed
-	ends    []csjob.End
-	noted   map[csjob.Life]int64 // numbers of the ends that wait to be committed
-	events  []csjob.TargetEvent
-	waiters []chan error
-	unended csmodel.Set[csjob.ID] // jobs that have not ended
-	work    workload
+	// pendingOn and pendingOf are the same starts by life and counted by job.
+	pendingOn map[csjob.Life][]csjob.TaskKey
+	pendingOf map[csjob.ID]int
+	ends      []csjob.End
+	noted     map[csjob.Life]int64 // numbers of the ends that wait to be committed
+	events    []csjob.TargetEvent
+	waiters   []chan error
+	work      workload
 
 	nextRound time.Time // no round begins earlier
+	synced    int       // targets that were compared with the table
+	tallied   int       // targets whose runs were added up
 }
 
 func newRunner(l *Leader) *runner {
@@ -99,7 +104,8 @@
 	r.targets = map[csjob.TargetID]*target{}
 	r.pending = map[csjob.TaskKey]csjob.Life{}
 	r.noted = map[csjob.Life]int64{}
-	r.unended = csmodel.NewSet[csjob.ID]()
+	r.pendingOn = map[csjob.Life][]csjob.TaskKey{}
+	r.pendingOf = map[csjob.ID]int{}
 	r.log.Info("leading", zap.Uint64("term", uint64(t)))
 	r.catchUp(r.ctx, t)
 }
@@ -174,10 +180,10 @@
 		r.sync(t, now)
 		r.closeLost(now, t)
 		r.lap(partSync)
-		starts = r.schedule(now, t)
+		silent := r.silentZones()
+		starts = r.schedule(now, t, silent)
 		r.lap(partSchedule)
 		if r.o.Fleet != nil {
-			silent := r.silentZones()
 			r.o.Fleet.Round(Round{
 				Now: now, Table: t, Fence: csmodel.Fence(r.term), Demand: r.leader.outlook.Load().demand,
 				Arrivals: func() []Arrival { return arrivals(t, &r.learned) },
@@ -232,15 +238,7 @@
 
 // occupied tells whether something runs on a life or is on its way there.
 func (r *runner) occupied(t *csjob.Table, l csjob.Life) bool {
-	if t.Busy(l) {
-		return true
-	}
-	for _, life := range r.pending {
-		if life == l {
-			return true
-		}
-	}
-	return false
+	return t.Busy(l) || len(r.pendingOn[l]) > 0
 }
 
 // propose commits what the round has decided.
@@ -268,7 +266,7 @@
 	}
 	r.work.slowest = max(r.work.slowest, r.now().Sub(m.began))
 	for _, s := range m.command.Starts {
-		delete(r.pending, s.Task)
+		r.settled(s.Task)
 	}
 	if m.err != nil {
 		r.log.Warn("decisions not committed", zap.Int("starts", len(m.command.Starts)), zap.Int("ends", len(m.command.Ends)),
@@ -287,92 +285,3 @@
 	}
 	r.paced()
 }
-
-// sync takes over the targets and open runs of the table.
-func (r *runner) sync(t *csjob.Table, now time.Time) {
-	if t.Changes() == r.changes {
-		return
-	}
-	r.changes = t.Changes()
-	r.logEnded(t, now)
-	known := csmodel.NewSet[csjob.TargetID]()
-	for _, record := range t.Targets() {
-		known.Add(record.Life.Target)
-		w := r.targets[record.Life.Target]
-		if w == nil || w.life != record.Life {
-			w = r.newTarget(record, now)
-			r.targets[record.Life.Target] = w
-		}
-		w.record = record
-		r.syncRuns(t, w)
-	}
-	for id := range r.targets {
-		if !known.Has(id) {
-			delete(r.targets, id)
-		}
-	}
-}
-
-var stateNames = [...]string{"queued", "running", "completed", "failed", "cancelled"}
-
-// logEnded writes a line for each job that has ended since the last round.
-func (r *runner) logEnded(t *csjob.Table, now time.Time) {
-	for id := range r.unended {
-		j := t.Job(id)
-		if j == nil || !j.State.Final() {
-			continue
-		}
-		r.unended.Delete(id)
-		q := t.QueueOf(j)
-		r.log.Info("job ended", zap.String("job", string(id)), zap.String("queue", q.Name), zap.String("state", stateNames[j.State]),
-			zap.Duration("after", now.Sub(j.Accepted)), zap.Duration("expected", csplan.Whole(&r.learned, j)), zap.Int("open_runs", j.Open))
-	}
-	for _, j := range t.Active() {
-		if !j.State.Final() {
-			r.unended.Add(j.Submission.ID)
-		}
-	}
-}
-
-func (r *runner) newTarget(record csjob.Target, now time.Time) *target {
-	return &target{
-		life: record.Life, record: record, runs: map[runKey]*run{}, strays: map[runKey]bool{}, fresh: true,
-		// An earlier leader has granted nothing later than the longest lease after this one was elected.
-		lapsesAt: r.longestLapse(now),
-	}
-}
-
-// longestLapse returns when a lease that was granted until now is over for certain.
-func (r *runner) longestLapse(now time.Time) time.Time {
-	return now.Add(time.Duration((1+clockDrift)*float64(r.o.Timing.LongestLease)) + lapseSlack)
-}
-
-func (r *runner) syncRuns(t *csjob.Table, w *target) {
-	open := csmodel.NewSet[runKey]()
-	for _, k := range t.TasksOn(w.life) {
-		j := t.Job(k.Job)
-		task := j.Task(k)
-		step := j.Submission.Steps[k.Step]
-		for _, o := range task.Runs {
-			if o.Life != w.life {
-				continue
-			}
-			key := runKey{k, o.Attempt}
-			open.Add(key)
-			u := w.runs[key]
-			if u == nil {
-				u = &run{key: key, since: o.Since, expected: r.learned.Duration(j.Submission.Queue, step)}
-				w.runs[key] = u
-			}
-			if j.State.Final() || task.Done || (w.record.Leaving && step.Lasting) {
-				u.stop = true
-			}
-			u.lasting = step.Lasting && !j.State.Final()
-		}
-	}
-	for key := range w.runs {
-		if !open.Has(key) {
-			delete(w.runs, key)
-		}
-	}
-}
--- a/internal/jobs/csrun/schedule.go
+++ b/internal/jobs/csrun/schedule.go
@@ -16,25 +16,21 @@
 }
 
 // schedule decides which waiting tasks start where. The starts are intents until they are committed.
-func (r *runner) schedule(now time.Time, t *csjob.Table) []csjob.Start {
+func (r *runner) schedule(now time.Time, t *csjob.Table, silent csmodel.Set[csmodel.AvailabilityZone]) []csjob.Start {
 	if t.Config() == nil {
 		return nil
 	}
-	jobs := map[csmodel.PoolID][]*csjob.Job{}
-	for _, j := range t.Active() {
-		if !j.State.Final() {
-			pool := t.QueueOf(j).Pool
-			jobs[pool] = append(jobs[pool], j)
-		}
-	}
-	slots := r.slots(now, t)
+	work := r.waiting(now, t)
+	held := r.held()
+	slots := r.slots(now, t, held, silent)
 	demand := Demand{}
 	var starts []csjob.Start
 	r.offered.observe(now, t, &r.learned)
-	for _, pool := range csmodel.SortedKeys(jobs) {
-		work := r.waiting(now, t, jobs[pool])
-		placed := csplan.Place(work, slots[pool], r.onItsWay)
-		d := r.demandOf(work)
+	for _, pool := range csmodel.SortedKeys(work) {
+		list := work[pool]
+		csplan.Sort(list)
+		placed := csplan.Place(list, slots[pool], r.onItsWay)
+		d := r.demandOf(list)
 		for _, s := range slots[pool] {
 			d.Targets++
 			d.Free += s.Free.CPU
@@ -42,7 +38,7 @@
 		demand[pool] = d
 		starts = append(starts, r.intend(t, placed)...)
 	}
-	r.countRunning(now, t, demand)
+	r.countRunning(now, t, held, demand)
 	countLasting(t, demand)
 	r.leader.outlook.Store(&outlook{demand: demand})
 	return starts
@@ -53,87 +49,49 @@
 	return ok
 }
 
-func (r *runner) waiting(now time.Time, t *csjob.Table, jobs []*csjob.Job) []csplan.Work {
-	var work []csplan.Work
-	for _, j := range jobs {
-		work = append(work, csplan.Waiting(now, &r.learned, t.QueueOf(j), []*csjob.Job{j})...)
+// waiting returns the steps with tasks that may start, by the pool of their job. Pools whose jobs only run have an entry.
+func (r *runner) waiting(now time.Time, t *csjob.Table) map[csmodel.PoolID][]csplan.Work {
+	out := map[csmodel.PoolID][]csplan.Work{}
+	for _, j := range t.Active() {
+		if !j.State.Final() {
+			pool := t.PoolOf(j)
+			out[pool] = csplan.AppendWaiting(out[pool], now, &r.learned, t.QueueOf(j), j)
+		}
 	}
-	csplan.Sort(work)
-	return work
+	return out
 }
 
 // slots returns the room of the usable targets by pool.
-func (r *runner) slots(now time.Time, t *csjob.Table) map[csmodel.PoolID][]*csplan.Slot {
-	held, due := r.held(), csmodel.Set[csjob.Life]{}
+func (r *runner) slots(
+	now time.Time, t *csjob.Table, held csmodel.Set[csjob.Life], silent csmodel.Set[csmodel.AvailabilityZone],
+) map[csmodel.PoolID][]*csplan.Slot {
+	due := csmodel.Set[csjob.Life]{}
 	if r.o.Fleet != nil {
 		due = r.o.Fleet.Due()
 	}
 	out := map[csmodel.PoolID][]*csplan.Slot{}
-	silent := r.silentZones()
-	for _, id := range csmodel.SortedKeys(r.targets) {
-		w := r.targets[id]
-		if held.Has(w.life) || !w.usable(now, r.o.Timing.Beat) || w.grades.quarantined(now) || silent.Has(w.record.Zone) {
+	for _, w := range r.all() {
+		if !w.usable(now, r.o.Timing.Beat) || w.grades.quarantined(now) || held.Has(w.life) || silent.Has(w.record.Zone) {
 			continue
 		}
-		s := &csplan.Slot{
-			Life: w.life, Zone: w.record.Zone, Free: w.record.Room, Labels: w.record.Labels, Rack: w.record.Rack,
-			Cool: w.failures == 0 && !w.grades.suspect(), Spread: map[csplan.StepKey]int{}, Due: due.Has(w.life),
-		}
-		for key := range w.runs {
-			j := t.Job(key.task.Job)
-			if j == nil || j.Tasks == nil {
-				continue
-			}
-			s.Free = s.Free.Sub(j.Submission.Steps[key.task.Step].Needs())
-			s.Spread[stepOf(key.task)]++
-		}
+		s := r.slotOf(now, t, w)
+		s.Cool, s.Due = w.failures == 0 && !w.grades.suspect(), due.Has(w.life)
 		out[w.record.Pool] = append(out[w.record.Pool], s)
 	}
-	r.reservePending(t, out)
 	return out
 }
 
-// reservePending takes the room of starts that are not committed yet.
-func (r *runner) reservePending(t *csjob.Table, slots map[csmodel.PoolID][]*csplan.Slot) {
-	byLife := map[csjob.Life]*csplan.Slot{}
-	for _, list := range slots {
-		for _, s := range list {
-			byLife[s.Life] = s
-		}
-	}
-	for key, life := range r.pending {
-		s, j := byLife[life], t.Job(key.Job)
-		if s == nil || j == nil || j.Tasks == nil || r.open(life, key) {
-			continue
-		}
-		s.Free = s.Free.Sub(j.Submission.Steps[key.Step].Needs())
-		s.Spread[stepOf(key)]++
-	}
-}
-
-// open tells whether a start was applied to the table already.
-func (r *runner) open(l csjob.Life, k csjob.TaskKey) bool {
-	w := r.targets[l.Target]
-	if w == nil {
-		return false
-	}
-	for key := range w.runs {
-		if key.task == k {
-			return true
-		}
-	}
-	return false
-}
-
 // demandOf adds up the work that is left waiting.
 func (r *runner) demandOf(work []csplan.Work) PoolDemand {
 	var d PoolDemand
 	for i := range work {
 		w := &work[i]
-		for n := range w.Step.Tasks {
+		pending := r.pendingOf[w.Key.Job] > 0
+		tasks := w.Job.Tasks[w.Key.Occurrence][w.Key.Step]
+		for n := range tasks {
 			key := csjob.TaskKey{Job: w.Key.Job, Occurrence: w.Key.Occurrence, Step: w.Key.Step, Index: n}
 			switch {
-			case !w.Job.Task(key).Idle() || r.onItsWay(key):
+			case !tasks[n].Idle() || (pending && r.onItsWay(key)):
 			case w.Step.Lasting:
 				d.Lasting += w.Step.Needs().CPU
 			case w.Late():
@@ -147,17 +105,26 @@
 }
 
 // countRunning adds what runs on targets that stay in their pools.
-func (r *runner) countRunning(now time.Time, t *csjob.Table, d Demand) {
-	held := r.held()
-	for _, w := range r.targets {
+func (r *runner) countRunning(now time.Time, t *csjob.Table, held csmodel.Set[csjob.Life], d Demand) {
+	sums := map[csmodel.PoolID]*tally{}
+	for _, w := range r.all() {
 		if held.Has(w.life) {
 			continue
 		}
-		l := r.load(now, t, w)
-		p := d[w.record.Pool]
-		p.Lasting += l.Lasting
-		p.Running += l.Timely
-		d[w.record.Pool] = p
+		r.addUp(now, t, w)
+		sum := sums[w.record.Pool]
+		if sum == nil {
+			sum = &tally{}
+			sums[w.record.Pool] = sum
+		}
+		sum.lasting += w.tally.lasting
+		sum.timely += w.tally.timely
+	}
+	for pool, sum := range sums {
+		p := d[pool]
+		p.Lasting += sum.lasting
+		p.Running += sum.timely
+		d[pool] = p
 	}
 	for pool, cores := range r.offered.rates {
 		p := d[pool]
@@ -170,12 +137,13 @@
 func (r *runner) load(now time.Time, t *csjob.Table, w *target) Load {
 	var l Load
 	for key, u := range w.runs {
-		j := t.Job(key.task.Job)
+		j := u.job
 		if j == nil || j.Tasks == nil {
 			continue
 		}
-		need := j.Submission.Steps[key.task.Step].Needs().CPU
-		if j.Submission.Steps[key.task.Step].Lasting {
+		step := &j.Submission.Steps[key.task.Step]
+		need := step.Needs().CPU
+		if step.Lasting {
 			l.Lasting += need
 			l.Lasts = true
 			continue
@@ -209,13 +177,14 @@
 
 // countLasting adds what the tasks that last need besides cores.
 func countLasting(t *csjob.Table, d Demand) {
-	for _, j := range t.Active() {
+	for _, j := range t.Lasting() {
 		if j.State.Final() {
 			continue
 		}
-		pool := t.QueueOf(j).Pool
+		pool := t.PoolOf(j)
 		p := d[pool]
-		for _, s := range j.Submission.Steps {
+		for i := range j.Submission.Steps {
+			s := &j.Submission.Steps[i]
 			if !s.Lasting {
 				continue
 			}
@@ -239,7 +208,7 @@
 				attempt = max(attempt, k.Attempts+1)
 			}
 		}
-		r.pending[p.Task] = p.Slot.Life
+		r.expect(p.Task, p.Slot.Life)
 		out = append(out, csjob.Start{Task: p.Task, Attempt: attempt, Life: p.Slot.Life})
 		r.log.Info("start", zap.String("job", string(p.Task.Job)), zap.Stringer("task", p.Task), zap.Int("attempt", int(attempt)),
 			zap.String("target", string(p.Slot.Life.Target)))
--- /dev/null
+++ b/internal/jobs/csrun/sync.go
@@ -0,0 +1,142 @@
+package csrun
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"cowslipstream.example/cowslipstream/csmodel"
+	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
+	"cowslipstream.example/cowslipstream/internal/jobs/csplan"
+)
+
+// sync takes over the targets and open runs of the table that have changed since the last round.
+func (r *runner) sync(t *csjob.Table, now time.Time) {
+	if t.Changes() == r.changes {
+		return
+	}
+	changed, known := t.ChangedSince(r.changes)
+	known = known && r.changes > 0 // a new leader reads everything
+	r.changes = t.Changes()
+	if !known {
+		r.syncAll(t, now)
+		return
+	}
+	for _, j := range changed.Ended {
+		r.jobEnded(t, j, now)
+	}
+	for id := range changed.Targets {
+		r.syncTarget(t, id, now)
+	}
+}
+
+// syncAll takes over all targets and open runs.
+func (r *runner) syncAll(t *csjob.Table, now time.Time) {
+	for id := range r.targets {
+		if _, known := t.Target(id); !known {
+			r.drop(id)
+		}
+	}
+	for _, record := range t.Targets() {
+		r.syncTarget(t, record.Life.Target, now)
+	}
+}
+
+// syncTarget takes over a target and its open runs.
+func (r *runner) syncTarget(t *csjob.Table, id csjob.TargetID, now time.Time) {
+	record, known := t.Target(id)
+	if !known {
+		r.drop(id)
+		return
+	}
+	w := r.targets[id]
+	if w == nil || w.life != record.Life {
+		w = r.newTarget(record, now)
+		r.targets[id] = w
+		r.sorted = nil
+	}
+	w.record = record
+	r.syncRuns(t, w)
+	w.tally.fresh = false
+}
+
+func (r *runner) drop(id csjob.TargetID) {
+	delete(r.targets, id)
+	r.sorted = nil
+}
+
+// all returns the targets in ascending order of their names.
+func (r *runner) all() []*target {
+	if r.sorted == nil {
+		r.sorted = make([]*target, 0, len(r.targets))
+		for _, id := range csmodel.SortedKeys(r.targets) {
+			r.sorted = append(r.sorted, r.targets[id])
+		}
+	}
+	return r.sorted
+}
+
+var stateNames = [...]string{"queued", "running", "completed", "failed", "cancelled"}
+
+// jobEnded writes a line for a job that has ended, and frees the room of its starts that are not committed yet.
+func (r *runner) jobEnded(t *csjob.Table, j *csjob.Job, now time.Time) {
+	id := j.Submission.ID
+	r.log.Info("job ended", zap.String("job", string(id)), zap.String("queue", t.QueueOf(j).Name), zap.String("state", stateNames[j.State]),
+		zap.Duration("after", now.Sub(j.Accepted)), zap.Duration("expected", csplan.Whole(&r.learned, j)), zap.Int("open_runs", j.Open))
+	if r.pendingOf[id] == 0 {
+		return
+	}
+	for key, life := range r.pending {
+		if key.Job == id {
+			r.outdated(life)
+		}
+	}
+}
+
+func (r *runner) newTarget(record csjob.Target, now time.Time) *target {
+	return &target{
+		life: record.Life, record: record, runs: map[runKey]*run{}, strays: map[runKey]bool{}, fresh: true,
+		// An earlier leader has granted nothing later than the longest lease after this one was elected.
+		lapsesAt: r.longestLapse(now),
+	}
+}
+
+// longestLapse returns when a lease that was granted until now is over for certain.
+func (r *runner) longestLapse(now time.Time) time.Time {
+	return now.Add(time.Duration((1+clockDrift)*float64(r.o.Timing.LongestLease)) + lapseSlack)
+}
+
+func (r *runner) syncRuns(t *csjob.Table, w *target) {
+	r.synced++
+	for _, u := range w.runs {
+		u.open = false
+	}
+	t.EachTaskOn(w.life, func(k csjob.TaskKey) {
+		j := t.Job(k.Job)
+		task := j.Task(k)
+		for i := range task.Runs {
+			if task.Runs[i].Life == w.life {
+				r.syncRun(w, j, task, runKey{k, task.Runs[i].Attempt}, task.Runs[i].Since)
+			}
+		}
+	})
+	for key, u := range w.runs {
+		if !u.open {
+			delete(w.runs, key)
+		}
+	}
+}
+
+func (r *runner) syncRun(w *target, j *csjob.Job, task *csjob.Task, key runKey, since time.Time) {
+	step := &j.Submission.Steps[key.task.Step]
+	u := w.runs[key]
+	if u == nil {
+		u = &run{key: key, since: since, expected: r.learned.Duration(j.Submission.Queue, *step)}
+		w.runs[key] = u
+	}
+	u.open, u.job = true, j
+	if j.State.Final() || task.Done || (w.record.Leaving && step.Lasting) {
+		u.stop = true
+	}
+	u.lasting = step.Lasting && !j.State.Final()
+}
--- a/internal/jobs/csrun/target.go
+++ b/internal/jobs/csrun/target.go
@@ -49,6 +49,8 @@
 	load     float64
 	settled  bool      // it has been at full work
 	onTime   time.Time // when its job misses its objective; zero while not computed
+	job      *csjob.Job
+	open     bool // the table lists it
 }
 
 // target is what the leader knows of one life of a target.
@@ -79,6 +81,7 @@
 	fencing  bool // the life is over, or about to end in the table: no orders and looks
 	stopping bool // the runs of a life that is over are being stopped on the new one
 	grades   grades
+	tally    tally
 }
 
 // reading takes in the clock of an answer that arrived now.
