Make calls to targets through the other stores

At 1,000 starts a second calls pile up, answers wait in the leader's queue and count as unanswered.

The new package csrelay implements csrun.Workers on the leader. A call goes to the store that is responsible for the target by rendezvous hashing, the target's availability zone first; several calls share a message. The leader keeps all decisions. An order that is 800 ms older than the relaying store's last stamp is not carried out; a lost store leaves its calls unanswered; after an unanswered call the next one takes another way.

--- a/cmd/cowslipstream/roles.go
+++ b/cmd/cowslipstream/roles.go
@@ -177,7 +177,7 @@
 				Log: p.log.Named("vms"), MoveTime: s.MoveTime, Upkeep: s.Upkeep,
 			})
 		},
-		IP: s.IP, Seeds: s.Seeds, First: s.First, Folder: s.Folder, Losses: s.Losses, Listener: p.link,
+		IP: s.IP, Zone: s.Zone, Seeds: s.Seeds, First: s.First, Folder: s.Folder, Losses: s.Losses, Listener: p.link,
 		PeerAddress: s.PeerAddress, Retention: s.Retention, Workers: client, Clock: clock,
 		Log: p.log, Registry: p.registry,
 		Timing: csrun.Timing{
--- /dev/null
+++ b/internal/node/csrelay/harness_test.go
@@ -0,0 +1,226 @@
+package csrelay_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"cowslipstream.example/cowslipstream/cslink"
+	"cowslipstream.example/cowslipstream/csmodel"
+	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
+	"cowslipstream.example/cowslipstream/internal/jobs/csrun"
+	"cowslipstream.example/cowslipstream/internal/node/csrelay"
+)
+
+// skewed is a clock that can be set forward, as the clock of a machine that wakes from a suspension.
+type skewed struct {
+	clockwork.Clock
+	ahead atomic.Int64
+}
+
+func newSkewed() *skewed { return &skewed{Clock: clockwork.NewRealClock()} }
+
+func (c *skewed) Now() time.Time { return c.Clock.Now().Add(time.Duration(c.ahead.Load())) }
+
+// calls records the calls of one store to targets.
+type calls struct {
+	mu      sync.Mutex
+	seen    []string
+	targets map[csjob.TargetID]int
+	starts  []csrun.StartOrder
+	look    csrun.Look
+	reply   csrun.Reply
+	err     error
+	gate    chan struct{} // calls wait until it is closed; nil lets them pass
+}
+
+func (c *calls) note(kind string, t csjob.Target) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seen = append(c.seen, kind+" "+string(t.Life.Target)+" "+t.Address)
+	if c.targets == nil {
+		c.targets = map[csjob.TargetID]int{}
+	}
+	c.targets[t.Life.Target]++
+	return c.err
+}
+
+func (c *calls) pause() {
+	if c.gate != nil {
+		<-c.gate
+	}
+}
+
+func (c *calls) Start(_ context.Context, t csjob.Target, o csrun.StartOrder) (csrun.Reply, error) {
+	c.pause()
+	err := c.note("start", t)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.starts = append(c.starts, o)
+	return c.reply, err
+}
+
+func (c *calls) Stop(_ context.Context, t csjob.Target, _ csrun.StopOrder) (csrun.Reply, error) {
+	c.pause()
+	return c.reply, c.note("stop", t)
+}
+
+func (c *calls) Look(_ context.Context, t csjob.Target, _ csrun.LookOrder) (csrun.Look, error) {
+	c.pause()
+	return c.look, c.note("look", t)
+}
+
+func (c *calls) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.seen)
+}
+
+func (c *calls) fail(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.err = err
+}
+
+// node is one store of a world.
+type node struct {
+	relay *csrelay.Relay
+	calls *calls
+	clock *skewed
+	world *world
+	name  csmodel.NodeID
+}
+
+// parcel is a message between two nodes.
+type parcel struct {
+	from, to csmodel.NodeID
+	kind     cslink.Kind
+	payload  []byte
+}
+
+// world connects stores. The first one leads.
+type world struct {
+	t     *testing.T
+	nodes map[csmodel.NodeID]*node
+	queue chan parcel
+
+	mu   sync.Mutex
+	lose map[csmodel.NodeID]bool // receivers that get nothing
+	hold map[csmodel.NodeID]bool // receivers whose messages wait
+	held []parcel
+	sent map[cslink.Kind]int
+}
+
+const leader csmodel.NodeID = "store/1"
+
+// newWorld starts a store for each availability zone named. The first one leads.
+func newWorld(t *testing.T, zones ...csmodel.AvailabilityZone) *world {
+	t.Helper()
+	w := &world{
+		t: t, nodes: map[csmodel.NodeID]*node{}, queue: make(chan parcel, 1<<16), lose: map[csmodel.NodeID]bool{},
+		hold: map[csmodel.NodeID]bool{}, sent: map[cslink.Kind]int{},
+	}
+	for i, zone := range zones {
+		n := &node{calls: &calls{}, clock: newSkewed(), world: w, name: csmodel.NodeID(fmt.Sprintf("store/%d", i+1))}
+		n.relay = csrelay.New(csrelay.Options{
+			Self: n.name, Zone: zone, Sender: n, Workers: n.calls, Clock: n.clock, Log: zap.NewNop(),
+			Metrics: csrelay.NewMetrics(prometheus.NewRegistry()), Leader: func() csmodel.NodeID { return leader },
+		})
+		w.nodes[n.name] = n
+		t.Cleanup(n.relay.Close)
+	}
+	stop := make(chan struct{})
+	t.Cleanup(func() { close(stop) })
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case p := <-w.queue:
+				w.pass(p)
+			}
+		}
+	}()
+	return w
+}
+
+func (n *node) Send(to csmodel.NodeID, _ cslink.Channel, kind cslink.Kind, payload []byte, _ string) error {
+	n.world.queue <- parcel{n.name, to, kind, payload}
+	return nil
+}
+
+func (w *world) pass(p parcel) {
+	w.mu.Lock()
+	w.sent[p.kind]++
+	lose := w.lose[p.to]
+	hold := w.hold[p.to]
+	if hold {
+		w.held = append(w.held, p)
+	}
+	w.mu.Unlock()
+	if lose || hold {
+		return
+	}
+	if taken, err := w.nodes[p.to].relay.Receive(p.from, p.kind, p.payload); !taken || err != nil {
+		w.t.Errorf("got taken %v, error %v for a message of kind %d", taken, err, p.kind)
+	}
+}
+
+// deliver hands over the messages that were held.
+func (w *world) deliver() {
+	w.mu.Lock()
+	held := w.held
+	w.held, w.hold = nil, map[csmodel.NodeID]bool{}
+	w.mu.Unlock()
+	for _, p := range held {
+		w.queue <- p
+	}
+}
+
+func (w *world) set(m map[csmodel.NodeID]bool, n csmodel.NodeID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	m[n] = true
+}
+
+func (w *world) messages(k cslink.Kind) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.sent[k]
+}
+
+// ready waits until a call of the leader is relayed by a store.
+func (w *world) ready(n int) {
+	w.t.Helper()
+	w.until("reports of all stores", func() bool { return w.messages(csrelay.KindReport) >= n })
+	time.Sleep(20 * time.Millisecond)
+}
+
+func (w *world) until(what string, f func() bool) {
+	w.t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	w.t.Fatalf("not reached: %s", what)
+}
+
+func target(id csjob.TargetID, zone csmodel.AvailabilityZone) csjob.Target {
+	return csjob.Target{Life: csjob.Life{Target: id, Born: 7}, Address: "a-" + string(id), Zone: zone}
+}
+
+// start sends a start from the leader with the time that csrun gives a call.
+func (w *world) start(id csjob.TargetID, zone csmodel.AvailabilityZone) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	_, err := w.nodes[leader].relay.Start(ctx, target(id, zone), csrun.StartOrder{Spec: "s", Attempt: 1})
+	return err
+}
--- a/internal/node/csstore/store.go
+++ b/internal/node/csstore/store.go
@@ -23,6 +23,7 @@
 	"cowslipstream.example/cowslipstream/csraft"
 	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
 	"cowslipstream.example/cowslipstream/internal/jobs/csrun"
+	"cowslipstream.example/cowslipstream/internal/node/csrelay"
 	"cowslipstream.example/cowslipstream/internal/node/csrpc"
 )
 
@@ -50,7 +51,8 @@
 
 // Options configure a store.
 type Options struct {
-	IP          string   // of this machine
+	IP          string // of this machine
+	Zone        csmodel.AvailabilityZone
 	Seeds       []string // IP addresses of stores
 	First       bool     // the whole system starts for the first time
 	Folder      string
@@ -77,6 +79,7 @@
 	group   *csgroup.Group
 	links   atomic.Pointer[cslink.Links]
 	calls   *csrpc.Caller
+	relay   *csrelay.Relay
 	leader  *csrun.Leader
 	opened  chan struct{} // closed when group, links and leader are set
 }
@@ -96,8 +99,12 @@
 	if o.Fleet != nil {
 		fleet = o.Fleet(replica{s})
 	}
+	s.relay = csrelay.New(csrelay.Options{
+		Self: s.self, Zone: o.Zone, Sender: sender{s}, Workers: o.Workers, Clock: o.Clock, Log: o.Log.Named("relay"),
+		Metrics: csrelay.NewMetrics(o.Registry), Leader: s.leaderNode,
+	})
 	s.leader = csrun.New(csrun.Options{
-		State: replica{s}, Workers: o.Workers, Clock: o.Clock, Log: o.Log.Named("run"),
+		State: replica{s}, Workers: s.relay, Clock: o.Clock, Log: o.Log.Named("run"),
 		Metrics: csrun.NewMetrics(o.Registry), Timing: o.Timing, Spawner: s.system.Root, Fleet: fleet,
 	})
 	if err := s.openGroup(); err != nil {
@@ -142,6 +149,17 @@
 func (s *Store) follow(t csmodel.Term, leader csmodel.NodeID) {
 	s.log.Info("leader changed", zap.Uint64("term", uint64(t)), zap.String("leader", string(leader)))
 	s.leader.Follow()
+	s.relay.Report(leader)
+}
+
+// leaderNode returns the store that leads, and nothing where none is known.
+func (s *Store) leaderNode() csmodel.NodeID {
+	select {
+	case <-s.opened:
+		return s.group.Status().Leader
+	default:
+		return ""
+	}
 }
 
 func (s *Store) openLinks() error {
@@ -183,6 +201,7 @@
 
 func (s *Store) linkDown(n csmodel.NodeID) {
 	s.calls.Down(n)
+	s.relay.Down(n)
 	s.log.Warn("link down", zap.String("peer", string(n)))
 }
 
@@ -233,6 +252,9 @@
 func (s *Store) receive(from csmodel.NodeID, kind cslink.Kind, payload []byte) {
 	<-s.opened
 	taken, err := s.calls.Receive(from, kind, payload)
+	if !taken && err == nil {
+		taken, err = s.relay.Receive(from, kind, payload)
+	}
 	if taken && err == nil {
 		return
 	}
@@ -248,6 +270,7 @@
 
 // Close hands over the leadership and stops the store.
 func (s *Store) Close() {
+	s.relay.Close()
 	if err := s.group.Close(); err != nil {
 		s.log.Warn("group closed", zap.Error(err))
 	}
