Count a task that lasts as at work only while its lease certainly holds

Cause: the guard counted a task as at work by a list up to 2 s old and by calls that did not fail. A busy leader extends leases late without any failed call, and the tasks end with their lease meanwhile.

Now the lease that an answered look has carried must hold as well, by the fastest clock that the target may have since that look began.

--- a/internal/jobs/csrun/evict.go
+++ b/internal/jobs/csrun/evict.go
@@ -85,9 +85,10 @@
 // listFresh is how long the list of a target's runs says that they are at work. Looks come at least once per second.
 const listFresh = 2 * time.Second
 
-// atWork tells whether a task that lasts is known to be at work.
+// atWork tells whether a task that lasts is known to be at work. A busy leader may extend a lease too late without any
+// call that failed, so the lease has to hold as well.
 func (t *target) atWork(now time.Time, u *run) bool {
-	return u.started && !u.stop && u.percent == fullWork && t.failures == 0 && now.Sub(t.listedAt) < listFresh
+	return u.started && !u.stop && u.percent == fullWork && t.failures == 0 && now.Sub(t.listedAt) < listFresh && t.holds(now)
 }
 
 func stepOf(k csjob.TaskKey) csplan.StepKey {
--- a/internal/jobs/csrun/looks.go
+++ b/internal/jobs/csrun/looks.go
@@ -149,6 +149,7 @@
 		return
 	}
 	w.reading(m.look.Clock, m.started, m.arrived, r.o.Timing.LongestLease)
+	w.leased = max(w.leased, m.order.Until)
 	w.answered(now)
 	w.fresh = false
 	prompt := m.started.Sub(w.listedAt) < promptLook
--- a/internal/jobs/csrun/target.go
+++ b/internal/jobs/csrun/target.go
@@ -69,6 +69,7 @@
 	// clockFrom is when the call with that answer began; zero where it is not known.
 	clockFrom time.Time
 	granted   time.Duration // latest end of the lease; an upper bound of what earlier leaders granted
+	leased    time.Duration // latest end of the lease that an answered look has carried; a lower bound
 	lapsesAt  time.Time     // fallback while the clock is not known
 
 	runs     map[runKey]*run
@@ -163,6 +164,15 @@
 	return least > t.granted+lapseSlack
 }
 
+// holds tells whether what runs there under a lease certainly has one left. The answer with the clock may have been on its
+// way, or waited for this node, since the call began.
+func (t *target) holds(now time.Time) bool {
+	if t.clockFrom.IsZero() {
+		return false
+	}
+	return t.clock+time.Duration((1+clockDrift)*float64(now.Sub(t.clockFrom))) < t.leased
+}
+
 // usable tells whether the target counts as part of its pool.
 func (t *target) usable(now time.Time, beat time.Duration) bool {
 	return !t.record.Leaving && !t.clockAt.IsZero() && t.failures < silentFailures && !t.fencing && !t.fresh &&
