Order a VM only when no other holder may have ordered it lately

Cause: a new leader repeats the open orders of the earlier one at once and orders VMs anew that the earlier one has just ordered. Where the leader changes because it was slow, both are in touch.

Now the table knows who ordered a VM last and when (VMOrder.Holder, Table.LastOrder). For the time of a turn (LeaseMs of the settings) and 300 ms after it began to lead, a store orders no VM that another holder has an open order for or has ordered within a turn and 5 s of clock skew before. An open order of another holder is committed anew under the own name before it is repeated, so that a store that leads again sees it. The same store that leads again does not wait.

Closed besides, found by reading: - An order whose goroutine runs late was sent after the lease had ended; it now asks for the lease right before the call. - Commands of a leader that has resigned were handed to the next one, which carried out orders for VMs that it had not emptied. They end with the epoch. - The end of an earlier order that is committed late deleted a later order for the VM. - The state of a call was kept by VM only, not by order.

Ruled out: one fence with two holders. The fence is the term, and a term has one leader.

TestNewLeaderWaitsForItsTurn fails without the wait (329 and 116 ms after the last order of the other holder, 1.5 s wanted), TestNoOrderWithoutALease without the check (one order).

--- a/cmd/cowslipstream/roles.go
+++ b/cmd/cowslipstream/roles.go
@@ -19,6 +19,7 @@
 	"cowslipstream.example/cowslipstream/cslog"
 	"cowslipstream.example/cowslipstream/internal/base/csclock"
 	"cowslipstream.example/cowslipstream/internal/fleet/csvms"
+	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
 	"cowslipstream.example/cowslipstream/internal/jobs/csrun"
 	"cowslipstream.example/cowslipstream/internal/node/csentry"
 	"cowslipstream.example/cowslipstream/internal/node/csstore"
@@ -174,7 +175,7 @@
 		Fleet: func(state csrun.State) csrun.Fleet {
 			return csvms.New(csvms.Options{
 				State: state, Platform: platform.VMs{Client: client, Address: s.VMs, Holder: s.Node}, Clock: clock,
-				Log: p.log.Named("vms"), MoveTime: s.MoveTime, Upkeep: s.Upkeep,
+				Log: p.log.Named("vms"), MoveTime: s.MoveTime, Upkeep: s.Upkeep, Holder: csjob.Holder(s.Node), Turn: s.OrderTurn,
 			})
 		},
 		IP: s.IP, Seeds: s.Seeds, First: s.First, Folder: s.Folder, Losses: s.Losses, Listener: p.link,
--- a/internal/fleet/csvms/fleet.go
+++ b/internal/fleet/csvms/fleet.go
@@ -38,6 +38,9 @@
 	Log      *zap.Logger
 	MoveTime time.Duration // from a move to the VM's return
 	Upkeep   time.Duration // from the start of maintenance to the VM's return
+	Holder   csjob.Holder  // name under which this store orders VMs
+	// Turn is the time in which two holders must not order one VM. Zero is no such bound.
+	Turn time.Duration
 }
 
 // Fleet decides about VMs on the leader. It implements csrun.Fleet. Use New.
@@ -46,7 +49,10 @@
 	log *zap.Logger
 
 	mu       sync.Mutex
-	epoch    int // increases with each change of the leader, so that late results are dropped
+	ctx      context.Context // ends with the epoch
+	cancel   context.CancelFunc
+	since    time.Time // first round of this epoch; zero before
+	epoch    int       // increases with each change of the leader, so that late results are dropped
 	vms      map[csmodel.VMID]VM
 	listedAt time.Time // last list that was answered; zero before the first one
 	askedAt  time.Time // end of the last listing, answered or not
@@ -75,6 +81,11 @@
 
 func (f *Fleet) clear() {
 	f.epoch++
+	if f.cancel != nil {
+		f.cancel()
+	}
+	f.ctx, f.cancel = context.WithCancel(context.Background())
+	f.since = time.Time{}
 	f.vms = map[csmodel.VMID]VM{}
 	f.listedAt, f.askedAt, f.decided, f.listing = time.Time{}, time.Time{}, time.Time{}, false
 	f.reserved = map[csmodel.VMID]*reservation{}
@@ -127,6 +138,9 @@
 func (f *Fleet) Round(r csrun.Round) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.since.IsZero() {
+		f.since = r.Now
+	}
 	if !f.listedAt.IsZero() {
 		f.carryOut(r) // what was committed waits for no decision
 	}
--- a/internal/fleet/csvms/fleet_test.go
+++ b/internal/fleet/csvms/fleet_test.go
@@ -31,6 +31,8 @@
 	orders map[csmodel.VMID]string
 	silent int                  // listings that get no answer
 	hidden map[csmodel.VMID]int // listings that leave out a VM
+	mute   bool                 // orders get no answer and have no effect
+	sentAt []time.Time          // of all orders
 }
 
 func newCloud(pools map[csmodel.PoolID]int) *cloud {
@@ -83,6 +85,10 @@
 func (c *cloud) order(id csmodel.VMID, what string, p Phase, d time.Duration, change func(*VM)) Answer {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.sentAt = append(c.sentAt, time.Now())
+	if c.mute {
+		return Limited
+	}
 	v := c.vms[id]
 	if v == nil {
 		return Foreign
@@ -114,9 +120,10 @@
 
 // group is the replicated state.
 type group struct {
-	mu    sync.RWMutex
-	table csjob.Table
-	index csmodel.Index
+	mu      sync.RWMutex
+	table   csjob.Table
+	index   csmodel.Index
+	follows bool // the lease has ended
 }
 
 func (g *group) View(f func(*csjob.Table)) {
@@ -130,7 +137,7 @@
 	return nil
 }
 
-func (g *group) Leading() bool { return true }
+func (g *group) Leading() bool { return !g.follows }
 
 func (g *group) Propose(_ context.Context, c csjob.Command) (csjob.Verdict, error) {
 	b, err := c.Encode()
@@ -163,9 +170,13 @@
 }
 
 // lead starts a fleet as a new leader does.
-func (s *stage) lead() {
+func (s *stage) lead() { s.leadAs("", 0) }
+
+// leadAs starts a fleet as a new leader on another store does.
+func (s *stage) leadAs(h csjob.Holder, turn time.Duration) {
 	s.fleet = New(Options{
 		State: s.group, Platform: s.cloud, Clock: clockwork.NewRealClock(), Log: zap.NewNop(), MoveTime: testMove, Upkeep: testUpkeep,
+		Holder: h, Turn: turn,
 	})
 }
 
@@ -312,6 +323,80 @@
 	s.run(30*time.Second, func(t *csjob.Table) bool { return t.Wave("1").Completed() })
 }
 
+// Pattern: the leader changes without a fault, because it was slow. The new one must not order a VM within the time in which
+// two holders must not take turns (rule ONE); the same store that leads again need not wait.
+func TestNewLeaderWaitsForItsTurn(t *testing.T) {
+	t.Parallel()
+	const turn = 1500 * time.Millisecond
+	cases := []struct {
+		name   string
+		answer bool // the order of the earlier leader is answered
+		next   csjob.Holder
+		wait   bool
+	}{
+		{"open order of another holder", false, "b", true},
+		{"order of another holder that has ended", true, "b", true},
+		{"open order of the same holder", false, "a", false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newStage(t, map[csmodel.PoolID]int{"a": 1})
+			s.cloud.mute = !c.answer
+			s.leadAs("a", turn)
+			vms := []csmodel.VMID{"a-0"}
+			s.do(csjob.Command{Wave: &csjob.Wave{ID: "1", AtOnce: 1, Deadline: time.Second, VMs: vms}})
+			s.run(20*time.Second, func(t *csjob.Table) bool {
+				s.cloud.mu.Lock()
+				defer s.cloud.mu.Unlock()
+				return len(s.cloud.sentAt) > 0 && (!c.answer || t.Wave("1").Completed())
+			})
+			s.fleet.Reset()
+			s.cloud.mu.Lock()
+			s.cloud.mute = false
+			before, last := len(s.cloud.sentAt), s.cloud.sentAt[len(s.cloud.sentAt)-1]
+			s.cloud.mu.Unlock()
+			s.leadAs(c.next, turn)
+			if c.answer {
+				last = time.Now()
+				s.do(csjob.Command{Wave: &csjob.Wave{ID: "2", AtOnce: 1, Deadline: time.Second, VMs: vms}})
+			}
+			s.run(20*time.Second, func(t *csjob.Table) bool {
+				w := t.Wave("2")
+				return t.Wave("1").Completed() && (w == nil || w.Completed())
+			})
+			s.cloud.mu.Lock()
+			defer s.cloud.mu.Unlock()
+			gap := s.cloud.sentAt[before].Sub(last)
+			if got := gap >= turn; got != c.wait {
+				t.Errorf("got the next order after %v, want at least %v: %t", gap, turn, c.wait)
+			}
+		})
+	}
+}
+
+// Pattern: the lease of a leader ends between a decision and its order. A later leader may order the VM already.
+func TestNoOrderWithoutALease(t *testing.T) {
+	t.Parallel()
+	s := newStage(t, map[csmodel.PoolID]int{"a": 1})
+	s.group.follows = true
+	s.fleet.mu.Lock()
+	o := csjob.VMOrder{VM: "a-0", Pool: "a"}
+	call := &orderCall{order: o}
+	s.fleet.call(csrun.Round{Now: time.Now(), Fence: 1}, o, call)
+	s.fleet.mu.Unlock()
+	for busy := true; busy; time.Sleep(time.Millisecond) {
+		s.fleet.mu.Lock()
+		busy = call.busy
+		s.fleet.mu.Unlock()
+	}
+	s.cloud.mu.Lock()
+	defer s.cloud.mu.Unlock()
+	if got := len(s.cloud.sentAt); got > 0 {
+		t.Errorf("got %d orders without a lease, want none", got)
+	}
+}
+
 // Pattern: the leader is lost after a VM has come back from its maintenance and before that was recorded. The repeated
 // order must not end the new life of the VM's target.
 func TestRepeatedOrderSparesTheNewLife(t *testing.T) {
--- a/internal/fleet/csvms/order.go
+++ b/internal/fleet/csvms/order.go
@@ -11,6 +11,14 @@
 	"cowslipstream.example/cowslipstream/internal/jobs/csrun"
 )
 
+const (
+	// turnMargin is added to the time in which two holders must not order one VM: an order of the earlier holder may have been
+	// on its way when its lease ended.
+	turnMargin = 300 * time.Millisecond
+	// clockSkew is how far the clocks of two stores that stamp orders may be apart: the platform steps them by seconds.
+	clockSkew = 5 * time.Second
+)
+
 // reservation is a VM that is emptied for an order.
 type reservation struct {
 	order csjob.VMOrder
@@ -20,6 +28,7 @@
 
 // orderCall is the state of a committed order.
 type orderCall struct {
+	order    csjob.VMOrder
 	busy     bool
 	nextAt   time.Time
 	accepted time.Time // the platform has carried it out; zero before
@@ -37,12 +46,15 @@
 		o := orders[id]
 		delete(f.reserved, id)
 		c := f.calls[id]
-		if c == nil {
-			c = &orderCall{}
+		if c == nil || !c.order.Same(o) {
+			c = &orderCall{order: o}
 			f.calls[id] = c
 		}
 		switch {
-		case c.busy || r.Now.Before(c.nextAt):
+		case c.busy || r.Now.Before(c.nextAt) || f.othersTurn(r, id, true):
+		case o.Holder != f.o.Holder:
+			c.nextAt = r.Now.Add(retryPause)
+			f.takeOver(r, o)
 		case c.accepted.IsZero():
 			f.call(r, o, c)
 		case f.returned(r.Now, id, c):
@@ -53,6 +65,25 @@
 	}
 }
 
+// othersTurn tells whether another holder may have ordered a VM so lately that this one must wait. An earlier leader may
+// have sent an open order until this one began to lead.
+func (f *Fleet) othersTurn(r csrun.Round, id csmodel.VMID, open bool) bool {
+	last, ordered := r.Table.LastOrder(id)
+	turn := f.o.Turn + turnMargin
+	if f.o.Turn == 0 || !ordered || last.Holder == f.o.Holder || r.Now.Sub(f.since) >= turn {
+		return false
+	}
+	return open || last.At.After(f.since.Add(-turn-clockSkew))
+}
+
+// takeOver commits this store as the holder of an order that an earlier leader has left open.
+func (f *Fleet) takeOver(r csrun.Round, o csjob.VMOrder) {
+	f.log.Info("VM order taken over", zap.String("vm", string(o.VM)), zap.String("pool", string(o.Pool)),
+		zap.String("wave", string(o.Wave)), zap.String("holder", string(o.Holder)), zap.Duration("leading", r.Now.Sub(f.since)))
+	o.Holder = f.o.Holder
+	f.propose(csjob.Command{VMs: []csjob.VMOrder{o}})
+}
+
 // returned tells whether a VM is back from its maintenance.
 func (f *Fleet) returned(now time.Time, id csmodel.VMID, c *orderCall) bool {
 	v, ok := f.vms[id]
@@ -63,10 +94,15 @@
 // call sends an order to the platform.
 func (f *Fleet) call(r csrun.Round, o csjob.VMOrder, c *orderCall) {
 	c.busy = true
-	epoch, fence := f.epoch, r.Fence
+	epoch, fence, epochal := f.epoch, r.Fence, f.ctx
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		ctx, cancel := context.WithTimeout(epochal, callTimeout)
 		defer cancel()
+		if !f.o.State.Leading() {
+			// The lease has ended since the round, and a later leader may order the VM already.
+			f.answered(epoch, o, c, 0, ErrNoAnswer)
+			return
+		}
 		var a Answer
 		var err error
 		if o.Wave != "" {
@@ -126,9 +162,11 @@
 }
 
 // propose commits a command in the background. What is lost is decided again.
+// It ends with the epoch: otherwise the group would hand it to a later leader, which has not emptied the VM.
 func (f *Fleet) propose(c csjob.Command) {
+	epochal := f.ctx
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		ctx, cancel := context.WithTimeout(epochal, callTimeout)
 		defer cancel()
 		if _, err := f.o.State.Propose(ctx, c); err != nil {
 			f.log.Warn("VM decision not committed", zap.Int("orders", len(c.VMs)), zap.Error(err))
@@ -158,9 +196,10 @@
 			if r.Now.Sub(s.since) > holdLimit {
 				delete(f.reserved, id)
 			}
-		case held && !r.Busy(s.order.Life):
+		case held && !r.Busy(s.order.Life) && !f.othersTurn(r, id, false):
 			s.sent = true
 			s.since = r.Now
+			s.order.Holder = f.o.Holder
 			ready = append(ready, s.order)
 		case r.Now.Sub(s.since) > holdLimit && s.order.Wave == "":
 			delete(f.reserved, id)
--- a/internal/fleet/csvms/wave.go
+++ b/internal/fleet/csvms/wave.go
@@ -56,7 +56,12 @@
 			delete(f.absences, id)
 		case gone:
 			delete(f.reserved, id)
-			removed = append(removed, csjob.VMOrder{VM: id, Wave: w.Wave.ID, Done: true})
+			end := csjob.VMOrder{VM: id, Wave: w.Wave.ID}
+			if open, ok := r.Table.VMOrders()[id]; ok && open.Wave == w.Wave.ID {
+				end = open
+			}
+			end.Done = true
+			removed = append(removed, end)
 		case begun, o != nil && o.order.Wave == w.Wave.ID:
 			down++
 		case o == nil && exists && f.takeable(r, v):
--- a/internal/jobs/csjob/command.go
+++ b/internal/jobs/csjob/command.go
@@ -102,6 +102,22 @@
 	Done bool `cbor:"4,keyasint,omitempty"`
 	// Refused tells that a done order had no effect.
 	Refused bool `cbor:"5,keyasint,omitempty"`
+	// Holder sends the order. A later leader commits itself as the holder before it repeats the order.
+	Holder Holder `cbor:"7,keyasint,omitempty"`
+}
+
+// Same tells whether two records are of one order, whoever holds it.
+func (o VMOrder) Same(b VMOrder) bool {
+	return o.VM == b.VM && o.Wave == b.Wave && o.Pool == b.Pool && o.Life == b.Life
+}
+
+// Holder is the name under which a store orders VMs. Two holders must not order one VM within a time of the platform.
+type Holder string
+
+// Ordering is the last order for a VM.
+type Ordering struct {
+	Holder Holder    `cbor:"1,keyasint"`
+	At     time.Time `cbor:"2,keyasint"` // when it was committed or its end was
 }
 
 // Verdict is the result of a command for its proposer.
--- a/internal/jobs/csjob/read.go
+++ b/internal/jobs/csjob/read.go
@@ -59,6 +59,12 @@
 	return n
 }
 
+// LastOrder returns who ordered a VM last and when, and false where nobody has.
+func (t *Table) LastOrder(id csmodel.VMID) (Ordering, bool) {
+	o, ok := t.state.Ordered[id]
+	return o, ok
+}
+
 // Target returns a target, and false where it is not known.
 func (t *Table) Target(id TargetID) (Target, bool) {
 	o, ok := t.state.Targets[id]
--- a/internal/jobs/csjob/snapshot.go
+++ b/internal/jobs/csjob/snapshot.go
@@ -38,6 +38,9 @@
 	if s.Config != nil {
 		t.routing = newRouting(s.Config)
 	}
+	if s.Ordered == nil {
+		s.Ordered = map[csmodel.VMID]Ordering{}
+	}
 	for _, w := range s.Waves {
 		if w.Begun == nil {
 			w.Begun = map[csmodel.VMID]time.Time{}
--- a/internal/jobs/csjob/table.go
+++ b/internal/jobs/csjob/table.go
@@ -38,6 +38,7 @@
 	VMs     map[csmodel.VMID]VMOrder      `cbor:"6,keyasint"` // orders in progress
 	Moved   map[csmodel.VMID]time.Time    `cbor:"7,keyasint"` // last move of a VM
 	Applied uint64                        `cbor:"8,keyasint"`
+	Ordered map[csmodel.VMID]Ordering     `cbor:"9,keyasint,omitempty"` // last order for a VM
 }
 
 // WaveState is a wave and its progress.
@@ -69,6 +70,7 @@
 	s.Waves = map[csmodel.WaveID]*WaveState{}
 	s.VMs = map[csmodel.VMID]VMOrder{}
 	s.Moved = map[csmodel.VMID]time.Time{}
+	s.Ordered = map[csmodel.VMID]Ordering{}
 	t.runs = map[Life]map[TaskKey]int{}
 }
 
--- a/internal/jobs/csjob/table_test.go
+++ b/internal/jobs/csjob/table_test.go
@@ -235,6 +235,32 @@
 	}
 }
 
+// Guards against an order for a VM that is forgotten because the end of an earlier order for it arrives late, from a store
+// that led before, and against a new leader that doesn't know who ordered a VM last (rule ONE).
+func TestLateEndSparesALaterOrder(t *testing.T) {
+	h := newHistory(t)
+	earlier := csjob.VMOrder{VM: "a", Pool: "p", Holder: "n1"}
+	later := csjob.VMOrder{VM: "a", Pool: "q", Holder: "n2"}
+	end := earlier
+	end.Done = true
+	h.do(csjob.Command{VMs: []csjob.VMOrder{earlier}})
+	h.do(csjob.Command{VMs: []csjob.VMOrder{end}})
+	h.do(csjob.Command{VMs: []csjob.VMOrder{later}})
+	if got, ok := h.table.LastOrder("a"); !ok || got.Holder != "n2" || !got.At.Equal(h.now.UTC().Truncate(time.Millisecond)) {
+		t.Errorf("got last order %+v, want one of n2 at %v", got, h.now)
+	}
+	h.do(csjob.Command{VMs: []csjob.VMOrder{end}})
+	if got, ok := h.table.VMOrders()["a"]; !ok || got != later {
+		t.Errorf("got open order %+v, want %+v", got, later)
+	}
+	end = later
+	end.Done, end.Holder = true, "n1" // recorded by whoever leads
+	h.do(csjob.Command{VMs: []csjob.VMOrder{end}})
+	if got, ok := h.table.VMOrders()["a"]; ok {
+		t.Errorf("got open order %+v after its end, want none", got)
+	}
+}
+
 // A replica that was restored from a snapshot in the middle ends in the same state as one that applied every command, and
 // the counts that the table keeps agree with its runs.
 func TestReplicasAgree(t *testing.T) {
--- a/internal/jobs/csjob/target.go
+++ b/internal/jobs/csjob/target.go
@@ -53,6 +53,9 @@
 }
 
 func (t *Table) orderVM(o VMOrder, at time.Time) {
+	if o.Holder != "" {
+		t.state.Ordered[o.VM] = Ordering{Holder: o.Holder, At: at}
+	}
 	if !o.Done {
 		t.state.VMs[o.VM] = o
 		if w := t.state.Waves[o.Wave]; w != nil {
@@ -63,7 +66,10 @@
 		}
 		return
 	}
-	delete(t.state.VMs, o.VM)
+	// The end of an earlier order for the VM, which arrives late, does not end a later one.
+	if open, ok := t.state.VMs[o.VM]; ok && open.Same(o) {
+		delete(t.state.VMs, o.VM)
+	}
 	w := t.state.Waves[o.Wave]
 	switch {
 	case w == nil:
