Count a VM whose target has ended as removed after three lists

A wave over a VM that is removed for good would be completed 15 s later, and the platform prices a wave that is not completed 2 s after its time. Where the target that the VM was last listed with has ended in the table and three lists in a row over 2 s do not name the VM, it counts as removed. A VM that a list leaves out by chance still has its target.

TestEvidenceThatAVMIsRemoved covers both ways.

--- a/internal/fleet/csvms/fleet.go
+++ b/internal/fleet/csvms/fleet.go
@@ -70,6 +70,7 @@
 	learned  bool                            // the forecast has taken in what the table knows
 	due      map[csmodel.WaveID][]csjob.Life // targets whose VMs wait for their maintenance
 	absences map[csmodel.VMID]*absence       // VMs of waves that are not listed
+	tenants  map[csmodel.VMID]csjob.TargetID // last target that a VM was listed with
 }
 
 // New returns a fleet.
@@ -97,6 +98,7 @@
 	f.learned = false
 	f.due = map[csmodel.WaveID][]csjob.Life{}
 	f.absences = map[csmodel.VMID]*absence{}
+	f.tenants = map[csmodel.VMID]csjob.TargetID{}
 }
 
 // Reset implements csrun.Fleet.
@@ -187,6 +189,9 @@
 		f.vms = map[csmodel.VMID]VM{}
 		for _, v := range vms {
 			f.vms[v.ID] = v
+			if v.Target != "" {
+				f.tenants[v.ID] = v.Target
+			}
 		}
 	}()
 }
--- a/internal/fleet/csvms/fleet_test.go
+++ b/internal/fleet/csvms/fleet_test.go
@@ -277,25 +277,36 @@
 		name   string
 		listed []bool // in the lists so far
 		every  time.Duration
+		ended  bool // the target that ran there
 		want   bool
 	}{
-		{"one list", []bool{false}, time.Second, false},
-		{"many lists within a moment", []bool{false, false, false, false, false, false}, absentFor / 10, false},
-		{"two lists far apart", []bool{false, false}, 2 * absentFor, false},
-		{"named in between", append(slices.Repeat([]bool{false}, absentLists), true, false, false), absentFor / 4, false},
-		{"named last", append(slices.Repeat([]bool{false}, absentLists), true), absentFor / 4, false},
-		{"absent for long", append([]bool{true}, slices.Repeat([]bool{false}, absentLists)...), absentFor / 4, true},
+		{"one list", []bool{false}, time.Second, false, false},
+		{"many lists within a moment", slices.Repeat([]bool{false}, absentLists+1), time.Second, false, false},
+		{"two lists far apart", []bool{false, false}, 2 * absentFor, false, false},
+		{"its target has ended", slices.Repeat([]bool{false}, endedAbsentLists), endedAbsentFor / 2, true, true},
+		{"its target has just ended", []bool{true, false, false}, endedAbsentFor, true, false},
+		{"named in between", append(slices.Repeat([]bool{false}, absentLists), true, false, false), absentFor / 4, false, false},
+		{"named last", append(slices.Repeat([]bool{false}, absentLists), true), absentFor / 4, false, false},
+		{"absent for long", append([]bool{true}, slices.Repeat([]bool{false}, absentLists)...), absentFor / 4, false, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			f := New(Options{Log: zap.NewNop()})
+			f.tenants["a-0"] = "target"
+			g := &group{}
+			if !c.ended {
+				life := csjob.Life{Target: "target", Born: 1}
+				if _, err := g.Propose(t.Context(), csjob.Command{Targets: []csjob.TargetEvent{{Target: csjob.Target{Life: life}}}}); err != nil {
+					t.Fatal(err)
+				}
+			}
 			f.listedAt = time.Unix(1000, 0)
 			got := false
 			for _, listed := range c.listed {
 				f.listedAt = f.listedAt.Add(c.every)
 				for range 3 { // several decisions use one list
-					got = f.removed("a-0", listed)
+					got = f.removed(&g.table, "a-0", listed)
 				}
 			}
 			if got != c.want {
--- a/internal/fleet/csvms/wave.go
+++ b/internal/fleet/csvms/wave.go
@@ -14,11 +14,14 @@
 )
 
 // A VM of a wave counts as removed once this many lists in a row, over this time, have not named it. A single list proves
-// nothing: one of several pages is read while VMs come and go, and can leave out a VM that stays. The time is well above a
-// move and a maintenance and above the outages of a rack that the platform's days have, 6.6 s.
+// nothing: one of several pages is read while VMs come and go, and can leave out a VM that stays. Where the target that ran
+// there has ended as well, the wait is short, because a wave is to be completed within 2 s of its time. Otherwise it is well
+// above a move and a maintenance and above the outages of a rack that the platform's days have, 6.6 s.
 const (
-	absentLists = 8
-	absentFor   = 15 * time.Second
+	absentLists      = 8
+	absentFor        = 15 * time.Second
+	endedAbsentLists = 3
+	endedAbsentFor   = 2 * time.Second
 )
 
 // absence is a VM of a wave that the last lists have not named.
@@ -50,7 +53,7 @@
 		_, begun := w.Begun[id]
 		o := f.reserved[id]
 		v, exists := f.vms[id]
-		gone := f.removed(id, exists)
+		gone := f.removed(r.Table, id, exists)
 		switch {
 		case w.Done.Has(id):
 			delete(f.absences, id)
@@ -80,7 +83,7 @@
 }
 
 // removed tells whether a VM of a wave has certainly been removed for good.
-func (f *Fleet) removed(id csmodel.VMID, listed bool) bool {
+func (f *Fleet) removed(t *csjob.Table, id csmodel.VMID, listed bool) bool {
 	a := f.absences[id]
 	if listed {
 		if a != nil {
@@ -98,7 +101,21 @@
 		a.last = f.listedAt
 		f.log.Info("VM not listed", zap.String("vm", string(id)), zap.Int("lists", a.lists), zap.Duration("for", f.listedAt.Sub(a.since)))
 	}
-	return a.lists >= absentLists && a.last.Sub(a.since) >= absentFor
+	lists, long := absentLists, absentFor
+	if f.ended(t, id) {
+		lists, long = endedAbsentLists, endedAbsentFor
+	}
+	return a.lists >= lists && a.last.Sub(a.since) >= long
+}
+
+// ended tells whether the target that a VM was last listed with is known to have ended.
+func (f *Fleet) ended(t *csjob.Table, id csmodel.VMID) bool {
+	target, known := f.tenants[id]
+	if !known {
+		return false
+	}
+	_, alive := t.Target(target)
+	return !alive
 }
 
 // pickWave takes VMs from their pools and returns them: idle ones that no pool needs as soon as the wave allows, others
