Stop what has to end before starting more on a target

Cause, found by reading: at most three orders are on their way to a target, and its runs were gone through in the random order of a map. Starts that go on arriving can keep a stop waiting for as long as the leader needs several rounds for them.

--- a/internal/jobs/csrun/orders.go
+++ b/internal/jobs/csrun/orders.go
@@ -38,30 +38,27 @@
 		if w.fencing || w.fresh || w.clockAt.IsZero() {
 			continue
 		}
-		for _, u := range w.runs {
-			if w.calls >= callsPerTarget {
-				break
-			}
-			r.sendOrder(now, t, w, u)
-		}
-		for key, sent := range w.strays {
-			if !sent && w.calls < callsPerTarget {
-				w.strays[key] = true
-				r.stopStray(w, key)
-			}
-		}
+		r.sendOrdersTo(now, t, w)
 	}
 }
 
-func (r *runner) sendOrder(now time.Time, t *csjob.Table, w *target, u *run) {
-	if u.busy || now.Before(u.nextAt) {
-		return
+func (r *runner) sendOrdersTo(now time.Time, t *csjob.Table, w *target) {
+	stops, starts := w.dueOrders(now)
+	for _, u := range stops {
+		if w.calls < callsPerTarget {
+			r.stop(w, u)
+		}
 	}
-	switch {
-	case u.stop && !u.stopped:
-		r.stop(w, u)
-	case !u.stop && !u.started:
-		r.start(now, t, w, u)
+	for key, sent := range w.strays {
+		if !sent && w.calls < callsPerTarget {
+			w.strays[key] = true
+			r.stopStray(w, key)
+		}
+	}
+	for _, u := range starts {
+		if w.calls < callsPerTarget {
+			r.start(now, t, w, u)
+		}
 	}
 }
 
