Let a slow leader extend leases, and bound its first looks

Cause: after two unanswered calls in a row a look no longer extends the lease, and calls count as unanswered after 200 ms.

Now a look at a target whose last two calls failed waits up to 600 ms for the answer. The first answered one makes the next extend the lease.

A new leader looked at all targets at once. Now at most 64 first looks are on their way, at targets with tasks that last first, then at those with other runs.

--- a/internal/jobs/csrun/looks.go
+++ b/internal/jobs/csrun/looks.go
@@ -27,12 +27,24 @@
 
 // sendLooks looks at targets with open runs, with ends to acknowledge, and once at each new one.
 func (r *runner) sendLooks(now time.Time) {
+	var first []*target
+	onTheirWay := 0
 	for _, id := range csmodel.SortedKeys(r.targets) {
 		w := r.targets[id]
-		if r.lookDue(w, now) {
+		unknown := w.fresh && w.failures == 0
+		switch {
+		case unknown && w.looking:
+			onTheirWay++
+		case !r.lookDue(w, now):
+		case unknown:
+			first = append(first, w)
+		default:
 			r.sendLook(w, now)
 		}
 	}
+	for _, w := range pickFirst(first, onTheirWay) {
+		r.sendLook(w, now)
+	}
 }
 
 func (r *runner) lookDue(w *target, now time.Time) bool {
@@ -69,8 +81,9 @@
 	r.work.called()
 	r.work.looks++
 	ctx, life, record := r.ctx, w.life, w.record
+	timeout := w.callTimeout(r.o.Timing.CallTimeout) + o.Wait
 	go func() {
-		limited, cancel := context.WithTimeout(ctx, r.o.Timing.CallTimeout+o.Wait)
+		limited, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		m := &looked{life: life, order: o, started: now}
 		m.look, m.err = r.o.Workers.Look(limited, record, o)
--- a/internal/jobs/csrun/world_test.go
+++ b/internal/jobs/csrun/world_test.go
@@ -52,10 +52,11 @@
 
 // faults are the probabilities of what goes wrong in one call or run.
 type faults struct {
-	lost float64 // the answer is lost
-	late float64 // the order is carried out later and the answer is lost
-	fail float64 // a run ends as failed
-	hang bool    // a call whose answer is lost lasts until the caller gives up
+	lost float64       // the answer is lost
+	late float64       // the order is carried out later and the answer is lost
+	fail float64       // a run ends as failed
+	hang bool          // a call whose answer is lost lasts until the caller gives up
+	slow time.Duration // answers to looks arrive that much later
 }
 
 // world holds targets as the platform's pages describe them, and records what they see.
@@ -342,7 +343,7 @@
 		k.noted = max(k.noted, o.Noted)
 		k.ended = slices.DeleteFunc(k.ended, func(e csrun.Ended) bool { return e.Number <= o.Noted })
 	}
-	wait := k != nil && len(k.ended) == 0 && o.Wait > 0
+	wait, slow := k != nil && len(k.ended) == 0 && o.Wait > 0, w.faults.slow
 	w.mu.Unlock()
 	if k == nil {
 		return csrun.Look{Reply: csrun.Reply{Refusal: csrun.RefusedLife}}, nil
@@ -357,6 +358,11 @@
 	if lost {
 		return csrun.Look{}, w.unanswered(ctx)
 	}
+	select {
+	case <-time.After(slow):
+	case <-ctx.Done():
+		return csrun.Look{}, csrun.ErrNoAnswer
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	look := csrun.Look{Reply: csrun.Reply{Clock: k.clock()}, Born: k.life.Born, Ended: slices.Clone(k.ended)}
