--- a/internal/fleet/csvms/fleet.go
+++ b/internal/fleet/csvms/fleet.go
@@ -38,6 +38,9 @@
 	Log      *zap.Logger
 	MoveTime time.Duration // from a move to the VM's return
 	Upkeep   time.Duration // from the start of maintenance to the VM's return
+	Holder   csjob.Holder  // name under which this store orders VMs
+	// Turn is the time in which two holders must not order one VM. Zero is no such bound.
+	Turn time.Duration
 }
 
 // Fleet decides about VMs on the leader. It implements csrun.Fleet. Use New.
@@ -46,7 +49,10 @@
 	log *zap.Logger
 
 	mu       sync.Mutex
-	epoch    int // increases with each change of the leader, so that late results are dropped
+	ctx      context.Context // ends with the epoch
+	cancel   context.CancelFunc
+	since    time.Time // first round of this epoch; zero before
+	epoch    int       // increases with each change of the leader, so that late results are dropped
 	vms      map[csmodel.VMID]VM
 	listedAt time.Time // last list that was answered; zero before the first one
 	askedAt  time.Time // end of the last listing, answered or not
@@ -64,6 +70,7 @@
 	learned  bool                            // the forecast has taken in what the table knows
 	due      map[csmodel.WaveID][]csjob.Life // targets whose VMs wait for their maintenance
 	absences map[csmodel.VMID]*absence       // VMs of waves that are not listed
+	tenants  map[csmodel.VMID]csjob.TargetID // last target that a VM was listed with
 }
 
 // New returns a fleet.
@@ -75,6 +82,11 @@
 
 func (f *Fleet) clear() {
 	f.epoch++
+	if f.cancel != nil {
+		f.cancel()
+	}
+	f.ctx, f.cancel = context.WithCancel(context.Background())
+	f.since = time.Time{}
 	f.vms = map[csmodel.VMID]VM{}
 	f.listedAt, f.askedAt, f.decided, f.listing = time.Time{}, time.Time{}, time.Time{}, false
 	f.reserved = map[csmodel.VMID]*reservation{}
@@ -86,6 +98,7 @@
 	f.learned = false
 	f.due = map[csmodel.WaveID][]csjob.Life{}
 	f.absences = map[csmodel.VMID]*absence{}
+	f.tenants = map[csmodel.VMID]csjob.TargetID{}
 }
 
 // Reset implements csrun.Fleet.
@@ -127,6 +140,9 @@
 func (f *Fleet) Round(r csrun.Round) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.since.IsZero() {
+		f.since = r.Now
+	}
 	if !f.listedAt.IsZero() {
 		f.carryOut(r) // what was committed waits for no decision
 	}
@@ -173,6 +189,9 @@
 		f.vms = map[csmodel.VMID]VM{}
 		for _, v := range vms {
 			f.vms[v.ID] = v
+			if v.Target != "" {
+				f.tenants[v.ID] = v.Target
+			}
 		}
 	}()
 }
