Walk the runs of targets as lists, and plan in lists that rounds share

Cause: what was left of a round's fixed cost were walks of maps: the runs of all targets for orders and for absent tasks, held and due lives looked up for each target, pools looked up for each target and job, and availability zones counted although nearly all targets answer.

--- a/internal/jobs/csrun/bench_test.go
+++ b/internal/jobs/csrun/bench_test.go
@@ -11,6 +11,7 @@
 // half a second of the load.
 func BenchmarkRounds(b *testing.B) {
 	l := newLoad(newLoadLog())
+	l.holds = 20
 	l.pass(8 * time.Second)
 	l.handled, l.replayed, l.rounds, l.starts, l.ends = 0, 0, 0, 0, 0
 	var before, after runtime.MemStats
--- a/internal/jobs/csrun/evict.go
+++ b/internal/jobs/csrun/evict.go
@@ -29,11 +29,9 @@
 		return
 	}
 	away := r.absent(now, t)
-	for _, w := range r.all() {
-		if !held.Has(w.life) {
-			continue
-		}
-		for key, u := range w.runs {
+	for _, w := range r.of(held) {
+		for _, u := range w.list {
+			key := u.key
 			if u.stop {
 				continue
 			}
@@ -107,10 +105,13 @@
 			}
 		}
 	}
-	for _, w := range r.targets {
-		for key, u := range w.runs {
+	for _, w := range r.all() {
+		if w.tally.fresh && !w.tally.lasts {
+			continue
+		}
+		for _, u := range w.list {
 			if u.lasting && w.atWork(now, u) {
-				out[stepOf(key.task)]--
+				out[stepOf(u.key.task)]--
 			}
 		}
 	}
--- a/internal/jobs/csrun/load_test.go
+++ b/internal/jobs/csrun/load_test.go
@@ -58,6 +58,7 @@
 	slow    time.Duration // simulated time that a round takes
 	visits  int           // rounds
 	quiet   bool          // no jobs arrive
+	holds   int           // targets that are about to be taken away, other ones each second
 	noise   float64       // standard deviation of the logarithm of a run time
 	refusal float64       // probability that decisions are not committed
 
@@ -271,6 +272,10 @@
 		return
 	}
 	l.decided = r.Now
+	l.held = csmodel.NewSet[csjob.Life]()
+	for n := range l.holds {
+		l.held.Add(l.order[(int(r.Now.Unix())*l.holds+n)%len(l.order)].record.Life)
+	}
 	for _, w := range l.order {
 		if r.Usable(w.record.Life) && r.Busy(w.record.Life) {
 			r.Load(w.record.Life)
--- a/internal/jobs/csrun/orders.go
+++ b/internal/jobs/csrun/orders.go
@@ -37,7 +37,7 @@
 		if w.fencing || w.fresh || w.clockAt.IsZero() {
 			continue
 		}
-		for _, u := range w.runs {
+		for _, u := range w.list {
 			if w.calls >= callsPerTarget {
 				break
 			}
--- a/internal/jobs/csrun/runner.go
+++ b/internal/jobs/csrun/runner.go
@@ -47,6 +47,7 @@
 	// pendingOn and pendingOf are the same starts by life and counted by job.
 	pendingOn map[csjob.Life][]csjob.TaskKey
 	pendingOf map[csjob.ID]int
+	pools     map[csmodel.PoolID]*pool
 	ends      []csjob.End
 	noted     map[csjob.Life]int64 // numbers of the ends that wait to be committed
 	events    []csjob.TargetEvent
@@ -106,6 +107,7 @@
 	r.noted = map[csjob.Life]int64{}
 	r.pendingOn = map[csjob.Life][]csjob.TaskKey{}
 	r.pendingOf = map[csjob.ID]int{}
+	r.pools = map[csmodel.PoolID]*pool{}
 	r.log.Info("leading", zap.Uint64("term", uint64(t)))
 	r.catchUp(r.ctx, t)
 }
--- a/internal/jobs/csrun/schedule.go
+++ b/internal/jobs/csrun/schedule.go
@@ -20,25 +20,31 @@
 	if t.Config() == nil {
 		return nil
 	}
-	work := r.waiting(now, t)
-	held := r.held()
-	slots := r.slots(now, t, held, silent)
+	for _, p := range r.pools {
+		p.reset()
+	}
+	r.waiting(now, t)
+	r.mark()
+	r.slots(now, t, silent)
 	demand := Demand{}
 	var starts []csjob.Start
 	r.offered.observe(now, t, &r.learned)
-	for _, pool := range csmodel.SortedKeys(work) {
-		list := work[pool]
-		csplan.Sort(list)
-		placed := csplan.Place(list, slots[pool], r.onItsWay)
-		d := r.demandOf(list)
-		for _, s := range slots[pool] {
+	for _, pool := range csmodel.SortedKeys(r.pools) {
+		p := r.pools[pool]
+		if !p.asked {
+			continue
+		}
+		csplan.Sort(p.work)
+		placed := csplan.Place(p.work, p.slots, r.onItsWay)
+		d := r.demandOf(p.work)
+		for _, s := range p.slots {
 			d.Targets++
 			d.Free += s.Free.CPU
 		}
 		demand[pool] = d
 		starts = append(starts, r.intend(t, placed)...)
 	}
-	r.countRunning(now, t, held, demand)
+	r.countRunning(now, t, demand)
 	countLasting(t, demand)
 	r.leader.outlook.Store(&outlook{demand: demand})
 	return starts
@@ -49,36 +55,72 @@
 	return ok
 }
 
-// waiting returns the steps with tasks that may start, by the pool of their job. Pools whose jobs only run have an entry.
-func (r *runner) waiting(now time.Time, t *csjob.Table) map[csmodel.PoolID][]csplan.Work {
-	out := map[csmodel.PoolID][]csplan.Work{}
+// pool is what a round plans with in a pool. Its lists are used again by the next round.
+type pool struct {
+	asked   bool // it has jobs
+	work    []csplan.Work
+	slots   []*csplan.Slot
+	lasting csmodel.MilliCPU // on targets that stay in the pool
+	timely  csmodel.MilliCPU
+}
+
+func (p *pool) reset() {
+	clear(p.work)
+	*p = pool{work: p.work[:0], slots: p.slots[:0]}
+}
+
+// pool returns what a round plans with in a pool.
+func (r *runner) pool(id csmodel.PoolID) *pool {
+	p := r.pools[id]
+	if p == nil {
+		p = &pool{}
+		r.pools[id] = p
+	}
+	return p
+}
+
+// waiting collects the steps with tasks that may start, by the pool of their job.
+func (r *runner) waiting(now time.Time, t *csjob.Table) {
 	for _, j := range t.Active() {
 		if !j.State.Final() {
-			pool := t.PoolOf(j)
-			out[pool] = csplan.AppendWaiting(out[pool], now, &r.learned, t.QueueOf(j), j)
+			p := r.pool(t.PoolOf(j))
+			p.asked = true
+			p.work = csplan.AppendWaiting(p.work, now, &r.learned, t.QueueOf(j), j)
 		}
 	}
-	return out
 }
 
-// slots returns the room of the usable targets by pool.
-func (r *runner) slots(
-	now time.Time, t *csjob.Table, held csmodel.Set[csjob.Life], silent csmodel.Set[csmodel.AvailabilityZone],
-) map[csmodel.PoolID][]*csplan.Slot {
-	due := csmodel.Set[csjob.Life]{}
-	if r.o.Fleet != nil {
-		due = r.o.Fleet.Due()
+// mark notes which targets are about to be taken away.
+func (r *runner) mark() {
+	for _, w := range r.all() {
+		w.held, w.due = false, false
+	}
+	if r.o.Fleet == nil {
+		return
+	}
+	for l := range r.o.Fleet.Held() {
+		if w := r.target(l); w != nil {
+			w.held = true
+		}
+	}
+	for l := range r.o.Fleet.Due() {
+		if w := r.target(l); w != nil {
+			w.due = true
+		}
 	}
-	out := map[csmodel.PoolID][]*csplan.Slot{}
+}
+
+// slots collects the room of the usable targets by pool.
+func (r *runner) slots(now time.Time, t *csjob.Table, silent csmodel.Set[csmodel.AvailabilityZone]) {
 	for _, w := range r.all() {
-		if !w.usable(now, r.o.Timing.Beat) || w.grades.quarantined(now) || held.Has(w.life) || silent.Has(w.record.Zone) {
+		if w.held || !w.usable(now, r.o.Timing.Beat) || w.grades.quarantined(now) || silent.Has(w.record.Zone) {
 			continue
 		}
 		s := r.slotOf(now, t, w)
-		s.Cool, s.Due = w.failures == 0 && !w.grades.suspect(), due.Has(w.life)
-		out[w.record.Pool] = append(out[w.record.Pool], s)
+		s.Cool, s.Due = w.failures == 0 && !w.grades.suspect(), w.due
+		p := r.pool(w.record.Pool)
+		p.slots = append(p.slots, s)
 	}
-	return out
 }
 
 // demandOf adds up the work that is left waiting.
@@ -105,26 +147,27 @@
 }
 
 // countRunning adds what runs on targets that stay in their pools.
-func (r *runner) countRunning(now time.Time, t *csjob.Table, held csmodel.Set[csjob.Life], d Demand) {
-	sums := map[csmodel.PoolID]*tally{}
+func (r *runner) countRunning(now time.Time, t *csjob.Table, d Demand) {
 	for _, w := range r.all() {
-		if held.Has(w.life) {
+		if w.held {
 			continue
 		}
 		r.addUp(now, t, w)
-		sum := sums[w.record.Pool]
-		if sum == nil {
-			sum = &tally{}
-			sums[w.record.Pool] = sum
+		if w.tally.lasting == 0 && w.tally.timely == 0 {
+			continue
 		}
-		sum.lasting += w.tally.lasting
-		sum.timely += w.tally.timely
+		p := r.pool(w.record.Pool)
+		p.lasting += w.tally.lasting
+		p.timely += w.tally.timely
 	}
-	for pool, sum := range sums {
-		p := d[pool]
-		p.Lasting += sum.lasting
-		p.Running += sum.timely
-		d[pool] = p
+	for id, p := range r.pools {
+		if p.lasting == 0 && p.timely == 0 {
+			continue
+		}
+		sum := d[id]
+		sum.Lasting += p.lasting
+		sum.Running += p.timely
+		d[id] = sum
 	}
 	for pool, cores := range r.offered.rates {
 		p := d[pool]
@@ -136,12 +179,12 @@
 // load adds up what runs on a target.
 func (r *runner) load(now time.Time, t *csjob.Table, w *target) Load {
 	var l Load
-	for key, u := range w.runs {
+	for _, u := range w.list {
 		j := u.job
-		if j == nil || j.Tasks == nil {
+		if j.Tasks == nil {
 			continue
 		}
-		step := &j.Submission.Steps[key.task.Step]
+		step := &j.Submission.Steps[u.key.task.Step]
 		need := step.Needs().CPU
 		if step.Lasting {
 			l.Lasting += need
@@ -168,13 +211,6 @@
 	return now.After(u.onTime)
 }
 
-func (r *runner) held() csmodel.Set[csjob.Life] {
-	if r.o.Fleet == nil {
-		return csmodel.Set[csjob.Life]{}
-	}
-	return r.o.Fleet.Held()
-}
-
 // countLasting adds what the tasks that last need besides cores.
 func countLasting(t *csjob.Table, d Demand) {
 	for _, j := range t.Lasting() {
--- a/internal/jobs/csrun/sync.go
+++ b/internal/jobs/csrun/sync.go
@@ -1,6 +1,8 @@
 package csrun
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -76,6 +78,18 @@
 	return r.sorted
 }
 
+// of returns the targets with these lives in ascending order of their names.
+func (r *runner) of(lives csmodel.Set[csjob.Life]) []*target {
+	out := make([]*target, 0, len(lives))
+	for l := range lives {
+		if w := r.target(l); w != nil {
+			out = append(out, w)
+		}
+	}
+	slices.SortFunc(out, func(a, b *target) int { return cmp.Compare(a.life.Target, b.life.Target) })
+	return out
+}
+
 var stateNames = [...]string{"queued", "running", "completed", "failed", "cancelled"}
 
 // jobEnded writes a line for a job that has ended, and frees the room of its starts that are not committed yet.
@@ -108,9 +122,10 @@
 
 func (r *runner) syncRuns(t *csjob.Table, w *target) {
 	r.synced++
-	for _, u := range w.runs {
+	for _, u := range w.list {
 		u.open = false
 	}
+	w.list = w.list[:0]
 	t.EachTaskOn(w.life, func(k csjob.TaskKey) {
 		j := t.Job(k.Job)
 		task := j.Task(k)
@@ -120,6 +135,9 @@
 			}
 		}
 	})
+	if len(w.runs) == len(w.list) {
+		return
+	}
 	for key, u := range w.runs {
 		if !u.open {
 			delete(w.runs, key)
@@ -134,7 +152,10 @@
 		u = &run{key: key, since: since, expected: r.learned.Duration(j.Submission.Queue, *step)}
 		w.runs[key] = u
 	}
-	u.open, u.job = true, j
+	if !u.open {
+		u.open, u.job = true, j
+		w.list = append(w.list, u)
+	}
 	if j.State.Final() || task.Done || (w.record.Leaving && step.Lasting) {
 		u.stop = true
 	}
--- a/internal/jobs/csrun/sync_test.go
+++ b/internal/jobs/csrun/sync_test.go
@@ -43,7 +43,7 @@
 // runs that are kept although what they rest on has changed.
 func TestKeptSumsAreThoseOfTheTable(t *testing.T) {
 	l := newLoad(zap.NewNop())
-	l.noise, l.refusal = 0.6, 0.1
+	l.noise, l.refusal, l.holds = 0.6, 0.1, 20
 	for n := range 40 {
 		l.pass(100 * time.Millisecond)
 		l.disturb(n)
--- a/internal/jobs/csrun/tally.go
+++ b/internal/jobs/csrun/tally.go
@@ -12,6 +12,7 @@
 type tally struct {
 	fresh   bool
 	slot    csplan.Slot
+	lasts   bool             // a task that lasts runs there
 	lasting csmodel.MilliCPU // of tasks that last
 	timely  csmodel.MilliCPU // of other runs whose job can meet its objective
 	until   time.Time        // the first of these jobs misses it then; zero where there is none
@@ -38,9 +39,9 @@
 		Life: w.life, Zone: w.record.Zone, Free: w.record.Room, Labels: w.record.Labels, Rack: w.record.Rack, Spread: a.slot.Spread,
 	}
 	clear(a.slot.Spread)
-	for key, u := range w.runs {
-		if u.job != nil && u.job.Tasks != nil {
-			a.slot.Take(&u.job.Submission.Steps[key.task.Step], stepOf(key.task))
+	for _, u := range w.list {
+		if u.job.Tasks != nil {
+			a.slot.Take(&u.job.Submission.Steps[u.key.task.Step], stepOf(u.key.task))
 		}
 	}
 	for _, key := range r.pendingOn[w.life] {
@@ -54,14 +55,15 @@
 // addLoad adds up the cores of the runs of a target.
 func (r *runner) addLoad(now time.Time, t *csjob.Table, w *target) {
 	a := &w.tally
-	a.lasting, a.timely, a.until = 0, 0, time.Time{}
-	for key, u := range w.runs {
-		if u.job == nil || u.job.Tasks == nil {
+	a.lasts, a.lasting, a.timely, a.until = false, 0, 0, time.Time{}
+	for _, u := range w.list {
+		if u.job.Tasks == nil {
 			continue
 		}
-		step := &u.job.Submission.Steps[key.task.Step]
+		step := &u.job.Submission.Steps[u.key.task.Step]
 		switch {
 		case step.Lasting:
+			a.lasts = true
 			a.lasting += step.Needs().CPU
 		case !r.overdue(now, t, u.job, u):
 			a.timely += step.Needs().CPU
@@ -74,8 +76,8 @@
 
 // open tells whether a start was applied to the table already.
 func (t *target) open(k csjob.TaskKey) bool {
-	for key := range t.runs {
-		if key.task == k {
+	for _, u := range t.list {
+		if u.key.task == k {
 			return true
 		}
 	}
--- a/internal/jobs/csrun/target.go
+++ b/internal/jobs/csrun/target.go
@@ -65,6 +65,7 @@
 	lapsesAt time.Time     // fallback while the clock is not known
 
 	runs     map[runKey]*run
+	list     []*run          // the same runs, for walks
 	strays   map[runKey]bool // listed runs that should not be there; true while a stop is on its way
 	looking  bool
 	fresh    bool // no look has been answered yet
@@ -81,6 +82,8 @@
 	fencing  bool // the life is over, or about to end in the table: no orders and looks
 	stopping bool // the runs of a life that is over are being stopped on the new one
 	grades   grades
+	held     bool // no new tasks: its VM is about to be taken away
+	due      bool // its VM will be taken away soon
 	tally    tally
 }
 
@@ -131,6 +134,9 @@
 // silentZones returns the availability zones in which several targets do not answer and none has answered since. A cut
 // reaches all targets of a zone at once, and each task that is sent there waits for the end of its lease.
 func (r *runner) silentZones() csmodel.Set[csmodel.AvailabilityZone] {
+	if r.failing() < silentTargets {
+		return nil
+	}
 	type signs struct {
 		failing  int
 		failedAt time.Time // the first unanswered call
@@ -159,5 +165,16 @@
 	return out
 }
 
+// failing returns the number of targets whose last call was not answered.
+func (r *runner) failing() int {
+	n := 0
+	for _, w := range r.all() {
+		if w.failures > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // silentAfter returns the time without a sign after which a target counts as silent.
 func silentAfter(beat time.Duration) time.Duration { return time.Duration(silentBeats * float64(beat)) }
