--- a/cmd/cowslipstream/roles.go
+++ b/cmd/cowslipstream/roles.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/http/pprof" // #nosec G108 -- served on the metrics address only
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -100,6 +101,8 @@
 func (p *process) metrics() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	return mux
 }
 
@@ -177,7 +180,7 @@
 				Log: p.log.Named("vms"), MoveTime: s.MoveTime, Upkeep: s.Upkeep,
 			})
 		},
-		IP: s.IP, Seeds: s.Seeds, First: s.First, Folder: s.Folder, Losses: s.Losses, Listener: p.link,
+		IP: s.IP, Zone: s.Zone, Seeds: s.Seeds, First: s.First, Folder: s.Folder, Losses: s.Losses, Listener: p.link,
 		PeerAddress: s.PeerAddress, Retention: s.Retention, Workers: client, Clock: clock,
 		Log: p.log, Registry: p.registry,
 		Timing: csrun.Timing{
--- a/internal/jobs/csrun/looks.go
+++ b/internal/jobs/csrun/looks.go
@@ -50,9 +50,8 @@
 
 func (r *runner) sendLook(w *target, now time.Time) {
 	o := LookOrder{Fence: csmodel.Fence(r.term)}
-	if w.failures == 0 {
-		// After an unanswered call the target may have restarted. Its new life numbers its ends anew and would forget some
-		// that nobody has seen.
+	if w.failures == 0 && w.accounted() {
+		// After an unanswered call the target may have restarted as well.
 		o.Noted = w.noted
 	}
 	if len(w.runs) > 0 && w.failures < silentFailures {
@@ -67,12 +66,13 @@
 	r.o.Metrics.looks.Inc()
 	r.work.called()
 	r.work.looks++
-	ctx, life, record := r.ctx, w.life, w.record
+	ctx, term, life, record := r.ctx, r.term, w.life, w.record
 	go func() {
 		limited, cancel := context.WithTimeout(ctx, r.o.Timing.CallTimeout+o.Wait)
 		defer cancel()
-		m := &looked{life: life, order: o, started: now}
+		m := &looked{term: term, life: life, order: o, started: now}
 		m.look, m.err = r.o.Workers.Look(limited, record, o)
+		m.arrived = r.now()
 		r.send(m)
 	}()
 }
@@ -105,6 +105,15 @@
 	return false
 }
 
+// called returns the target that a call of a term was sent to, or nil where its answer no longer matters. An answer from
+// before this node led anew is dropped: it tells nothing about the orders that were sent since.
+func (r *runner) called(term csmodel.Term, l csjob.Life) *target {
+	if term != r.term {
+		return nil
+	}
+	return r.target(l)
+}
+
 // target returns the state of a life, or nil where it is over.
 func (r *runner) target(l csjob.Life) *target {
 	if !r.active {
@@ -118,7 +127,7 @@
 
 func (r *runner) looked(m *looked) {
 	r.work.returned(m.err)
-	w := r.target(m.life)
+	w := r.called(m.term, m.life)
 	if w == nil {
 		return
 	}
@@ -139,7 +148,8 @@
 		w.unanswered(now) // restarted; its heartbeat tells more
 		return
 	}
-	w.reading(m.look.Clock, now, r.o.Timing.LongestLease)
+	w.reading(m.look.Clock, m.started, m.arrived, r.o.Timing.LongestLease)
+	w.answered(now)
 	w.fresh = false
 	prompt := m.started.Sub(w.listedAt) < promptLook
 	w.listedAt = now
@@ -228,7 +238,7 @@
 			}
 			continue
 		}
-		u.started = true
+		u.started, u.here = true, true
 		u.percent, u.load, u.missing = p.Percent, p.Load, 0
 		u.settled = u.settled || p.Percent == fullWork
 	}
--- a/internal/node/csstore/store.go
+++ b/internal/node/csstore/store.go
@@ -23,16 +23,18 @@
 	"cowslipstream.example/cowslipstream/csraft"
 	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
 	"cowslipstream.example/cowslipstream/internal/jobs/csrun"
+	"cowslipstream.example/cowslipstream/internal/node/csrelay"
 	"cowslipstream.example/cowslipstream/internal/node/csrpc"
 )
 
 // Timing of the group. The election timeout is a fourth of the contact time of the platform's pages, so that a new leader
 // acts well within it: while there is none, every job waits. It is more than four heartbeats and forty syncs of a disk. A
-// heartbeat costs one small message for each store.
+// heartbeat costs one small message for each store. The lease is shorter by the drift of two steady clocks, at most 7%: a
+// busy leader needs up to half a second from a heartbeat to its acknowledgement, and decides nothing without a lease.
 const (
 	electionTimeout = 700 * time.Millisecond
 	electionJitter  = 250 * time.Millisecond
-	leaderLease     = 550 * time.Millisecond
+	leaderLease     = 650 * time.Millisecond
 	heartbeat       = 150 * time.Millisecond
 )
 
@@ -41,7 +43,7 @@
 	linkHeartbeat = 300 * time.Millisecond
 	linkSilence   = 1000 * time.Millisecond // an open connection without a byte is replaced
 	kindRaft      = cslink.Kind(1)
-	// largeMessage is the size in bytes above which a message of the group uses the data channel.
+	// largeMessage is the size in bytes above which a message of the group whose order does not matter uses the data channel.
 	largeMessage = 16 << 10
 )
 
@@ -50,7 +52,8 @@
 
 // Options configure a store.
 type Options struct {
-	IP          string   // of this machine
+	IP          string // of this machine
+	Zone        csmodel.AvailabilityZone
 	Seeds       []string // IP addresses of stores
 	First       bool     // the whole system starts for the first time
 	Folder      string
@@ -77,6 +80,7 @@
 	group   *csgroup.Group
 	links   atomic.Pointer[cslink.Links]
 	calls   *csrpc.Caller
+	relay   *csrelay.Relay
 	leader  *csrun.Leader
 	opened  chan struct{} // closed when group, links and leader are set
 }
@@ -96,8 +100,12 @@
 	if o.Fleet != nil {
 		fleet = o.Fleet(replica{s})
 	}
+	s.relay = csrelay.New(csrelay.Options{
+		Self: s.self, Zone: o.Zone, Sender: sender{s}, Workers: o.Workers, Clock: o.Clock, Log: o.Log.Named("relay"),
+		Metrics: csrelay.NewMetrics(o.Registry), Leader: s.leaderNode,
+	})
 	s.leader = csrun.New(csrun.Options{
-		State: replica{s}, Workers: o.Workers, Clock: o.Clock, Log: o.Log.Named("run"),
+		State: replica{s}, Workers: s.relay, Clock: o.Clock, Log: o.Log.Named("run"),
 		Metrics: csrun.NewMetrics(o.Registry), Timing: o.Timing, Spawner: s.system.Root, Fleet: fleet,
 	})
 	if err := s.openGroup(); err != nil {
@@ -142,6 +150,17 @@
 func (s *Store) follow(t csmodel.Term, leader csmodel.NodeID) {
 	s.log.Info("leader changed", zap.Uint64("term", uint64(t)), zap.String("leader", string(leader)))
 	s.leader.Follow()
+	s.relay.Report(leader)
+}
+
+// leaderNode returns the store that leads, and nothing where none is known.
+func (s *Store) leaderNode() csmodel.NodeID {
+	select {
+	case <-s.opened:
+		return s.group.Status().Leader
+	default:
+		return ""
+	}
 }
 
 func (s *Store) openLinks() error {
@@ -183,6 +202,7 @@
 
 func (s *Store) linkDown(n csmodel.NodeID) {
 	s.calls.Down(n)
+	s.relay.Down(n)
 	s.log.Warn("link down", zap.String("peer", string(n)))
 }
 
@@ -204,11 +224,7 @@
 		s.log.Error("group message not encoded", zap.Error(err))
 		return
 	}
-	channel := cslink.Control
-	if len(payload) > largeMessage {
-		channel = cslink.Data
-	}
-	err = sender{s}.Send(to, channel, kindRaft, payload, "")
+	err = sender{s}.Send(to, channelOf(m.Kind, len(payload)), kindRaft, payload, "")
 	if errors.Is(err, cslink.ErrUnknownPeer) {
 		s.meet(to)
 	}
@@ -218,6 +234,15 @@
 	}
 }
 
+// channelOf returns the channel for a message of the group. Entries stay on one channel whatever their size: a follower
+// refuses entries that overtake earlier ones, and the leader then sends all of them again.
+func channelOf(k csraft.MessageKind, size int) cslink.Channel {
+	if size > largeMessage && k != csraft.MessageAppend {
+		return cslink.Data
+	}
+	return cslink.Control
+}
+
 // meet adds a store that became a member while this one ran. The one with the smaller name dials.
 func (s *Store) meet(n csmodel.NodeID) {
 	links := s.links.Load()
@@ -233,6 +258,9 @@
 func (s *Store) receive(from csmodel.NodeID, kind cslink.Kind, payload []byte) {
 	<-s.opened
 	taken, err := s.calls.Receive(from, kind, payload)
+	if !taken && err == nil {
+		taken, err = s.relay.Receive(from, kind, payload)
+	}
 	if taken && err == nil {
 		return
 	}
@@ -248,6 +276,7 @@
 
 // Close hands over the leadership and stops the store.
 func (s *Store) Close() {
+	s.relay.Close()
 	if err := s.group.Close(); err != nil {
 		s.log.Warn("group closed", zap.Error(err))
 	}
