Search donors of VMs in kept orders

Cause: each move of a decision compared all VMs of all pools, with lookups by the name of the pool and deficits worked out for each pair.

The VMs of a pool are now sorted once in a decision, and a search compares one VM of each pool.

--- a/internal/fleet/csvms/policy.go
+++ b/internal/fleet/csvms/policy.go
@@ -1,9 +1,7 @@
 package csvms
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"time"
 
 	"cowslipstream.example/cowslipstream/csmodel"
@@ -118,11 +116,7 @@
 // least, busy VMs are emptied for it: a pool whose busy phase is over would otherwise keep them for its last runs. It
 // changes the views to what they will be.
 func Balance(pools []*PoolView, candidates []Candidate) []Transfer {
-	byID := map[csmodel.PoolID]*PoolView{}
-	for _, p := range pools {
-		byID[p.ID] = p
-	}
-	a := assignment{pools: pools, byID: byID, candidates: candidates, taken: csmodel.NewSet[csmodel.VMID]()}
+	a := newAssignment(pools, candidates)
 	a.cover(bare, anyRuns)
 	a.cover(present, noRuns)
 	a.cover(bareSoon, anyRuns)
@@ -130,42 +124,12 @@
 	return a.transfers
 }
 
-// assignment is the state of Balance.
-type assignment struct {
-	pools      []*PoolView
-	byID       map[csmodel.PoolID]*PoolView
-	candidates []Candidate
-	taken      csmodel.Set[csmodel.VMID]
-	transfers  []Transfer
-}
-
 // noRuns allows only idle VMs.
 func noRuns(c *Candidate) bool { return c.Idle }
 
 // anyRuns allows VMs that can be emptied soon.
 func anyRuns(c *Candidate) bool { return c.Idle || (!c.Lasts && c.Clear <= longestClear) }
 
-// cover takes allowed VMs to the pools that lack capacity within a horizon.
-func (a *assignment) cover(h horizon, allowed func(*Candidate) bool) {
-	for {
-		to := neediest(h, a.pools)
-		if to == nil {
-			return
-		}
-		c := a.donor(h, allowed, to)
-		if c == nil {
-			return
-		}
-		from := a.byID[c.Pool]
-		from.Supply -= c.CPU
-		from.VMs--
-		to.Supply += c.CPU
-		to.VMs++
-		a.taken.Add(c.ID)
-		a.transfers = append(a.transfers, Transfer{VM: c.ID, To: to.ID})
-	}
-}
-
 // Park returns the transfers to a standby pool of VMs that have been idle for a while and that no pool needs. It is called
 // after Balance.
 func Park(now time.Time, pools []*PoolView, candidates []Candidate, moved []Transfer) []Transfer {
@@ -211,32 +175,6 @@
 	return best
 }
 
-// donor returns the best VM to take for a pool, or nil.
-func (a *assignment) donor(h horizon, allowed func(*Candidate) bool, to *PoolView) *Candidate {
-	var fit []*Candidate
-	for i := range a.candidates {
-		c := &a.candidates[i]
-		p := a.byID[c.Pool]
-		if p == nil || p == to || !allowed(c) || a.taken.Has(c.ID) || !spares(h, p, c.CPU) {
-			continue
-		}
-		fit = append(fit, c)
-	}
-	if len(fit) == 0 {
-		return nil
-	}
-	return slices.MinFunc(fit, func(c, d *Candidate) int {
-		x, y := a.byID[c.Pool], a.byID[d.Pool]
-		return cmp.Or(
-			compareBool(d.Idle, c.Idle),
-			compareBool(y.Standby, x.Standby), // a VM that is off costs nothing while it waits, but no pool misses it
-			cmp.Compare(x.deficit(soon), y.deficit(soon)),
-			cmp.Compare(c.Clear, d.Clear),
-			cmp.Compare(c.ID, d.ID),
-		)
-	})
-}
-
 // spares tells whether a pool can do without a VM.
 func spares(h horizon, p *PoolView, cpu csmodel.MilliCPU) bool {
 	if p.Standby {
