Acknowledge heartbeats in the store that calls the target

Cause (SHORT): 230 heartbeats a second are answered by the leader, or passed on to it one by one, and wait there behind rounds; targets get no acknowledgement within a second and call the next store.

A target sends its heartbeats to the store that relays for it. One that changes nothing in that store's replica is acknowledged there and reaches the leader as a sign in the next report, at most 200 ms later and with its age. First heartbeats, new lives and any change go to the leader and are acknowledged when committed, as before. A store that has not heard from the leader for 550 ms acknowledges none. In groups with four other stores or more the leader no longer calls the targets of its own zone first.

--- a/internal/jobs/csrun/runner.go
+++ b/internal/jobs/csrun/runner.go
@@ -69,6 +69,8 @@
 		r.round()
 	case *beaten:
 		r.beat(m)
+	case *signs:
+		r.signed(m)
 	case *left:
 		r.leave(m)
 	case *looked:
--- /dev/null
+++ b/internal/jobs/csrun/signs_test.go
@@ -0,0 +1,74 @@
+package csrun
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
+)
+
+// Pattern: 349 targets send 230 heartbeats a second. Other stores acknowledge those that tell nothing new and pass them on
+// in batches, in which signs may be late, repeated, or of a life that is over.
+func TestSigns(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	life := csjob.Life{Target: "t", Born: 5}
+	cases := []struct {
+		name      string
+		sign      Sign
+		inactive  bool
+		want      time.Time
+		wantCount int64 // sequence afterwards
+	}{
+		{"new", Sign{Life: life, Sequence: 4, Age: 200 * time.Millisecond}, false, now.Add(-200 * time.Millisecond), 4},
+		{"older than an answer", Sign{Life: life, Sequence: 4, Age: 9 * time.Second}, false, now.Add(-5 * time.Second), 4},
+		{"repeated", Sign{Life: life, Sequence: 3}, false, now.Add(-5 * time.Second), 3},
+		{"of an earlier life", Sign{Life: csjob.Life{Target: "t", Born: 4}, Sequence: 9}, false, now.Add(-5 * time.Second), 3},
+		{"of an unknown target", Sign{Life: csjob.Life{Target: "u", Born: 5}, Sequence: 9}, false, now.Add(-5 * time.Second), 3},
+		{"to a store that does not lead", Sign{Life: life, Sequence: 4}, true, now.Add(-5 * time.Second), 3},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := &target{life: life, sequence: 3, heardAt: now.Add(-5 * time.Second)}
+			r := &runner{o: Options{Clock: clockwork.NewFakeClockAt(now)}, tenure: tenure{
+				active: !c.inactive, targets: map[csjob.TargetID]*target{"t": w},
+			}}
+			r.signed(&signs{[]Sign{c.sign}})
+			if !w.heardAt.Equal(c.want) || w.sequence != c.wantCount {
+				t.Errorf("got heard at %s with sequence %d, want %s and %d", w.heardAt, w.sequence, c.want, c.wantCount)
+			}
+		})
+	}
+}
+
+// A heartbeat that tells anything new is not a mere sign of life: it has to be committed before it is acknowledged.
+func TestHeartbeatThatChangesSomething(t *testing.T) {
+	recorded := csjob.Target{
+		Life: csjob.Life{Target: "t", Born: 5}, Pool: "p", Address: "a", Zone: "z", Room: csjob.Room{CPU: 1, Memory: 2, GPUs: 3},
+		Labels: []string{"l"},
+	}
+	cases := []struct {
+		name   string
+		change func(*csjob.Target)
+		want   bool
+	}{
+		{"nothing", func(*csjob.Target) {}, false},
+		{"life", func(t *csjob.Target) { t.Life.Born++ }, true},
+		{"pool", func(t *csjob.Target) { t.Pool = "q" }, true},
+		{"address", func(t *csjob.Target) { t.Address = "b" }, true},
+		{"zone", func(t *csjob.Target) { t.Zone = "y" }, true},
+		{"room", func(t *csjob.Target) { t.Room.CPU++ }, true},
+		{"draining", func(t *csjob.Target) { t.Leaving = true }, true},
+		{"labels", func(t *csjob.Target) { t.Labels = []string{"m"} }, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := Beat{Target: recorded}
+			c.change(&b.Target)
+			if got := b.Changes(recorded); got != c.want {
+				t.Errorf("got %t, want %t", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/node/csrelay/caller.go
+++ b/internal/node/csrelay/caller.go
@@ -44,6 +44,8 @@
 	peers   map[csmodel.NodeID]*peer
 	detours map[csjob.TargetID]detour
 	counted counted
+	changed bool      // stores that the others have not been told of
+	toldAt  time.Time // when they were told last
 }
 
 func newCaller(o Options) *caller {
@@ -249,12 +251,14 @@
 	if p == nil {
 		p = &peer{}
 		c.peers[from] = p
+		c.changed = true
 		c.o.Log.Info("store can relay", zap.String("peer", string(from)), zap.String("zone", string(m.Zone)))
 	}
 	p.zone, p.stamp, p.heardAt = m.Zone, m.Stamp, c.o.Clock.Now()
 	for _, r := range m.Results {
 		c.deliver(r)
 	}
+	c.counted.signs += len(m.Signs)
 }
 
 // lose ends the calls that a store relays.
@@ -266,6 +270,7 @@
 		return
 	}
 	delete(c.peers, n)
+	c.changed = true
 	for id, w := range c.waiting {
 		if w.via == n {
 			close(w.answer)
--- a/internal/node/csrelay/messages.go
+++ b/internal/node/csrelay/messages.go
@@ -44,6 +44,14 @@
 	Stamp  int64    // newest stamp of the receiver that the leader has
 	Specs  []string // tasks of one job share theirs
 	Orders []order
+	Stores []member // that take part, the leader first; empty where unchanged
+}
+
+// member is a store that calls targets and acknowledges heartbeats.
+type member struct {
+	_    struct{} `cbor:",toarray"`
+	Node csmodel.NodeID
+	Zone csmodel.AvailabilityZone
 }
 
 type outcome uint8
@@ -100,6 +108,7 @@
 	Stamp   int64    // clock of the sender in nanoseconds
 	Zone    csmodel.AvailabilityZone
 	Results []result
+	Signs   []csrun.Sign
 }
 
 // Estimated sizes of encodings in bytes, without texts.
--- a/internal/node/csrelay/relay.go
+++ b/internal/node/csrelay/relay.go
@@ -40,6 +40,10 @@
 	maxCalls = 1024
 	// reportLog is the interval of the lines that tell what was relayed.
 	reportLog = time.Second
+	// maxSigns bounds the heartbeats that wait for a report: 349 targets send one each in 1.5 s.
+	maxSigns = 1024
+	// toldFor is how long a list of stores is used: some intervals in which the leader repeats it.
+	toldFor = 3 * time.Second
 )
 
 // Kinds of link messages.
@@ -76,6 +80,8 @@
 	Metrics *Metrics
 	// Leader returns the store that leads, and nothing where none is known.
 	Leader func() csmodel.NodeID
+	// Signs takes in the heartbeats that other stores have acknowledged. It must not block.
+	Signs func([]csrun.Sign)
 }
 
 // Metrics are the counters of a Relay.
@@ -126,7 +132,12 @@
 
 func (r *Relay) tick() {
 	r.expire()
-	r.Report(r.options.Leader())
+	leader := r.options.Leader()
+	if leader == r.options.Self {
+		r.tell()
+		return
+	}
+	r.Report(leader)
 }
 
 // Report tells a leader that this store can relay. An empty name is none.
@@ -136,6 +147,18 @@
 	}
 }
 
+// Sign passes on a heartbeat that this store acknowledges itself. It reports false where the heartbeat must go to the leader.
+func (r *Relay) Sign(leader csmodel.NodeID, s csrun.Sign) bool { return r.server.sign(leader, s) }
+
+// Responsible returns the store that calls a target, as seen by a leader or by another store. It returns nothing where that
+// is not known.
+func (r *Relay) Responsible(t csjob.Target) csmodel.NodeID {
+	if r.options.Leader() == r.options.Self {
+		return r.best(t)
+	}
+	return r.server.responsible(t)
+}
+
 // Down tells that the connection to a peer is lost. Calls that it relays end without an answer.
 func (r *Relay) Down(n csmodel.NodeID) { r.lose(n, "connection lost") }
 
@@ -155,6 +178,7 @@
 			return true, errors.Join(ErrCodec, err)
 		}
 		r.reported(from, m)
+		r.options.Signs(m.Signs)
 		return true, nil
 	default:
 		return false, nil
--- a/internal/node/csrelay/route.go
+++ b/internal/node/csrelay/route.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"cowslipstream.example/cowslipstream/cslink"
 	"cowslipstream.example/cowslipstream/csmodel"
 	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
 	"cowslipstream.example/cowslipstream/internal/jobs/csrun"
@@ -19,6 +20,11 @@
 	detourFor = 15 * time.Second
 	// relaysFirst is the number of relaying stores that are tried before the leader calls the target itself.
 	relaysFirst = 2
+	// leaderRests is the number of other stores from which on the leader calls no target first. With 8 stores in 4 zones of
+	// which one is lost, the leader made a fourth of all calls for its own zone.
+	leaderRests = 4
+	// tellEvery is the interval in which the leader tells the other stores which of them take part.
+	tellEvery = time.Second
 )
 
 // detour tells how many ways to a target are skipped.
@@ -40,17 +46,55 @@
 	score uint64
 }
 
+// members returns the stores that take part, the leader first. The caller holds the lock.
+func (c *caller) members(now time.Time) []member {
+	out := append(make([]member, 0, len(c.peers)+1), member{Node: c.o.Self, Zone: c.o.Zone})
+	for n, p := range c.peers {
+		if now.Sub(p.heardAt) < lostAfter {
+			out = append(out, member{Node: n, Zone: p.zone})
+		}
+	}
+	return out
+}
+
+// best returns the store that is responsible for a target.
+func (c *caller) best(t csjob.Target) csmodel.NodeID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return rank(c.members(c.o.Clock.Now()), t)[0]
+}
+
+// tell sends the list of stores to all of them, so that targets send their heartbeats to the stores that call them.
+func (c *caller) tell() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.o.Clock.Now()
+	if !c.changed && now.Sub(c.toldAt) < tellEvery {
+		return
+	}
+	c.changed, c.toldAt = false, now
+	stores := c.members(now)
+	for n, p := range c.peers {
+		// A list that is lost is sent again.
+		if err := c.o.Sender.Send(n, cslink.Data, KindOrders, encode(orders{Stamp: p.stamp, Stores: stores}), ""); err != nil {
+			c.o.Log.Debug("list of stores not queued", zap.String("peer", string(n)), zap.Error(err))
+		}
+	}
+}
+
 // route chooses the way to a target and counts the call there.
 func (c *caller) route(t csjob.Target) way {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.o.Clock.Now()
-	ways := c.ways(t, now)
+	ways := rank(c.members(now), t)
 	w := way{}
 	if d, ok := c.detours[t.Life.Target]; ok && now.Before(d.until) {
 		w.skip = d.skip
 	}
-	w.via = ways[w.skip%len(ways)]
+	if w.via = ways[w.skip%len(ways)]; w.via == c.o.Self {
+		w.via = ""
+	}
 	p := c.peers[w.via]
 	if p != nil && p.calls >= maxCalls {
 		c.counted.full++
@@ -65,14 +109,14 @@
 	return w
 }
 
-// ways returns the stores that can call a target, best first: rendezvous hashing, stores in the target's availability zone
-// before others. The empty name is this store. It comes first where it is the only store in the target's zone.
-func (c *caller) ways(t csjob.Target, now time.Time) []csmodel.NodeID {
-	stores := make([]candidate, 0, len(c.peers))
-	for n, p := range c.peers {
-		if now.Sub(p.heardAt) < lostAfter {
-			stores = append(stores, candidate{n, p.zone == t.Zone, xxhash.Sum64String(string(n) + "/" + string(t.Life.Target))})
-		}
+// rank returns the stores that can call a target, best first: rendezvous hashing, stores in the target's availability zone
+// before others. The leader is the first member given. In a small group it comes first where it is the only store in the target's
+// zone.
+func rank(members []member, t csjob.Target) []csmodel.NodeID {
+	leader := members[0]
+	stores := make([]candidate, 0, len(members))
+	for _, m := range members[1:] {
+		stores = append(stores, candidate{m.Node, m.Zone == t.Zone, xxhash.Sum64String(string(m.Node) + "/" + string(t.Life.Target))})
 	}
 	slices.SortFunc(stores, func(a, b candidate) int {
 		switch {
@@ -84,21 +128,15 @@
 			return 1
 		}
 	})
-	self := min(relaysFirst, len(stores))
-	if c.o.Zone == t.Zone && (len(stores) == 0 || !stores[0].local) {
-		self = 0
+	at := min(relaysFirst, len(stores))
+	if leader.Zone == t.Zone && len(stores) < leaderRests && (len(stores) == 0 || !stores[0].local) {
+		at = 0
 	}
 	out := make([]csmodel.NodeID, 0, len(stores)+1)
-	for i, s := range stores {
-		if i == self {
-			out = append(out, "")
-		}
+	for _, s := range stores {
 		out = append(out, s.node)
 	}
-	if self == len(stores) {
-		out = append(out, "")
-	}
-	return out
+	return slices.Insert(out, at, leader.Node)
 }
 
 // ended notes the end of a call. After an unanswered one the next call to the target takes another way, so that a store
@@ -133,16 +171,17 @@
 	failed   int
 	full     int // made directly because the relaying store had too many
 	messages int
+	signs    int // heartbeats that other stores have acknowledged
 }
 
 func (n *counted) log(now time.Time, log *zap.Logger, peers, detours int) {
 	if now.Sub(n.since) < reportLog {
 		return
 	}
-	if n.relayed+n.direct > 0 {
+	if n.relayed+n.direct+n.signs > 0 {
 		log.Info("calls to targets", zap.Duration("for", now.Sub(n.since)), zap.Int("relayed", n.relayed), zap.Int("direct", n.direct),
 			zap.Int("failed", n.failed), zap.Int("full", n.full), zap.Int("messages", n.messages), zap.Int("stores", peers),
-			zap.Int("detours", detours))
+			zap.Int("detours", detours), zap.Int("signs", n.signs))
 	}
 	*n = counted{since: now}
 }
--- a/internal/node/csrelay/server.go
+++ b/internal/node/csrelay/server.go
@@ -10,6 +10,7 @@
 
 	"cowslipstream.example/cowslipstream/cslink"
 	"cowslipstream.example/cowslipstream/csmodel"
+	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
 	"cowslipstream.example/cowslipstream/internal/jobs/csrun"
 )
 
@@ -20,6 +21,8 @@
 
 	mu      sync.Mutex
 	boxes   map[csmodel.NodeID]*box
+	stores  []member // as the leader told last
+	toldAt  time.Time
 	carried [len(outcomeNames)]int
 	since   time.Time
 }
@@ -27,6 +30,8 @@
 // box holds the results for the next report to a leader.
 type box struct {
 	results []result
+	signs   []csrun.Sign
+	arrived []time.Time // of the signs
 	size    int
 	armed   bool // a report is due after resultsDelay
 }
@@ -37,6 +42,11 @@
 
 // take begins the calls of a message. It does not block.
 func (s *server) take(from csmodel.NodeID, m orders) {
+	if len(m.Stores) > 0 {
+		s.mu.Lock()
+		s.stores, s.toldAt = m.Stores, s.o.Clock.Now()
+		s.mu.Unlock()
+	}
 	for _, o := range m.Orders {
 		if o.Spec < 0 || o.Spec >= len(m.Specs) {
 			s.answer(from, result{ID: o.ID, Outcome: outcomeMalformed, Cause: "no spec"})
@@ -141,8 +151,12 @@
 
 // flush sends a report. The caller holds the lock.
 func (s *server) flush(to csmodel.NodeID, b *box) {
-	m := report{Stamp: s.o.Clock.Now().UnixNano(), Zone: s.o.Zone, Results: b.results}
-	b.results, b.size = nil, 0
+	now := s.o.Clock.Now()
+	m := report{Stamp: now.UnixNano(), Zone: s.o.Zone, Results: b.results, Signs: b.signs}
+	for i := range m.Signs {
+		m.Signs[i].Age = now.Sub(b.arrived[i])
+	}
+	b.results, b.signs, b.arrived, b.size = nil, nil, nil, 0
 	// A leader that gets no report makes its calls by another way, and counts calls without a result as unanswered.
 	if err := s.o.Sender.Send(to, cslink.Data, KindReport, encode(m), ""); err != nil && len(m.Results) > 0 {
 		s.o.Log.Warn("results not queued", zap.String("peer", string(to)), zap.Int("results", len(m.Results)), zap.Error(err))
@@ -162,3 +176,26 @@
 	}
 	s.carried, s.since = [len(outcomeNames)]int{}, now
 }
+
+// sign passes on a heartbeat that changes nothing with the next report. It reports false where too many wait.
+func (s *server) sign(to csmodel.NodeID, sign csrun.Sign) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.box(to)
+	if len(b.signs) >= maxSigns {
+		return false
+	}
+	b.signs = append(b.signs, sign)
+	b.arrived = append(b.arrived, s.o.Clock.Now())
+	return true
+}
+
+// responsible returns the store that calls a target, and nothing where the leader has not told lately which stores take part.
+func (s *server) responsible(t csjob.Target) csmodel.NodeID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.stores) == 0 || s.o.Clock.Now().Sub(s.toldAt) > toldFor {
+		return ""
+	}
+	return rank(s.stores, t)[0]
+}
--- a/internal/node/csstore/calls.go
+++ b/internal/node/csstore/calls.go
@@ -175,41 +175,67 @@
 	}
 }
 
-// Beat takes in a heartbeat of a target and returns the IP address of the leader.
+// Beat takes in a heartbeat of a target and returns the IP address of the store that should get the next one: the one that
+// calls the target, or the leader where that is not known.
 func (s *Store) Beat(ctx context.Context, b csrun.Beat) (string, error) {
-	return s.announce(ctx, csrpc.MethodBeat, b, func(ctx context.Context) error { return s.leader.Beat(ctx, b) })
+	<-s.opened
+	status := s.group.Status()
+	if !s.acknowledges(status, b) {
+		err := s.announce(ctx, status.Leader, csrpc.MethodBeat, b, func(ctx context.Context) error { return s.leader.Beat(ctx, b) })
+		if err != nil {
+			return "", err
+		}
+	}
+	next, known := csrpc.StoreIP(s.relay.Responsible(b.Target))
+	if !known {
+		next, _ = csrpc.StoreIP(status.Leader)
+	}
+	return next, nil
+}
+
+// acknowledges tells whether this store may acknowledge a heartbeat itself: it changes nothing in the table, and the leader,
+// which gets it with the next report, has been heard from lately.
+func (s *Store) acknowledges(status csgroup.Status, b csrun.Beat) bool {
+	if status.Leader == s.self || status.Leader == "" || s.options.Clock.Now().Sub(status.LastContact) >= leaderLease {
+		return false
+	}
+	var recorded csjob.Target
+	var known bool
+	replica{s}.View(func(t *csjob.Table) { recorded, known = t.Target(b.Target.Life.Target) })
+	if !known || b.Changes(recorded) {
+		return false
+	}
+	return s.relay.Sign(status.Leader, csrun.Sign{Life: b.Target.Life, Sequence: b.Sequence})
 }
 
 // Leave takes in the end of a target.
 func (s *Store) Leave(ctx context.Context, l csjob.Life) error {
-	_, err := s.announce(ctx, csrpc.MethodLeave, l, func(ctx context.Context) error { return s.leader.Leave(ctx, l) })
-	return err
+	<-s.opened
+	return s.announce(ctx, s.group.Status().Leader, csrpc.MethodLeave, l, func(ctx context.Context) error { return s.leader.Leave(ctx, l) })
 }
 
 // announce hands an announcement of a target to the leader.
-func (s *Store) announce(ctx context.Context, m csrpc.Method, v any, local func(context.Context) error) (string, error) {
+func (s *Store) announce(ctx context.Context, leader csmodel.NodeID, m csrpc.Method, v any, local func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
-	status := s.group.Status()
-	ip, known := csrpc.StoreIP(status.Leader)
-	if status.Leader == s.self {
-		return ip, local(ctx)
+	if leader == s.self {
+		return local(ctx)
 	}
-	if !known {
-		return "", ErrUnavailable
+	if leader == "" {
+		return ErrUnavailable
 	}
-	b, err := s.calls.Call(ctx, status.Leader, m, csrpc.Encode(v))
+	b, err := s.calls.Call(ctx, leader, m, csrpc.Encode(v))
 	if err != nil {
-		return "", err
+		return err
 	}
 	a, err := csrpc.Decode[csrpc.TargetAnswer](b)
 	if err != nil {
-		return "", err
+		return err
 	}
 	if !a.Taken {
-		return "", ErrUnavailable
+		return ErrUnavailable
 	}
-	return ip, nil
+	return nil
 }
 
 // Configure commits a configuration.
--- a/internal/node/csstore/store.go
+++ b/internal/node/csstore/store.go
@@ -102,6 +102,7 @@
 	s.relay = csrelay.New(csrelay.Options{
 		Self: s.self, Zone: o.Zone, Sender: sender{s}, Workers: o.Workers, Clock: o.Clock, Log: o.Log.Named("relay"),
 		Metrics: csrelay.NewMetrics(o.Registry), Leader: s.leaderNode,
+		Signs: s.takeSigns,
 	})
 	s.leader = csrun.New(csrun.Options{
 		State: replica{s}, Workers: s.relay, Clock: o.Clock, Log: o.Log.Named("run"),
@@ -152,6 +153,18 @@
 	s.relay.Report(leader)
 }
 
+// takeSigns hands heartbeats that other stores have acknowledged to the leader's actor.
+func (s *Store) takeSigns(signs []csrun.Sign) {
+	<-s.opened
+	s.leader.Signs(signs)
+}
+
+// Leading tells whether this store leads and its lease is valid.
+func (s *Store) Leading() bool {
+	<-s.opened
+	return replica{s}.Leading()
+}
+
 // leaderNode returns the store that leads, and nothing where none is known.
 func (s *Store) leaderNode() csmodel.NodeID {
 	select {
