Give relayed calls a channel of their own

The links have a third channel for relayed calls. A store that refuses an order rests for a second, and the leader makes that call itself, since it was certainly not carried out. A leader that was held up reads the reports that wait before it takes stores for lost. Orders may be 1 s old, and the leader waits 1.2 s longer than the exchange.

--- a/cslink/links.go
+++ b/cslink/links.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -65,6 +66,8 @@
 		return errors.New("links need a listener")
 	case o.Handle == nil:
 		return errors.New("links need a handler")
+	case slices.ContainsFunc(o.Dials, func(c Channel) bool { return c >= channels }):
+		return ErrChannel
 	case o.Heartbeat <= 0 || o.Silence <= o.Heartbeat:
 		return errors.New("the silence deadline must exceed the heartbeat interval")
 	}
@@ -85,6 +88,9 @@
 	if o.Silence == 0 {
 		o.Silence = defaultSilence
 	}
+	if o.Dials == nil {
+		o.Dials = []Channel{Control, Data, Calls}
+	}
 	return o
 }
 
@@ -155,12 +161,17 @@
 	if p.dials.Swap(true) {
 		return nil
 	}
-	for _, k := range p.links {
-		l.running.Go(k.dial)
-	}
+	l.dial(p)
 	return nil
 }
 
+// dial starts the goroutines that open the channels to a peer.
+func (l *Links) dial(p *peer) {
+	for _, c := range l.options.Dials {
+		l.running.Go(p.links[c].dial)
+	}
+}
+
 // join adds a peer while the links run.
 func (l *Links) join(p Peer, dials bool) error {
 	if !l.enter() {
@@ -179,9 +190,9 @@
 func (l *Links) run(p *peer) {
 	for _, k := range p.links {
 		l.running.Go(k.dispatch)
-		if p.dials.Load() {
-			l.running.Go(k.dial)
-		}
+	}
+	if p.dials.Load() {
+		l.dial(p)
 	}
 }
 
@@ -282,7 +293,9 @@
 		s.Channels[c] = k.status()
 	}
 	s.ChannelStatus = s.Channels[Control]
-	s.add(s.Channels[Data])
+	for _, c := range s.Channels[Control+1:] {
+		s.add(c)
+	}
 	return s
 }
 
--- a/cslink/options.go
+++ b/cslink/options.go
@@ -1,8 +1,8 @@
 // Package cslink keeps authenticated links between entry nodes: CBOR frames over WebSocket, with heartbeats, sequence
 // numbers, resends and bounded queues.
 //
-// Each pair of nodes has two channels, each with its own socket, so that a large message on the data channel never
-// delays a heartbeat or a Raft message. The node with the smaller name dials. Messages of one channel arrive in the
+// Each pair of nodes has up to three channels, each with its own socket, so that a large message on the data channel never
+// delays a heartbeat, a Raft message or a relayed call. The node with the smaller name dials. Messages of one channel arrive in the
 // order in which they were sent, and none arrives twice.
 package cslink
 
@@ -47,6 +47,7 @@
 const (
 	Control Channel = iota // small messages: Raft, announcements, slots
 	Data                   // request and response bodies, snapshots
+	Calls                  // calls that are relayed to targets, which must neither wait for snapshots nor delay Raft
 	channels
 )
 
@@ -57,6 +58,8 @@
 		return "control"
 	case Data:
 		return "data"
+	case Calls:
+		return "calls"
 	default:
 		return "unknown"
 	}
@@ -82,6 +85,9 @@
 	Listener net.Listener
 	// Peers lists the other nodes. An entry for Self is ignored.
 	Peers []Peer
+	// Dials lists the channels that this node opens to the peers that it dials, all by default. The heartbeats of an idle
+	// channel cost both nodes ten messages a second.
+	Dials []Channel
 	// Admit tells whether a node that is not listed may connect. It becomes a peer that this node does not dial. Nil
 	// admits none.
 	Admit func(csmodel.NodeID) bool
@@ -124,7 +130,7 @@
 	Node        csmodel.NodeID
 	Address     string
 	Incarnation csmodel.Incarnation // 0 until the first connection
-	// ChannelStatus has the state of the control channel and the sums of the counters of both channels.
+	// ChannelStatus has the state of the control channel and the sums of the counters of all channels.
 	ChannelStatus
 	Channels [channels]ChannelStatus
 }
--- a/csnode/transport.go
+++ b/csnode/transport.go
@@ -36,6 +36,7 @@
 		Secret:      n.settings.Secret,
 		Listener:    listener,
 		Peers:       peers,
+		Dials:       []cslink.Channel{cslink.Control, cslink.Data},
 		Clock:       n.clock,
 		Handle:      n.receive,
 		Up:          func(p csmodel.NodeID, _ csmodel.Incarnation) { n.linkUp(p) },
--- a/internal/node/csrelay/caller.go
+++ b/internal/node/csrelay/caller.go
@@ -20,6 +20,7 @@
 	zone    csmodel.AvailabilityZone
 	stamp   int64     // of its last report
 	heardAt time.Time // when that arrived
+	restTo  time.Time // it has refused an order as too old or one too many
 	calls   int       // without an answer
 	orders  []order   // for the next message
 	specs   []string
@@ -44,6 +45,7 @@
 	peers   map[csmodel.NodeID]*peer
 	detours map[csjob.TargetID]detour
 	counted counted
+	checked time.Time // last search for lost stores
 	changed bool      // stores that the others have not been told of
 	toldAt  time.Time // when they were told last
 }
@@ -68,6 +70,11 @@
 		Kind: orderStart, Task: o.Task, Attempt: o.Attempt, Until: o.Until, Fence: o.Fence, Checkpoint: o.Checkpoint,
 		Ticket: o.Ticket,
 	})
+	if a.refused() {
+		again, cancel := c.again(ctx, 0)
+		defer cancel()
+		return c.o.Workers.Start(again, t, o)
+	}
 	return a.reply(), err
 }
 
@@ -80,6 +87,11 @@
 		return reply, err
 	}
 	a, err := c.exchange(ctx, t, w, "", order{Kind: orderStop, Task: o.Task, Attempt: o.Attempt, Fence: o.Fence})
+	if a.refused() {
+		again, cancel := c.again(ctx, 0)
+		defer cancel()
+		return c.o.Workers.Stop(again, t, o)
+	}
 	return a.reply(), err
 }
 
@@ -92,9 +104,28 @@
 		return look, err
 	}
 	a, err := c.exchange(ctx, t, w, "", order{Kind: orderLook, Until: o.Until, Fence: o.Fence, Noted: o.Noted, Wait: o.Wait})
+	if a.refused() {
+		again, cancel := c.again(ctx, o.Wait)
+		defer cancel()
+		return c.o.Workers.Look(again, t, o)
+	}
 	return a.look(), err
 }
 
+// again returns the time for a direct call after a store has refused the order. The order has certainly not been carried out,
+// and its time for an exchange has not been used. The call is withdrawn with the first one's context, but does not share its
+// deadline.
+func (c *caller) again(ctx context.Context, wait time.Duration) (context.Context, context.CancelFunc) {
+	out, cancel := context.WithTimeout(context.WithoutCancel(ctx), secondTry+wait)
+	if errors.Is(ctx.Err(), context.Canceled) {
+		cancel()
+	}
+	return out, cancel
+}
+
+// refused tells whether the relaying store has not carried out the order, and will not.
+func (r *result) refused() bool { return r.Outcome == outcomeExpired || r.Outcome == outcomeFull }
+
 // exchange relays a call. The deadline of the context is the time for the exchange with the target and begins when the
 // relaying store sends the order; the leader waits answerSlack longer, so that a slow leader does not lose answers.
 func (c *caller) exchange(ctx context.Context, t csjob.Target, w way, spec string, o order) (result, error) {
@@ -110,7 +141,11 @@
 	if err == nil {
 		err = a.failure()
 	}
-	c.ended(t, w, err)
+	if a.refused() {
+		c.rest(w.via, a.Outcome)
+	} else {
+		c.ended(t, w, err)
+	}
 	if err != nil {
 		return a, fmt.Errorf("%w (by %s)", err, w.via)
 	}
@@ -212,7 +247,7 @@
 	m := orders{Stamp: p.stamp, Specs: p.specs, Orders: p.orders}
 	p.orders, p.specs, p.index, p.size = nil, nil, nil, 0
 	c.counted.messages++
-	if err := c.o.Sender.Send(via, cslink.Data, KindOrders, encode(m), ""); err != nil {
+	if err := c.o.Sender.Send(via, cslink.Calls, KindOrders, encode(m), ""); err != nil {
 		c.o.Log.Warn("orders not queued", zap.String("peer", string(via)), zap.Int("orders", len(m.Orders)), zap.Error(err))
 		for _, o := range m.Orders {
 			c.deliver(result{ID: o.ID, Outcome: outcomeUnanswered, Cause: errors.Join(errUnsent, err).Error()})
@@ -261,6 +296,21 @@
 	c.counted.signs += len(m.Signs)
 }
 
+// rest keeps calls away from a store for a moment.
+func (c *caller) rest(n csmodel.NodeID, why outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counted.refused++
+	p := c.peers[n]
+	now := c.o.Clock.Now()
+	if p == nil || now.Before(p.restTo) {
+		return
+	}
+	p.restTo = now.Add(restFor)
+	c.o.Log.Info("store refuses orders", zap.String("peer", string(n)), zap.String("reason", outcomeNames[why]), zap.Int("calls", p.calls),
+		zap.Duration("report", now.Sub(p.heardAt)))
+}
+
 // lose ends the calls that a store relays.
 func (c *caller) lose(n csmodel.NodeID, why string) {
 	c.mu.Lock()
@@ -286,8 +336,11 @@
 	c.mu.Lock()
 	now := c.o.Clock.Now()
 	var lost []csmodel.NodeID
+	// A leader that was held up itself reads the reports that wait before it takes a store for lost.
+	heldUp := now.Sub(c.checked) >= lostAfter
+	c.checked = now
 	for n, p := range c.peers {
-		if now.Sub(p.heardAt) >= lostAfter {
+		if now.Sub(p.heardAt) >= lostAfter && !heldUp {
 			lost = append(lost, n)
 		}
 	}
--- a/internal/node/csrelay/relay.go
+++ b/internal/node/csrelay/relay.go
@@ -24,12 +24,16 @@
 	reportEvery = 200 * time.Millisecond
 	// lostAfter is the time without a report after which a store relays nothing. It is three reports and a slow leader.
 	lostAfter = 700 * time.Millisecond
-	// orderLimit is the age at which an order is no longer carried out: the time in which a leader waits for its answer.
+	// orderLimit is the age at which an order is no longer carried out. The leader waits longer for its answer, so that it
+	// does not begin another order for the run meanwhile.
 	// The age counts from the last report of the relaying store that the leader had when it sent the order, on the relaying
 	// store's own clock, so an order that waited in a broken connection or a suspended machine is not carried out.
-	orderLimit = 800 * time.Millisecond
-	// answerSlack is how long the leader waits for an answer beyond the time of the exchange itself.
-	answerSlack = 600 * time.Millisecond
+	orderLimit = time.Second
+	// answerSlack is how long the leader waits for an answer beyond the time of the exchange itself. A store that is lost is
+	// noticed earlier.
+	answerSlack = 1200 * time.Millisecond
+	// restFor is how long a store relays nothing after it had to refuse an order.
+	restFor = time.Second
 	// ordersDelay and resultsDelay collect what goes into one message. Objectives are 600 ms and more.
 	ordersDelay  = 2 * time.Millisecond
 	resultsDelay = 3 * time.Millisecond
--- a/internal/node/csrelay/route.go
+++ b/internal/node/csrelay/route.go
@@ -23,6 +23,8 @@
 	// leaderRests is the number of other stores from which on the leader calls no target first. With 8 stores in 4 zones of
 	// which one is lost, the leader made a fourth of all calls for its own zone.
 	leaderRests = 4
+	// secondTry is the time for the exchange with a target after a store has refused the order: that of the first try.
+	secondTry = 200 * time.Millisecond
 	// tellEvery is the interval in which the leader tells the other stores which of them take part.
 	tellEvery = time.Second
 )
@@ -50,7 +52,7 @@
 func (c *caller) members(now time.Time) []member {
 	out := append(make([]member, 0, len(c.peers)+1), member{Node: c.o.Self, Zone: c.o.Zone})
 	for n, p := range c.peers {
-		if now.Sub(p.heardAt) < lostAfter {
+		if !now.Before(p.restTo) {
 			out = append(out, member{Node: n, Zone: p.zone})
 		}
 	}
@@ -76,7 +78,7 @@
 	stores := c.members(now)
 	for n, p := range c.peers {
 		// A list that is lost is sent again.
-		if err := c.o.Sender.Send(n, cslink.Data, KindOrders, encode(orders{Stamp: p.stamp, Stores: stores}), ""); err != nil {
+		if err := c.o.Sender.Send(n, cslink.Calls, KindOrders, encode(orders{Stamp: p.stamp, Stores: stores}), ""); err != nil {
 			c.o.Log.Debug("list of stores not queued", zap.String("peer", string(n)), zap.Error(err))
 		}
 	}
@@ -170,6 +172,7 @@
 	direct   int
 	failed   int
 	full     int // made directly because the relaying store had too many
+	refused  int // made directly because the relaying store has refused the order
 	messages int
 	signs    int // heartbeats that other stores have acknowledged
 }
@@ -180,7 +183,7 @@
 	}
 	if n.relayed+n.direct+n.signs > 0 {
 		log.Info("calls to targets", zap.Duration("for", now.Sub(n.since)), zap.Int("relayed", n.relayed), zap.Int("direct", n.direct),
-			zap.Int("failed", n.failed), zap.Int("full", n.full), zap.Int("messages", n.messages), zap.Int("stores", peers),
+			zap.Int("failed", n.failed), zap.Int("full", n.full), zap.Int("refused", n.refused), zap.Int("messages", n.messages), zap.Int("stores", peers),
 			zap.Int("detours", detours), zap.Int("signs", n.signs))
 	}
 	*n = counted{since: now}
--- a/internal/node/csrelay/server.go
+++ b/internal/node/csrelay/server.go
@@ -158,7 +158,7 @@
 	}
 	b.results, b.signs, b.arrived, b.size = nil, nil, nil, 0
 	// A leader that gets no report makes its calls by another way, and counts calls without a result as unanswered.
-	if err := s.o.Sender.Send(to, cslink.Data, KindReport, encode(m), ""); err != nil && len(m.Results) > 0 {
+	if err := s.o.Sender.Send(to, cslink.Calls, KindReport, encode(m), ""); err != nil && len(m.Results) > 0 {
 		s.o.Log.Warn("results not queued", zap.String("peer", string(to)), zap.Int("results", len(m.Results)), zap.Error(err))
 	}
 }
