--- a/cmd/cowslipstream/roles.go
+++ b/cmd/cowslipstream/roles.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/http/pprof" // #nosec G108 -- served on the metrics address only
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -19,6 +20,7 @@
 	"cowslipstream.example/cowslipstream/cslog"
 	"cowslipstream.example/cowslipstream/internal/base/csclock"
 	"cowslipstream.example/cowslipstream/internal/fleet/csvms"
+	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
 	"cowslipstream.example/cowslipstream/internal/jobs/csrun"
 	"cowslipstream.example/cowslipstream/internal/node/csentry"
 	"cowslipstream.example/cowslipstream/internal/node/csstore"
@@ -100,6 +102,8 @@
 func (p *process) metrics() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	return mux
 }
 
@@ -174,7 +178,7 @@
 		Fleet: func(state csrun.State) csrun.Fleet {
 			return csvms.New(csvms.Options{
 				State: state, Platform: platform.VMs{Client: client, Address: s.VMs, Holder: s.Node}, Clock: clock,
-				Log: p.log.Named("vms"), MoveTime: s.MoveTime, Upkeep: s.Upkeep,
+				Log: p.log.Named("vms"), MoveTime: s.MoveTime, Upkeep: s.Upkeep, Holder: csjob.Holder(s.Node), Turn: s.OrderTurn,
 			})
 		},
 		IP: s.IP, Zone: s.Zone, Seeds: s.Seeds, First: s.First, Folder: s.Folder, Losses: s.Losses, Listener: p.link,
--- a/internal/fleet/csvms/fleet_test.go
+++ b/internal/fleet/csvms/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -28,11 +29,14 @@
 	lives  map[csmodel.VMID]int
 	most   int // VMs that were down for maintenance at once
 	orders map[csmodel.VMID]string
-	silent int // listings that get no answer
+	silent int                  // listings that get no answer
+	hidden map[csmodel.VMID]int // listings that leave out a VM
+	mute   bool                 // orders get no answer and have no effect
+	sentAt []time.Time          // of all orders
 }
 
 func newCloud(pools map[csmodel.PoolID]int) *cloud {
-	c := &cloud{vms: map[csmodel.VMID]*VM{}, lives: map[csmodel.VMID]int{}, orders: map[csmodel.VMID]string{}}
+	c := &cloud{vms: map[csmodel.VMID]*VM{}, lives: map[csmodel.VMID]int{}, orders: map[csmodel.VMID]string{}, hidden: map[csmodel.VMID]int{}}
 	for _, p := range csmodel.SortedKeys(pools) {
 		for i := range pools[p] {
 			id := csmodel.VMID(fmt.Sprintf("%s-%d", p, i))
@@ -50,7 +54,13 @@
 	if silent {
 		return nil, ErrNoAnswer
 	}
-	return c.list(), nil
+	out := c.list()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.DeleteFunc(out, func(v VM) bool {
+		c.hidden[v.ID]--
+		return c.hidden[v.ID] >= 0
+	}), nil
 }
 
 // list returns what the platform knows, whether or not it answers.
@@ -75,7 +85,14 @@
 func (c *cloud) order(id csmodel.VMID, what string, p Phase, d time.Duration, change func(*VM)) Answer {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.sentAt = append(c.sentAt, time.Now())
+	if c.mute {
+		return Limited
+	}
 	v := c.vms[id]
+	if v == nil {
+		return Foreign
+	}
 	if c.orders[id] == what {
 		return Done
 	}
@@ -103,9 +120,10 @@
 
 // group is the replicated state.
 type group struct {
-	mu    sync.RWMutex
-	table csjob.Table
-	index csmodel.Index
+	mu      sync.RWMutex
+	table   csjob.Table
+	index   csmodel.Index
+	follows bool // the lease has ended
 }
 
 func (g *group) View(f func(*csjob.Table)) {
@@ -119,7 +137,7 @@
 	return nil
 }
 
-func (g *group) Leading() bool { return true }
+func (g *group) Leading() bool { return !g.follows }
 
 func (g *group) Propose(_ context.Context, c csjob.Command) (csjob.Verdict, error) {
 	b, err := c.Encode()
@@ -152,9 +170,13 @@
 }
 
 // lead starts a fleet as a new leader does.
-func (s *stage) lead() {
+func (s *stage) lead() { s.leadAs("", 0) }
+
+// leadAs starts a fleet as a new leader on another store does.
+func (s *stage) leadAs(h csjob.Holder, turn time.Duration) {
 	s.fleet = New(Options{
 		State: s.group, Platform: s.cloud, Clock: clockwork.NewRealClock(), Log: zap.NewNop(), MoveTime: testMove, Upkeep: testUpkeep,
+		Holder: h, Turn: turn,
 	})
 }
 
@@ -228,6 +250,164 @@
 	}
 }
 
+// Pattern: a list of several pages is read while VMs come and go, and leaves out VMs that stay. The wave must not count as
+// completed without their maintenance (rule MIXED).
+func TestVMMissingInOneListIsNotRemoved(t *testing.T) {
+	t.Parallel()
+	s := newStage(t, map[csmodel.PoolID]int{"a": 3})
+	s.do(csjob.Command{Wave: &csjob.Wave{ID: "1", AtOnce: 3, Deadline: time.Second, VMs: csmodel.SortedKeys(s.cloud.vms)}})
+	s.cloud.mu.Lock()
+	s.cloud.hidden["a-1"], s.cloud.hidden["a-2"] = 1, 2
+	s.cloud.mu.Unlock()
+	s.run(30*time.Second, func(t *csjob.Table) bool { return t.Wave("1").Completed() })
+	s.cloud.mu.Lock()
+	defer s.cloud.mu.Unlock()
+	for _, id := range csmodel.SortedKeys(s.cloud.vms) {
+		if got, want := s.cloud.lives[id], 1; got != want {
+			t.Errorf("VM %s had its maintenance %d times before the wave was completed, want %d", id, got, want)
+		}
+	}
+}
+
+// Pattern: lists leave out a VM. It counts as removed only by enough lists in a row over enough time, and one list that
+// names it starts the count anew. A wave over VMs that are removed must still be completed.
+func TestEvidenceThatAVMIsRemoved(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name   string
+		listed []bool // in the lists so far
+		every  time.Duration
+		ended  bool // the target that ran there
+		want   bool
+	}{
+		{"one list", []bool{false}, time.Second, false, false},
+		{"many lists within a moment", slices.Repeat([]bool{false}, absentLists+1), time.Second, false, false},
+		{"two lists far apart", []bool{false, false}, 2 * absentFor, false, false},
+		{"its target has ended", slices.Repeat([]bool{false}, endedAbsentLists), endedAbsentFor / 2, true, true},
+		{"its target has just ended", []bool{true, false, false}, endedAbsentFor, true, false},
+		{"named in between", append(slices.Repeat([]bool{false}, absentLists), true, false, false), absentFor / 4, false, false},
+		{"named last", append(slices.Repeat([]bool{false}, absentLists), true), absentFor / 4, false, false},
+		{"absent for long", append([]bool{true}, slices.Repeat([]bool{false}, absentLists)...), absentFor / 4, false, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := New(Options{Log: zap.NewNop()})
+			f.tenants["a-0"] = "target"
+			g := &group{}
+			if !c.ended {
+				life := csjob.Life{Target: "target", Born: 1}
+				if _, err := g.Propose(t.Context(), csjob.Command{Targets: []csjob.TargetEvent{{Target: csjob.Target{Life: life}}}}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			f.listedAt = time.Unix(1000, 0)
+			got := false
+			for _, listed := range c.listed {
+				f.listedAt = f.listedAt.Add(c.every)
+				for range 3 { // several decisions use one list
+					got = f.removed(&g.table, "a-0", listed)
+				}
+			}
+			if got != c.want {
+				t.Errorf("got removed %t, want %t", got, c.want)
+			}
+		})
+	}
+}
+
+// Pattern: a VM of a wave is removed for good before its maintenance or during it. The wave must not wait for it for ever.
+func TestWaveEndsWithoutARemovedVM(t *testing.T) {
+	t.Parallel()
+	s := newStage(t, map[csmodel.PoolID]int{"a": 2})
+	s.do(csjob.Command{
+		Wave: &csjob.Wave{ID: "1", AtOnce: 2, Deadline: time.Second, VMs: []csmodel.VMID{"a-0", "a-1", "removed-0", "removed-1"}},
+		VMs:  []csjob.VMOrder{{VM: "removed-1", Wave: "1"}},
+	})
+	s.run(30*time.Second, func(*csjob.Table) bool { return len(s.fleet.absences) == 2 })
+	s.fleet.mu.Lock()
+	for _, a := range s.fleet.absences { // as if the lists had left them out for long
+		a.lists = absentLists
+		a.since = a.since.Add(-absentFor)
+	}
+	s.fleet.mu.Unlock()
+	s.run(30*time.Second, func(t *csjob.Table) bool { return t.Wave("1").Completed() })
+}
+
+// Pattern: the leader changes without a fault, because it was slow. The new one must not order a VM within the time in which
+// two holders must not take turns (rule ONE); the same store that leads again need not wait.
+func TestNewLeaderWaitsForItsTurn(t *testing.T) {
+	t.Parallel()
+	const turn = 1500 * time.Millisecond
+	cases := []struct {
+		name   string
+		answer bool // the order of the earlier leader is answered
+		next   csjob.Holder
+		wait   bool
+	}{
+		{"open order of another holder", false, "b", true},
+		{"order of another holder that has ended", true, "b", true},
+		{"open order of the same holder", false, "a", false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newStage(t, map[csmodel.PoolID]int{"a": 1})
+			s.cloud.mute = !c.answer
+			s.leadAs("a", turn)
+			vms := []csmodel.VMID{"a-0"}
+			s.do(csjob.Command{Wave: &csjob.Wave{ID: "1", AtOnce: 1, Deadline: time.Second, VMs: vms}})
+			s.run(20*time.Second, func(t *csjob.Table) bool {
+				s.cloud.mu.Lock()
+				defer s.cloud.mu.Unlock()
+				return len(s.cloud.sentAt) > 0 && (!c.answer || t.Wave("1").Completed())
+			})
+			s.fleet.Reset()
+			s.cloud.mu.Lock()
+			s.cloud.mute = false
+			before, last := len(s.cloud.sentAt), s.cloud.sentAt[len(s.cloud.sentAt)-1]
+			s.cloud.mu.Unlock()
+			s.leadAs(c.next, turn)
+			if c.answer {
+				last = time.Now()
+				s.do(csjob.Command{Wave: &csjob.Wave{ID: "2", AtOnce: 1, Deadline: time.Second, VMs: vms}})
+			}
+			s.run(20*time.Second, func(t *csjob.Table) bool {
+				w := t.Wave("2")
+				return t.Wave("1").Completed() && (w == nil || w.Completed())
+			})
+			s.cloud.mu.Lock()
+			defer s.cloud.mu.Unlock()
+			gap := s.cloud.sentAt[before].Sub(last)
+			if got := gap >= turn; got != c.wait {
+				t.Errorf("got the next order after %v, want at least %v: %t", gap, turn, c.wait)
+			}
+		})
+	}
+}
+
+// Pattern: the lease of a leader ends between a decision and its order. A later leader may order the VM already.
+func TestNoOrderWithoutALease(t *testing.T) {
+	t.Parallel()
+	s := newStage(t, map[csmodel.PoolID]int{"a": 1})
+	s.group.follows = true
+	s.fleet.mu.Lock()
+	o := csjob.VMOrder{VM: "a-0", Pool: "a"}
+	call := &orderCall{order: o}
+	s.fleet.call(csrun.Round{Now: time.Now(), Fence: 1}, o, call)
+	s.fleet.mu.Unlock()
+	for busy := true; busy; time.Sleep(time.Millisecond) {
+		s.fleet.mu.Lock()
+		busy = call.busy
+		s.fleet.mu.Unlock()
+	}
+	s.cloud.mu.Lock()
+	defer s.cloud.mu.Unlock()
+	if got := len(s.cloud.sentAt); got > 0 {
+		t.Errorf("got %d orders without a lease, want none", got)
+	}
+}
+
 // Pattern: the leader is lost after a VM has come back from its maintenance and before that was recorded. The repeated
 // order must not end the new life of the VM's target.
 func TestRepeatedOrderSparesTheNewLife(t *testing.T) {
--- a/internal/jobs/csrun/evict.go
+++ b/internal/jobs/csrun/evict.go
@@ -5,7 +5,6 @@
 
 	"go.uber.org/zap"
 
-	"cowslipstream.example/cowslipstream/csmodel"
 	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
 	"cowslipstream.example/cowslipstream/internal/jobs/csplan"
 )
@@ -30,8 +29,7 @@
 		return
 	}
 	away := r.absent(now, t)
-	for _, id := range csmodel.SortedKeys(r.targets) {
-		w := r.targets[id]
+	for _, w := range r.all() {
 		if !held.Has(w.life) {
 			continue
 		}
@@ -87,9 +85,10 @@
 // listFresh is how long the list of a target's runs says that they are at work. Looks come at least once per second.
 const listFresh = 2 * time.Second
 
-// atWork tells whether a task that lasts is known to be at work.
+// atWork tells whether a task that lasts is known to be at work. A busy leader may extend a lease too late without any
+// call that failed, so the lease has to hold as well.
 func (t *target) atWork(now time.Time, u *run) bool {
-	return u.started && !u.stop && u.percent == fullWork && t.failures == 0 && now.Sub(t.listedAt) < listFresh
+	return u.started && !u.stop && u.percent == fullWork && t.failures == 0 && now.Sub(t.listedAt) < listFresh && t.holds(now)
 }
 
 func stepOf(k csjob.TaskKey) csplan.StepKey {
@@ -99,12 +98,12 @@
 // absent counts the tasks that last and are not at work, by step.
 func (r *runner) absent(now time.Time, t *csjob.Table) map[csplan.StepKey]int {
 	out := map[csplan.StepKey]int{}
-	for _, j := range t.Active() {
+	for _, j := range t.Lasting() {
 		if j.State.Final() {
 			continue
 		}
-		for s, step := range j.Submission.Steps {
-			if step.Lasting {
+		for s := range j.Submission.Steps {
+			if step := &j.Submission.Steps[s]; step.Lasting {
 				out[csplan.StepKey{Job: j.Submission.ID, Step: s}] = step.Tasks
 			}
 		}
