--- a/internal/jobs/csrun/runner.go
+++ b/internal/jobs/csrun/runner.go
@@ -80,6 +80,8 @@
 		r.paced()
 	case *beaten:
 		r.beat(m)
+	case *signs:
+		r.signed(m)
 	case *left:
 		r.leave(m)
 	case *looked:
--- a/internal/node/csrelay/relay.go
+++ b/internal/node/csrelay/relay.go
@@ -24,12 +24,16 @@
 	reportEvery = 200 * time.Millisecond
 	// lostAfter is the time without a report after which a store relays nothing. It is three reports and a slow leader.
 	lostAfter = 700 * time.Millisecond
-	// orderLimit is the age at which an order is no longer carried out: the time in which a leader waits for its answer.
+	// orderLimit is the age at which an order is no longer carried out. The leader waits longer for its answer, so that it
+	// does not begin another order for the run meanwhile.
 	// The age counts from the last report of the relaying store that the leader had when it sent the order, on the relaying
 	// store's own clock, so an order that waited in a broken connection or a suspended machine is not carried out.
-	orderLimit = 800 * time.Millisecond
-	// answerSlack is how long the leader waits for an answer beyond the time of the exchange itself.
-	answerSlack = 600 * time.Millisecond
+	orderLimit = time.Second
+	// answerSlack is how long the leader waits for an answer beyond the time of the exchange itself. A store that is lost is
+	// noticed earlier.
+	answerSlack = 1200 * time.Millisecond
+	// restFor is how long a store relays nothing after it had to refuse an order.
+	restFor = time.Second
 	// ordersDelay and resultsDelay collect what goes into one message. Objectives are 600 ms and more.
 	ordersDelay  = 2 * time.Millisecond
 	resultsDelay = 3 * time.Millisecond
@@ -40,6 +44,10 @@
 	maxCalls = 1024
 	// reportLog is the interval of the lines that tell what was relayed.
 	reportLog = time.Second
+	// maxSigns bounds the heartbeats that wait for a report: 349 targets send one each in 1.5 s.
+	maxSigns = 1024
+	// toldFor is how long a list of stores is used: some intervals in which the leader repeats it.
+	toldFor = 3 * time.Second
 )
 
 // Kinds of link messages.
@@ -76,6 +84,8 @@
 	Metrics *Metrics
 	// Leader returns the store that leads, and nothing where none is known.
 	Leader func() csmodel.NodeID
+	// Signs takes in the heartbeats that other stores have acknowledged. It must not block.
+	Signs func([]csrun.Sign)
 }
 
 // Metrics are the counters of a Relay.
@@ -126,7 +136,12 @@
 
 func (r *Relay) tick() {
 	r.expire()
-	r.Report(r.options.Leader())
+	leader := r.options.Leader()
+	if leader == r.options.Self {
+		r.tell()
+		return
+	}
+	r.Report(leader)
 }
 
 // Report tells a leader that this store can relay. An empty name is none.
@@ -136,6 +151,18 @@
 	}
 }
 
+// Sign passes on a heartbeat that this store acknowledges itself. It reports false where the heartbeat must go to the leader.
+func (r *Relay) Sign(leader csmodel.NodeID, s csrun.Sign) bool { return r.server.sign(leader, s) }
+
+// Responsible returns the store that calls a target, as seen by a leader or by another store. It returns nothing where that
+// is not known.
+func (r *Relay) Responsible(t csjob.Target) csmodel.NodeID {
+	if r.options.Leader() == r.options.Self {
+		return r.best(t)
+	}
+	return r.server.responsible(t)
+}
+
 // Down tells that the connection to a peer is lost. Calls that it relays end without an answer.
 func (r *Relay) Down(n csmodel.NodeID) { r.lose(n, "connection lost") }
 
@@ -155,6 +182,7 @@
 			return true, errors.Join(ErrCodec, err)
 		}
 		r.reported(from, m)
+		r.options.Signs(m.Signs)
 		return true, nil
 	default:
 		return false, nil
