Count the ends of runs that were given up with their target

The leader was about ten seconds behind with its messages, took the target for lost at 43.24 s ("target ended by its lease", 15 open runs; 42 targets between 40.5 and 45.3 s), and it joined again under the same birth time at 43.80 s. The look at 45.36 s listed the ends; the leader acknowledged them, and at 47.2 s the same tasks started again.

Cause: the table closed the runs as lapsed when the life was given up and then ignored the ends that the target told of them. The lease was over for what still ran, but runs that had ended before were ignored.

Now a task keeps the numbers of attempts that were given up with their target (in the table, so that it survives a change of the leader). The end of such an attempt, told once by the target, counts: done completes the task and stops a second run, failed counts as an attempt. And a target with open runs is asked before it is given up: a look that began after its lease was over has to stay without an answer, and no answer may be waiting in the mailbox of the leader.

--- a/internal/jobs/csjob/table.go
+++ b/internal/jobs/csjob/table.go
@@ -262,6 +262,7 @@
 	}
 	i := slices.IndexFunc(k.Runs, func(r Run) bool { return r.Attempt == e.Attempt })
 	if i < 0 {
+		t.endUnheard(j, k, e, at)
 		return
 	}
 	// A restarted target may run what was meant for its earlier life, so the life of the run counts here.
@@ -276,6 +277,21 @@
 	t.retire(j)
 }
 
+// endUnheard takes in how a run ended that was given up with its target. The target keeps the end until it is acknowledged, and
+// the acknowledgement stands: a task that ended done must not start again after it.
+func (t *Table) endUnheard(j *Job, k *Task, e End, at time.Time) {
+	i := slices.Index(k.Unheard, e.Attempt)
+	if i < 0 {
+		return
+	}
+	k.Unheard = slices.Delete(k.Unheard, i, i+1)
+	if e.Checkpoint != "" && e.Attempt == k.Attempts {
+		k.Checkpoint = e.Checkpoint
+	}
+	t.settle(j, k, e, at)
+	t.retire(j)
+}
+
 // settle draws the conclusions of an end for the task and its job.
 func (t *Table) settle(j *Job, k *Task, e End, at time.Time) {
 	step := j.Submission.Steps[e.Task.Step]
--- a/internal/jobs/csjob/table_test.go
+++ b/internal/jobs/csjob/table_test.go
@@ -345,3 +345,43 @@
 		}
 	}
 }
+
+// Guards against a second run, or one failure too many, of a task whose end is told only after its target was given up. Each
+// end counts once, however often it is told.
+func TestEndsOfRunsThatWereGivenUpCountOnce(t *testing.T) {
+	done, failed := csjob.OutcomeDone, csjob.OutcomeFailed
+	cases := []struct {
+		name string
+		told []csjob.Outcome // of attempt 1, after its target was given up
+		want csjob.State     // the queue allows two attempts
+	}{
+		{"done", []csjob.Outcome{done}, csjob.Completed},
+		{"done, told again", []csjob.Outcome{done, done}, csjob.Completed},
+		{"failed", []csjob.Outcome{failed}, csjob.Running},
+		{"failed, told again", []csjob.Outcome{failed, failed}, csjob.Running},
+		{"lapsed", []csjob.Outcome{csjob.OutcomeLapsed}, csjob.Running},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHistory(t)
+			h.submit("a", steps(1)...)
+			k := task("a", 0, 0)
+			h.start(k, 1, life(1))
+			h.do(csjob.Command{Targets: []csjob.TargetEvent{{Target: csjob.Target{Life: life(1)}, Gone: true}}})
+			for _, o := range c.told {
+				h.end(k, 1, o)
+			}
+			h.wantState("a", c.want)
+			if c.want == csjob.Completed {
+				return
+			}
+			h.start(k, 2, life(2))
+			h.end(k, 2, failed)
+			want := csjob.Running
+			if c.told[0] == failed {
+				want = csjob.Failed
+			}
+			h.wantState("a", want)
+		})
+	}
+}
--- a/internal/jobs/csrun/answers_test.go
+++ b/internal/jobs/csrun/answers_test.go
@@ -97,3 +97,39 @@
 		})
 	}
 }
+
+// Guards against a target with open runs being given up while its answers wait for a busy leader: once the lease is over, a
+// look that began later has to stay without an answer.
+func TestTargetIsAskedBeforeItIsGivenUp(t *testing.T) {
+	const over = 20 // seconds after the last reading; the lease was over long before
+	cases := []struct {
+		name    string
+		runs    int
+		looking bool
+		deaf    int // when the last look without an answer began, in seconds after the last reading
+		want    bool
+	}{
+		{"nothing open", 0, false, 0, true},
+		{"no look since", 1, false, 10, false},
+		{"an answer may wait", 1, true, 21, false},
+		{"a later look was not answered", 1, false, 21, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r, w := newTestRunner(2)
+			read := r.now()
+			for range c.runs {
+				w.runs[runKey{attempt: 1}] = &run{}
+			}
+			w.granted = time.Minute + 5*time.Second
+			if w.lost(read.Add(over*time.Second)) != (c.runs == 0) {
+				t.Error("got the target given up without a look, want it asked")
+			}
+			w.looking = c.looking
+			w.deafFrom = read.Add(time.Duration(c.deaf) * time.Second)
+			if got := w.lost(read.Add(2 * over * time.Second)); got != c.want {
+				t.Errorf("got the target given up %t, want %t", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/jobs/csrun/beats.go
+++ b/internal/jobs/csrun/beats.go
@@ -177,7 +177,9 @@
 	r.event(csjob.TargetEvent{Target: record}, m.done, "target leaves with open runs")
 }
 
-// closeLost ends the lives of targets that were silent until everything that ran there has ended.
+// closeLost ends the lives of targets that were silent until everything that ran there has ended. A busy leader may take a
+// target for silent whose answers wait to be handled, so a target with open runs is asked once more when its lease is over:
+// what it tells of its runs decides rather than the clock.
 func (r *runner) closeLost(now time.Time, t *csjob.Table) {
 	for _, id := range csmodel.SortedKeys(r.targets) {
 		w := r.targets[id]
@@ -185,7 +187,7 @@
 			w.heardAt = r.since
 		}
 		silent := now.Sub(w.heardAt)
-		if silent < silentAfter(r.o.Timing.Beat) || !w.lapsed(now) || w.stopping {
+		if silent < silentAfter(r.o.Timing.Beat) || w.stopping || !w.lost(now) {
 			continue
 		}
 		w.fencing, w.stopping = true, true // until the table has dropped it
--- a/internal/jobs/csrun/looks.go
+++ b/internal/jobs/csrun/looks.go
@@ -138,15 +138,18 @@
 	r.leader.poke()
 	if m.err != nil {
 		w.unanswered(now)
+		w.deafFrom = m.started
 		r.log.Info("look not answered", zap.String("target", string(w.life.Target)), zap.Int("failures", w.failures), zap.Error(m.err))
 		return
 	}
 	if m.look.Refusal != RefusedNot {
+		w.deafFrom = m.started
 		r.refused(w, m.look.Refusal, now)
 		return
 	}
 	if m.look.Born != 0 && m.look.Born != w.life.Born {
 		w.unanswered(now) // restarted; its heartbeat tells more
+		w.deafFrom = m.started
 		return
 	}
 	w.reading(m.look.Clock, m.started, m.arrived, r.o.Timing.LongestLease)
--- a/internal/jobs/csrun/target.go
+++ b/internal/jobs/csrun/target.go
@@ -68,6 +68,8 @@
 	clockFrom time.Time
 	granted   time.Duration // latest end of the lease; an upper bound of what earlier leaders granted
 	lapsesAt  time.Time     // fallback while the clock is not known
+	overAt    time.Time     // when the lease was first found over; zero while it is not
+	deafFrom  time.Time     // start of the last look without a list
 
 	runs     map[runKey]*run
 	strays   map[runKey]bool // listed runs that should not be there; true while a stop is on its way
@@ -160,6 +162,18 @@
 	return least > t.granted+lapseSlack
 }
 
+// lost tells whether the lease is over and the target has left a later look without an answer.
+func (t *target) lost(now time.Time) bool {
+	if !t.lapsed(now) {
+		t.overAt = time.Time{}
+		return false
+	}
+	if t.overAt.IsZero() {
+		t.overAt = now
+	}
+	return len(t.runs) == 0 || (!t.looking && !t.deafFrom.Before(t.overAt))
+}
+
 // usable tells whether the target counts as part of its pool.
 func (t *target) usable(now time.Time, beat time.Duration) bool {
 	return !t.record.Leaving && !t.clockAt.IsZero() && t.failures < silentFailures && !t.fencing && !t.fresh &&
--- a/internal/jobs/csrun/twice_test.go
+++ b/internal/jobs/csrun/twice_test.go
@@ -123,3 +123,23 @@
 	i.settle(5 * time.Second)
 	i.checkRules()
 }
+
+// Guards against a second run of a task that had ended done on a target which was then given up by its lease: the target
+// joins again under the same birth time, lists the end, and the end is acknowledged. Seen on niebla-jujuy-grown scale-1.
+func TestEndOfATargetThatWasGivenUpStillCounts(t *testing.T) {
+	t.Parallel()
+	i := install(t, 34, 1, faults{})
+	time.Sleep(3 * testBeat)
+	i.hand(1, 300*time.Millisecond)
+	time.Sleep(100 * time.Millisecond)
+	i.with("1", func(k *worker) { k.dark = true })
+	time.Sleep(2 * time.Second)
+	i.state.View(func(table *csjob.Table) {
+		if got := len(table.Targets()); got != 0 {
+			t.Errorf("got %d targets, want 0: the silent one is given up", got)
+		}
+	})
+	i.with("1", func(k *worker) { k.dark = false })
+	i.settle(5 * time.Second)
+	i.checkRules()
+}
