Keep the life of a leaving target while a start for it is on its way

Cause: the announcement of a target's end ended its life at once where no open run was known. A start that had been proposed and not committed was not counted. It was committed before the end of the life, sent, and then counted as over with the life, while the target worked on it until the announcement was acknowledged, or some seconds longer where the acknowledgement was late.

Now starts on their way count, and a target whose life is about to end gets no more orders.

Evidence: TestTargetThatLeavesDuringACommitKeepsItsStart failed before in each of five runs (two runs at the same time).

--- a/internal/jobs/csrun/beats.go
+++ b/internal/jobs/csrun/beats.go
@@ -168,7 +168,10 @@
 		m.done <- nil
 		return
 	}
-	if len(w.runs) == 0 {
+	busy := len(w.runs) > 0
+	r.o.State.View(func(t *csjob.Table) { busy = busy || r.occupied(t, w.life) })
+	if !busy {
+		w.fencing = true // a start that is chosen before the end is committed is not sent
 		r.event(csjob.TargetEvent{Target: w.record, Gone: true}, m.done, "target left")
 		return
 	}
--- a/internal/jobs/csrun/twice_test.go
+++ b/internal/jobs/csrun/twice_test.go
@@ -143,3 +143,29 @@
 	i.settle(5 * time.Second)
 	i.checkRules()
 }
+
+// Guards against a second run where a target says that it leaves while a start for it is on its way to being committed: the
+// life was ended although the order went out, and the target worked on it until it had the acknowledgement.
+func TestTargetThatLeavesDuringACommitKeepsItsStart(t *testing.T) {
+	t.Parallel()
+	i := install(t, 35, 1, faults{})
+	time.Sleep(3 * testBeat)
+	i.state.set(func() { i.state.pause = 150 * time.Millisecond })
+	id := csjob.ID("00000000000000aa")
+	s := csjob.Submission{ID: id, Queue: testKey, Steps: []csjob.Step{step(1, 1000, time.Second)}}
+	i.world.mu.Lock()
+	i.world.jobs[id] = s
+	i.world.mu.Unlock()
+	i.propose(csjob.Command{Submit: &s})
+	time.Sleep(80 * time.Millisecond) // the start is proposed and not committed
+	i.world.mu.Lock()
+	i.world.workers[addressOf("2")] = newWorker("2", wholeTarget)
+	life := i.world.workers[addressOf("1")].life
+	i.world.workers[addressOf("1")].mute = true
+	i.world.mu.Unlock()
+	if err := i.leader.Leave(t.Context(), life); err != nil {
+		t.Errorf("got error %v, want the announcement taken", err)
+	}
+	i.settle(5 * time.Second)
+	i.checkRules()
+}
--- a/internal/jobs/csrun/world_test.go
+++ b/internal/jobs/csrun/world_test.go
@@ -25,6 +25,8 @@
 	// stalled holds commands back: their proposers are told that the outcome is not known.
 	stalled bool
 	held    []csjob.Command
+	pause   time.Duration // what a commit takes
+	idle    bool          // the lease of the leader is not valid
 }
 
 // stallTime is how long a proposer waits for a command that is held back.
@@ -76,9 +78,24 @@
 	return nil
 }
 
-func (s *state) Leading() bool { return true }
+func (s *state) Leading() bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return !s.idle
+}
+
+// set calls f under the lock of the state.
+func (s *state) set(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
 
 func (s *state) Propose(_ context.Context, c csjob.Command) (csjob.Verdict, error) {
+	s.mu.RLock()
+	pause := s.pause
+	s.mu.RUnlock()
+	time.Sleep(pause)
 	s.mu.Lock()
 	if s.stalled && c.Submit == nil && c.Config == nil {
 		s.held = append(s.held, c)
