--- a/internal/jobs/csrun/target.go
+++ b/internal/jobs/csrun/target.go
@@ -71,6 +71,8 @@
 	granted   time.Duration // latest end of the lease; an upper bound of what earlier leaders granted
 	leased    time.Duration // latest end of the lease that an answered look has carried; a lower bound
 	lapsesAt  time.Time     // fallback while the clock is not known
+	overAt    time.Time     // when the lease was first found over; zero while it is not
+	deafFrom  time.Time     // start of the last look without a list
 
 	runs     map[runKey]*run
 	list     []*run          // the same runs, for walks
@@ -176,6 +178,18 @@
 	return t.clock+time.Duration((1+clockDrift)*float64(now.Sub(t.clockFrom))) < t.leased
 }
 
+// lost tells whether the lease is over and the target has left a later look without an answer.
+func (t *target) lost(now time.Time) bool {
+	if !t.lapsed(now) {
+		t.overAt = time.Time{}
+		return false
+	}
+	if t.overAt.IsZero() {
+		t.overAt = now
+	}
+	return len(t.runs) == 0 || (!t.looking && !t.deafFrom.Before(t.overAt))
+}
+
 // usable tells whether the target counts as part of its pool.
 func (t *target) usable(now time.Time, beat time.Duration) bool {
 	return !t.record.Leaving && !t.clockAt.IsZero() && t.failures < silentFailures && !t.fencing && !t.fresh &&
