Save queued entries of the group with one sync

What it falls behind it does not catch up with while the load lasts, and a job waits for two commits a step. Messages of a leader that wait in the mailbox of a voter are now joined and saved together. A heartbeat joins them as well; all other messages and ticks are handled in order, and a panic in between ends neither.

TestQueuedEntriesShareSync failed before: 20 syncs for 20 messages. TestJoinAppends is for the new function.

--- a/csgroup/group_test.go
+++ b/csgroup/group_test.go
@@ -369,3 +369,36 @@
 		t.Error("the leader was replaced because of a link that a quorum does not need")
 	}
 }
+
+// TestQueuedEntriesShareSync guards against a voter that syncs its disk for each message of the leader: under load the
+// messages wait in its mailbox, and the commits of the group wait with them.
+func TestQueuedEntriesShareSync(t *testing.T) {
+	const messages = 20
+	c := newCluster(t, 0)
+	c.entries = 10_000
+	leader := c.awaitLeader()
+	c.mustPropose(leader, 1)
+	follower := c.follower()
+	c.isolate(leader.Status().Self, true)
+	before, from := follower.group.Status(), leader.Status()
+	syncs := follower.disk.Syncs()
+	blocked, release := make(chan struct{}), make(chan struct{})
+	follower.group.root.Send(follower.group.pid, func() { close(blocked); <-release })
+	<-blocked
+	for i := range messages {
+		last := before.Last + csmodel.Index(i)
+		follower.group.Receive(from.Self, csraft.Message{
+			Kind: csraft.MessageAppend, Incarnation: from.Incarnation, Term: from.Term, Index: last, LogTerm: from.Term,
+			Commit: before.Commit, Round: uint64(i + 1),
+			Entries: []csraft.Entry{{Term: from.Term, Index: last + 1, Data: []byte("add")}},
+		})
+	}
+	close(release)
+	c.settle()
+	if got, want := follower.group.Status().Last, before.Last+messages; got != want {
+		t.Errorf("got last entry %d, want %d", got, want)
+	}
+	if got := follower.disk.Syncs() - syncs; got > 2 {
+		t.Errorf("got %d syncs for %d messages, want at most 2", got, messages)
+	}
+}
--- a/csgroup/runner.go
+++ b/csgroup/runner.go
@@ -30,6 +30,7 @@
 	}
 	received struct{ message csraft.Message }
 	flush    struct{}
+	drain    struct{}
 )
 
 // runner is the actor of a group.
@@ -40,6 +41,9 @@
 	store *store       // nil for a node without a disk and after a disk error
 	calls calls
 
+	appends  []csraft.Message // entries of a leader that wait for those behind them in the mailbox
+	draining bool             // a drain message is on the way
+
 	startsAt    time.Time // next attempt to build the group again; zero where it works
 	builtAt     time.Time
 	delay       time.Duration // before the next attempt after a panic
@@ -62,6 +66,12 @@
 			r.panicked(p)
 		}
 	}()
+	if m, ok := ctx.Message().(*received); ok && m.message.Kind == csraft.MessageAppend {
+		r.group.queued.Add(-1)
+		r.queueAppend(ctx, m.message)
+		return
+	}
+	r.drain() // messages keep their order
 	switch m := ctx.Message().(type) {
 	case *actor.Started:
 		r.incarnation = r.o.Config.Incarnation
@@ -79,11 +89,44 @@
 		r.call(ctx, m)
 	case *flush:
 		r.flush()
+	case *drain:
+		r.draining = false
 	case func():
 		m()
 	}
 }
 
+// queueAppend joins the entries of a leader that wait in the mailbox, so that one sync of the disk saves all of them. A
+// leader sends entries about as often as one disk can sync; a voter that synced for each message would fall behind for as
+// long as the load lasts.
+func (r *runner) queueAppend(ctx actor.Context, m csraft.Message) {
+	if n := len(r.appends); n > 0 {
+		if joined, ok := csraft.JoinAppends(r.appends[n-1], m); ok {
+			r.appends[n-1] = joined
+			return
+		}
+	}
+	r.appends = append(r.appends, m)
+	if !r.draining {
+		r.draining = true
+		ctx.Send(ctx.Self(), &drain{})
+	}
+}
+
+// drain handles the entries that have been joined. A panic ends this only: the message behind them is handled as well.
+func (r *runner) drain() {
+	defer func() {
+		if p := recover(); p != nil {
+			r.panicked(p)
+		}
+	}()
+	appends := r.appends
+	r.appends = nil
+	for _, m := range appends {
+		r.step(csraft.Receive{Message: m})
+	}
+}
+
 func (r *runner) now() time.Time { return r.o.Clock.Now() }
 
 // build starts the core from the folder, and from the machine's state where the machine is ahead of it.
--- a/csraft/core_test.go
+++ b/csraft/core_test.go
@@ -339,3 +339,46 @@
 		t.Errorf("got %d entries after the answer, want %d", got, want)
 	}
 }
+
+// TestJoinAppends guards against entries that are joined across a gap, a term or two lives of a leader.
+func TestJoinAppends(t *testing.T) {
+	entry := func(i csmodel.Index, term csmodel.Term) Entry { return Entry{Index: i, Term: term} }
+	first := Message{
+		Kind: MessageAppend, From: "a", Incarnation: 1, Term: 3, Index: 4, LogTerm: 2, Commit: 4, Round: 7,
+		Entries: []Entry{entry(5, 3), entry(6, 3)},
+	}
+	next := Message{
+		Kind: MessageAppend, From: "a", Incarnation: 1, Term: 3, Index: 6, LogTerm: 3, Commit: 5, Round: 8, Entries: []Entry{entry(7, 3)},
+	}
+	with := func(f func(*Message)) Message {
+		m := next
+		f(&m)
+		return m
+	}
+	tests := []struct {
+		name string
+		a, b Message
+		want int // entries of the joined message; 0 where they must not be joined
+	}{
+		{"next entries", first, next, 3},
+		{"heartbeat", first, with(func(m *Message) { m.Entries = nil }), 2},
+		{"gap", first, with(func(m *Message) { m.Index = 7 }), 0},
+		{"repetition", first, with(func(m *Message) { m.Index = 5 }), 0},
+		{"another term of the entry before", first, with(func(m *Message) { m.LogTerm = 2 }), 0},
+		{"a later term", first, with(func(m *Message) { m.Term = 4 }), 0},
+		{"another leader", first, with(func(m *Message) { m.From = "b" }), 0},
+		{"another life of the leader", first, with(func(m *Message) { m.Incarnation = 2 }), 0},
+		{"a vote", first, with(func(m *Message) { m.Kind = MessageVote }), 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got, ok := JoinAppends(tt.a, tt.b)
+			if ok != (tt.want > 0) {
+				t.Fatalf("got joined %v, want %v", ok, tt.want > 0)
+			}
+			if ok && (got.Index != 4 || got.LogTerm != 2 || got.Round != 8 || got.Commit != 5 || len(got.Entries) != tt.want) {
+				t.Errorf("got %+v, want %d entries after 4 with commit 5 and round 8", got, tt.want)
+			}
+		})
+	}
+}
--- a/csraft/message.go
+++ b/csraft/message.go
@@ -45,6 +45,24 @@
 	Change *Change
 }
 
+// JoinAppends makes one message of two consecutive ones of a leader, as if it had sent all entries at once. It fails where
+// the second one does not continue the first one.
+func JoinAppends(a, b Message) (Message, bool) {
+	end, term := a.Index, a.LogTerm
+	if n := len(a.Entries); n > 0 {
+		end, term = a.Entries[n-1].Index, a.Entries[n-1].Term
+	}
+	appends := a.Kind == MessageAppend && b.Kind == MessageAppend
+	same := a.From == b.From && a.Incarnation == b.Incarnation && a.Term == b.Term
+	if !appends || !same || b.Index != end || b.LogTerm != term {
+		return a, false
+	}
+	joined := b
+	joined.Index, joined.LogTerm, joined.Entries = a.Index, a.LogTerm, append(a.Entries, b.Entries...)
+	joined.Commit, joined.Round = max(a.Commit, b.Commit), max(a.Round, b.Round)
+	return joined, true
+}
+
 // Change is a change of one member. Remove takes the member out; otherwise it is added or its role is set.
 type Change struct {
 	_      struct{} `cbor:",toarray"`
