--- a/internal/node/csstore/store_test.go
+++ b/csgroup/channel_test.go
@@ -1,4 +1,4 @@
-package csstore
+package csgroup
 
 import (
 	"testing"
@@ -25,7 +25,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			if got := channelOf(tt.kind, tt.size); got != tt.want {
+			if got := ChannelOf(tt.kind, tt.size); got != tt.want {
 				t.Errorf("got %v, want %v", got, tt.want)
 			}
 		})
--- a/csnode/replication.go
+++ b/csnode/replication.go
@@ -22,9 +22,6 @@
 // GlobalGroup is the group of the configuration revisions. The group of a region has the region's name.
 const GlobalGroup csmodel.GroupID = "global"
 
-// smallMessage is the largest payload that uses the control channel.
-const smallMessage = 16 << 10 // bytes
-
 func (n *Node) openGroups(spawner actor.SpawnerContext) error {
 	region := csmodel.GroupID("region-" + string(n.settings.Region))
 	// With one region the settings need not mark global voters.
@@ -155,12 +152,8 @@
 		n.log.Error("raft message not encoded", zap.Error(err))
 		return
 	}
-	channel := cslink.Control
-	if len(payload) > smallMessage {
-		channel = cslink.Data
-	}
 	// Raft repeats what is lost, so a full queue needs no action.
-	if err := n.post(to, channel, kind, payload, ""); err != nil {
+	if err := n.post(to, csgroup.ChannelOf(m.Kind, len(payload)), kind, payload, ""); err != nil {
 		n.log.Debug("raft message dropped", zap.String("peer", string(to)), zap.Error(err))
 	}
 }
--- a/internal/node/csstore/store.go
+++ b/internal/node/csstore/store.go
@@ -43,8 +43,6 @@
 	linkHeartbeat = 300 * time.Millisecond
 	linkSilence   = 1000 * time.Millisecond // an open connection without a byte is replaced
 	kindRaft      = cslink.Kind(1)
-	// largeMessage is the size in bytes above which a message of the group whose order does not matter uses the data channel.
-	largeMessage = 16 << 10
 )
 
 // ErrUnavailable reports that no leader could be reached. Nothing was changed.
@@ -237,7 +235,7 @@
 		s.log.Error("group message not encoded", zap.Error(err))
 		return
 	}
-	err = sender{s}.Send(to, channelOf(m.Kind, len(payload)), kindRaft, payload, "")
+	err = sender{s}.Send(to, csgroup.ChannelOf(m.Kind, len(payload)), kindRaft, payload, "")
 	if errors.Is(err, cslink.ErrUnknownPeer) {
 		s.meet(to)
 	}
@@ -247,15 +245,6 @@
 	}
 }
 
-// channelOf returns the channel for a message of the group. Entries stay on one channel whatever their size: a follower
-// refuses entries that overtake earlier ones, and the leader then sends all of them again.
-func channelOf(k csraft.MessageKind, size int) cslink.Channel {
-	if size > largeMessage && k != csraft.MessageAppend {
-		return cslink.Data
-	}
-	return cslink.Control
-}
-
 // meet adds a store that became a member while this one ran. The one with the smaller name dials.
 func (s *Store) meet(n csmodel.NodeID) {
 	links := s.links.Load()
