Fence a new life before the life before it is ended

Cause: three ways to end the life before without a stop of what the new one may run. A heartbeat was taken by a leader that had every entry but had not taken over the table, because its lease was not valid in its first round; it knew no target, so the new life joined at once. Refused stops and refused looks, for example of an unhealthy target, counted like answered ones. And the list that shows that nothing runs could be of yet another life.

Now heartbeats and announcements wait until the table was taken over, refusals count as failures, and the list has to name the life. Where the fence does not succeed for the length of the longest lease, the new life joins: nobody has extended a lease there meanwhile.

--- a/internal/jobs/csrun/beats.go
+++ b/internal/jobs/csrun/beats.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -13,7 +14,7 @@
 
 // beat takes in a heartbeat. Changes of the target are committed before it is acknowledged.
 func (r *runner) beat(m *beaten) {
-	if !r.active || !r.o.State.Leading() {
+	if !r.synced || !r.o.State.Leading() {
 		m.done <- ErrNotLeading
 		return
 	}
@@ -99,10 +100,13 @@
 	if w.stopping {
 		return
 	}
-	w.fencing, w.stopping = true, true
 	w.heardAt = r.now()
+	if w.successor != b.Target.Life {
+		w.successor = b.Target.Life
+		w.lapsesAt = r.longestLapse(w.heardAt)
+	}
+	w.fencing, w.stopping = true, true
 	w.clockAt = time.Time{} // the clock of the earlier life tells nothing about what the new one runs
-	w.lapsesAt = r.longestLapse(w.heardAt)
 	r.log.Info("target restarted", zap.String("target", string(w.life.Target)), zap.Int64("born", b.Target.Life.Born),
 		zap.Int64("before", w.life.Born), zap.Int("runs", len(w.runs)))
 	var stops []StopOrder
@@ -121,8 +125,11 @@
 func (r *runner) fence(ctx context.Context, b Beat, stops []StopOrder, fence csmodel.Fence) ([]Ended, error) {
 	for _, s := range stops {
 		limited, cancel := context.WithTimeout(ctx, r.o.Timing.CallTimeout)
-		_, err := r.o.Workers.Stop(limited, b.Target, s)
+		reply, err := r.o.Workers.Stop(limited, b.Target, s)
 		cancel()
+		if err == nil && reply.Refusal != RefusedNot {
+			err = fmt.Errorf("%w: %s", ErrRefused, reply.Refusal)
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -133,8 +140,12 @@
 	limited, cancel := context.WithTimeout(ctx, r.o.Timing.CallTimeout)
 	defer cancel()
 	look, err := r.o.Workers.Look(limited, b.Target, LookOrder{Fence: fence})
-	if err == nil && len(look.Running) > 0 {
-		err = ErrNoAnswer // stops take a moment; the next heartbeat tries again
+	switch {
+	case err != nil:
+	case look.Refusal != RefusedNot:
+		err = fmt.Errorf("%w: %s", ErrRefused, look.Refusal)
+	case look.Born != 0 && look.Born != b.Target.Life.Born, len(look.Running) > 0:
+		err = ErrNoAnswer // started once more, or stops take a moment; the next heartbeat tries again
 	}
 	return look.Ended, err
 }
@@ -145,9 +156,12 @@
 		return
 	}
 	if m.err != nil {
-		w.stopping = false // the next heartbeat tries again
 		r.log.Warn("restarted target not fenced", zap.String("target", string(w.life.Target)), zap.Error(m.err))
-		return
+		if !r.now().After(w.lapsesAt) {
+			w.stopping = false // the next heartbeat tries again
+			return
+		}
+		// Nobody has extended a lease there, so what the new life took for the earlier one is over.
 	}
 	for _, e := range m.ends {
 		r.ends = append(r.ends, csjob.End{
@@ -159,7 +173,7 @@
 
 // leave takes in the announcement of a target's end. What runs there ends with its lease at the latest.
 func (r *runner) leave(m *left) {
-	if !r.active || !r.o.State.Leading() {
+	if !r.synced || !r.o.State.Leading() {
 		m.done <- ErrNotLeading
 		return
 	}
--- a/internal/jobs/csrun/runner.go
+++ b/internal/jobs/csrun/runner.go
@@ -38,6 +38,7 @@
 	cancel  context.CancelFunc
 	term    csmodel.Term
 	active  bool // leads and has every committed entry
+	synced  bool // has taken over the table
 	since   time.Time
 	changes uint64
 
@@ -264,6 +265,7 @@
 
 // sync takes over the targets and open runs of the table.
 func (r *runner) sync(t *csjob.Table, now time.Time) {
+	r.synced = true
 	if t.Changes() == r.changes {
 		return
 	}
--- a/internal/jobs/csrun/target.go
+++ b/internal/jobs/csrun/target.go
@@ -86,8 +86,10 @@
 	answerAt time.Time // last answered call
 	restTill time.Time
 	fencing  bool // the life is over, or about to end in the table: no orders and looks
-	stopping bool // the runs of a life that is over are being stopped on the new one
-	grades   grades
+	// successor is the life that has started under the name and whose runs are being stopped.
+	successor csjob.Life
+	stopping  bool // the runs of a life that is over are being stopped on the new one
+	grades    grades
 }
 
 // answered notes a sign of this life that is handled now.
--- a/internal/jobs/csrun/twice_test.go
+++ b/internal/jobs/csrun/twice_test.go
@@ -169,3 +169,40 @@
 	i.settle(5 * time.Second)
 	i.checkRules()
 }
+
+// Guards against a life being ended without a stop of what its successor may run: the heartbeat of the new life arrives at a
+// leader that has every entry but has not taken over the table yet, because its lease was not valid in its first round.
+func TestHeartbeatBeforeTheFirstRoundWaits(t *testing.T) {
+	t.Parallel()
+	i := install(t, 36, 1, faults{})
+	time.Sleep(3 * testBeat)
+	i.holdStarts("1")
+	i.hand(1, 700*time.Millisecond)
+	time.Sleep(60 * time.Millisecond)
+	i.with("1", func(k *worker) { k.dark = true })
+	i.holdStarts("")
+	i.world.mu.Lock()
+	i.world.workers[addressOf("2")] = newWorker("2", wholeTarget)
+	i.world.mu.Unlock()
+	time.Sleep(2 * testBeat)
+	i.leader.Follow()
+	i.state.set(func() { i.state.idle = true })
+	i.leader.Lead(2)
+	time.Sleep(50 * time.Millisecond)
+	i.restart("1", true)
+	i.world.release() // the start reaches the new life
+	i.state.set(func() { i.state.idle = false })
+	var beat csrun.Beat
+	i.with("1", func(k *worker) {
+		k.mute, k.ill = false, true // a stop does not reach the run
+		beat = csrun.Beat{
+			Sequence: 1, Clock: k.clock(),
+			Target: csjob.Target{Life: k.life, Pool: testPool, Address: addressOf("1"), Room: k.room},
+		}
+	})
+	_ = i.leader.Beat(t.Context(), beat) // repeated with the next heartbeat
+	time.Sleep(400 * time.Millisecond)
+	i.with("1", func(k *worker) { k.ill = false })
+	i.settle(5 * time.Second)
+	i.checkRules()
+}
--- a/internal/jobs/csrun/undecided.go
+++ b/internal/jobs/csrun/undecided.go
@@ -44,8 +44,13 @@
 	}
 	for _, e := range c.command.Targets {
 		// The end of a life, and the life that follows it under its name, keep the target from orders.
-		if w := r.targets[e.Target.Life.Target]; w != nil && e.Gone == (w.life == e.Target.Life) {
+		w := r.targets[e.Target.Life.Target]
+		switch {
+		case w == nil:
+		case e.Gone && w.life == e.Target.Life:
 			w.fencing, w.stopping = false, false
+		case !e.Gone && w.life != e.Target.Life:
+			w.stopping = false // the next heartbeat of the new life tries again
 		}
 	}
 }
--- a/internal/jobs/csrun/worker.go
+++ b/internal/jobs/csrun/worker.go
@@ -16,6 +16,8 @@
 	ErrNoAnswer = errors.New("csrun: no answer")
 	// ErrMalformed reports an answer that cannot be read.
 	ErrMalformed = errors.New("csrun: malformed answer")
+	// ErrRefused reports an order that the target did not carry out.
+	ErrRefused = errors.New("csrun: refused")
 )
 
 // Workers are the calls to targets.
