Conclude nothing from part of a list or from an earlier term's commit

Cause: a target lists 500 ends at a time. A stopped run that was neither running nor on a full list counted as never started, although its end may follow. And the outcome of a proposal of an earlier term, still in the mailbox when the node led again, released the reservations of this term.

Evidence: TestFullListTellsNothingOfRunsThatAreNotOnIt and TestCommitOfAnEarlierTermReleasesNothing fail where the two checks are taken out.

--- a/internal/jobs/csrun/answers_test.go
+++ b/internal/jobs/csrun/answers_test.go
@@ -133,3 +133,43 @@
 		})
 	}
 }
+
+// Guards against a run being given up whose end is not on the list yet: a target lists its ends in portions, and after a
+// cut of its zone there are more than one portion holds.
+func TestFullListTellsNothingOfRunsThatAreNotOnIt(t *testing.T) {
+	cases := []struct {
+		name  string
+		ended int
+		want  bool // the run is given up
+	}{
+		{"all ends", endsPerList - 1, true},
+		{"a portion", endsPerList, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r, w := newTestRunner(2)
+			key := runKey{task: csjob.TaskKey{Job: "a"}, attempt: 1}
+			w.runs[key] = &run{key: key, starts: 2, stop: true, stopped: true, stopAt: r.now()}
+			m := &looked{term: 2, life: w.life, started: r.now().Add(time.Millisecond), look: Look{Born: w.life.Born}}
+			for n := range c.ended {
+				m.look.Ended = append(m.look.Ended, Ended{Number: int64(n + 1), Task: csjob.TaskKey{Job: "b", Index: n}, Attempt: 1})
+			}
+			r.takeProgress(w, m)
+			if got := len(r.ends) > 0; got != c.want {
+				t.Errorf("got the run given up %t, want %t", got, c.want)
+			}
+		})
+	}
+}
+
+// Guards against the answer to a proposal of an earlier term releasing what this term has reserved for the same task.
+func TestCommitOfAnEarlierTermReleasesNothing(t *testing.T) {
+	r, w := newTestRunner(2)
+	key := csjob.TaskKey{Job: "a"}
+	r.pending = map[csjob.TaskKey]csjob.Life{key: w.life}
+	r.committed(&committed{term: 1, command: csjob.Command{Starts: []csjob.Start{{Task: key, Attempt: 1, Life: w.life}}}, err: ErrNotLeading})
+	r.committed(&committed{term: 1, command: csjob.Command{Starts: []csjob.Start{{Task: key, Attempt: 1, Life: w.life}}}})
+	if !r.onItsWay(key) {
+		t.Error("got the start of this term released, want it kept")
+	}
+}
--- a/internal/jobs/csrun/leader.go
+++ b/internal/jobs/csrun/leader.go
@@ -170,6 +170,7 @@
 		err  error
 	}
 	committed struct {
+		term    csmodel.Term
 		command csjob.Command
 		noted   map[csjob.Life]int64
 		waiters []chan error
--- a/internal/jobs/csrun/looks.go
+++ b/internal/jobs/csrun/looks.go
@@ -21,6 +21,9 @@
 	// silentFailures is the number of unanswered calls in a row after which looks no longer extend the lease: an extension
 	// that may or may not have arrived would keep the runs open for ever.
 	silentFailures = 2
+	// endsPerList is the number of ends that a list holds at most, from the platform's protocol. Others follow after an
+	// acknowledgement.
+	endsPerList = 500
 	// missingLooks is the number of looks without a started run after which it is stopped.
 	missingLooks = 2
 )
@@ -251,6 +254,9 @@
 			delete(w.strays, key)
 		}
 	}
+	if len(m.look.Ended) >= endsPerList {
+		return // the end of a run may be on a later list
+	}
 	ended := csmodel.NewSet[runKey]()
 	for _, e := range m.look.Ended {
 		ended.Add(runKey{e.Task, e.Attempt})
--- a/internal/jobs/csrun/runner.go
+++ b/internal/jobs/csrun/runner.go
@@ -226,7 +226,7 @@
 		return
 	}
 	r.unknown.asking = true
-	m := &committed{command: c, noted: r.noted, waiters: r.waiters, began: r.now()}
+	m := &committed{term: r.term, command: c, noted: r.noted, waiters: r.waiters, began: r.now()}
 	r.ends, r.events, r.waiters = nil, nil, nil
 	r.noted = map[csjob.Life]int64{}
 	ctx := r.ctx
@@ -240,7 +240,7 @@
 
 func (r *runner) committed(m *committed) {
 	r.answer(m.waiters, m.err)
-	if !r.active {
+	if !r.active || m.term != r.term {
 		return
 	}
 	r.work.slowest = max(r.work.slowest, r.now().Sub(m.began))
