--- a/internal/jobs/csrun/sync.go
+++ b/internal/jobs/csrun/sync.go
@@ -14,6 +14,7 @@
 
 // sync takes over the targets and open runs of the table that have changed since the last round.
 func (r *runner) sync(t *csjob.Table, now time.Time) {
+	r.loaded = true
 	if t.Changes() == r.changes {
 		return
 	}
--- a/internal/jobs/csrun/target.go
+++ b/internal/jobs/csrun/target.go
@@ -90,11 +90,13 @@
 	answerAt time.Time // last answered call
 	restTill time.Time
 	fencing  bool // the life is over, or about to end in the table: no orders and looks
-	stopping bool // the runs of a life that is over are being stopped on the new one
-	grades   grades
-	held     bool // no new tasks: its VM is about to be taken away
-	due      bool // its VM will be taken away soon
-	tally    tally
+	// successor is the life that has started under the name and whose runs are being stopped.
+	successor csjob.Life
+	stopping  bool // the runs of a life that is over are being stopped on the new one
+	grades    grades
+	held      bool // no new tasks: its VM is about to be taken away
+	due       bool // its VM will be taken away soon
+	tally     tally
 }
 
 // answered notes a sign of this life that is handled now.
