Ask less for a decision about VMs

Cause: each decision copied all targets sorted by name to find one that is on no listed VM, and worked out the chain of a job for each run of each VM, also where no time is left for any chain.

--- a/internal/fleet/csvms/fleet.go
+++ b/internal/fleet/csvms/fleet.go
@@ -182,16 +182,11 @@
 	if f.listedAt.IsZero() || len(r.Table.VMOrders()) > 0 || len(f.arriving) > 0 || len(f.absences) > 0 {
 		return true
 	}
-	known := csmodel.NewSet[csjob.TargetID]()
+	known := make(csmodel.Set[csjob.TargetID], len(f.vms))
 	for _, v := range f.vms {
 		known.Add(v.Target)
 	}
-	for _, t := range r.Table.Targets() {
-		if !known.Has(t.Life.Target) {
-			return true
-		}
-	}
-	return false
+	return r.Table.AnyTarget(func(id csjob.TargetID) bool { return !known.Has(id) })
 }
 
 // life returns the target on a VM, and false where it is not known.
--- a/internal/jobs/csjob/read.go
+++ b/internal/jobs/csjob/read.go
@@ -76,6 +76,16 @@
 	return o, ok
 }
 
+// AnyTarget tells whether f is true for any target.
+func (t *Table) AnyTarget(f func(TargetID) bool) bool {
+	for id := range t.state.Targets {
+		if f(id) {
+			return true
+		}
+	}
+	return false
+}
+
 // Targets returns all targets in ascending order of their names.
 func (t *Table) Targets() []Target {
 	out := make([]Target, 0, len(t.state.Targets))
--- a/internal/jobs/csrun/evict.go
+++ b/internal/jobs/csrun/evict.go
@@ -77,8 +77,9 @@
 	if r.overdue(now, t, j, u) {
 		return true
 	}
-	chain := csplan.Chain(&r.learned, j, u.key.task.Occurrence)
-	return now.Add(stopTime + restartReserve + chain).Before(u.onTime)
+	again := now.Add(stopTime + restartReserve)
+	// The chain is worked out only where there is time for one: this is asked for every run of every VM.
+	return again.Before(u.onTime) && again.Add(csplan.Chain(&r.learned, j, u.key.task.Occurrence)).Before(u.onTime)
 }
 
 // listFresh is how long the list of a target's runs says that they are at work. Looks come at least once per second.
