--- a/internal/jobs/csjob/read.go
+++ b/internal/jobs/csjob/read.go
@@ -37,8 +37,8 @@
 // QueueOf returns the newest settings of the queue of a job. The queue may have left the configuration since.
 func (t *Table) QueueOf(j *Job) Queue { return *t.queueOf(j) }
 
-// PoolOf returns the pool of a job.
-func (t *Table) PoolOf(j *Job) csmodel.PoolID { return t.queueOf(j).Pool }
+// SettingsOf is QueueOf without a copy. The caller must not change them.
+func (t *Table) SettingsOf(j *Job) *Queue { return t.queueOf(j) }
 
 // Job returns a job, or nil.
 func (t *Table) Job(id ID) *Job { return t.state.Jobs[id] }
@@ -82,6 +82,16 @@
 	return o, ok
 }
 
+// AnyTarget tells whether f is true for any target.
+func (t *Table) AnyTarget(f func(TargetID) bool) bool {
+	for id := range t.state.Targets {
+		if f(id) {
+			return true
+		}
+	}
+	return false
+}
+
 // Targets returns all targets in ascending order of their names.
 func (t *Table) Targets() []Target {
 	out := make([]Target, 0, len(t.state.Targets))
--- a/internal/jobs/csrun/orders.go
+++ b/internal/jobs/csrun/orders.go
@@ -34,13 +34,29 @@
 // sendOrders sends the starts and stops that are due.
 func (r *runner) sendOrders(now time.Time, t *csjob.Table) {
 	for _, w := range r.all() {
-		if w.fencing || w.fresh || w.clockAt.IsZero() {
+		if w.calm || w.fencing || w.fresh || w.clockAt.IsZero() {
 			continue
 		}
+		w.calm = w.ordersDone()
 		r.sendOrdersTo(now, t, w)
 	}
 }
 
+// ordersDone tells whether no run needs an order. Runs, answers and evictions change that.
+func (t *target) ordersDone() bool {
+	for _, u := range t.list {
+		if (u.stop && !u.stopped) || (!u.stop && !u.started) {
+			return false
+		}
+	}
+	for _, sent := range t.strays {
+		if !sent {
+			return false
+		}
+	}
+	return true
+}
+
 func (r *runner) sendOrdersTo(now time.Time, t *csjob.Table, w *target) {
 	stops, starts := w.dueOrders(now)
 	for _, u := range stops {
@@ -118,6 +134,7 @@
 		return
 	}
 	now := r.now()
+	w.calm = false
 	w.calls--
 	r.leader.poke()
 	u := w.runs[m.key]
