Try three ways to a target that does not answer

Cause: each unanswered call moved on to a further store, up to seven, and each of them opens new connections to the target. Where two stores and the leader get no answer, the target is more likely at fault: the first store is tried again.

Traced: the test's machine was held up, orders became older than 1 s, and the store refused them as it should. The tests that are not about ages now stop the clocks of the stores; what they ask for is unchanged. The package's tests passed three times with GOMAXPROCS=1 and the race detector. TestSilentTargetIsCalledByFewStores fails without this change.

--- a/internal/node/csrelay/harness_test.go
+++ b/internal/node/csrelay/harness_test.go
@@ -23,11 +23,18 @@
 type skewed struct {
 	clockwork.Clock
 	ahead atomic.Int64
+	stop  atomic.Pointer[time.Time] // the clock stands still at this time
 }
 
 func newSkewed() *skewed { return &skewed{Clock: clockwork.NewRealClock()} }
 
-func (c *skewed) Now() time.Time { return c.Clock.Now().Add(time.Duration(c.ahead.Load())) }
+func (c *skewed) Now() time.Time {
+	now := c.Clock.Now()
+	if at := c.stop.Load(); at != nil {
+		now = *at
+	}
+	return now.Add(time.Duration(c.ahead.Load()))
+}
 
 // calls records the calls of one store to targets.
 type calls struct {
@@ -207,6 +214,7 @@
 func (w *world) ready(n int) {
 	w.t.Helper()
 	w.until("reports of all stores", func() bool { return w.messages(csrelay.KindReport) >= n })
+	w.until("delivery", func() bool { return len(w.queue) == 0 })
 	time.Sleep(20 * time.Millisecond)
 }
 
@@ -220,6 +228,14 @@
 	w.t.Fatalf("not reached: %s", what)
 }
 
+// stopClocks makes ages independent of how busy the test's machine is.
+func (w *world) stopClocks() {
+	now := time.Now()
+	for _, n := range w.nodes {
+		n.clock.stop.Store(&now)
+	}
+}
+
 func target(id csjob.TargetID, zone csmodel.AvailabilityZone) csjob.Target {
 	return csjob.Target{Life: csjob.Life{Target: id, Born: 7}, Address: "a-" + string(id), Zone: zone}
 }
--- a/internal/node/csrelay/relay_test.go
+++ b/internal/node/csrelay/relay_test.go
@@ -18,6 +18,7 @@
 // An order and its answer arrive unchanged: attempt, fence, lease and checkpoint decide what a target does.
 func TestOrdersArriveUnchanged(t *testing.T) {
 	w := newWorld(t, "a", "b")
+	w.stopClocks()
 	w.ready(1)
 	task := csjob.TaskKey{Job: "00000000000000aa", Occurrence: 1, Step: 2, Index: 3}
 	relaying := w.nodes["store/2"].calls
@@ -72,6 +73,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			w := newWorld(t, c.zones...)
+			w.stopClocks()
 			w.ready(len(c.zones) - 1)
 			if err := w.start("t", c.zone); err != nil {
 				t.Fatal(err)
@@ -93,6 +95,7 @@
 // 1,200 a second. Each store takes a share, and a round's calls need few messages.
 func TestCallsAreShared(t *testing.T) {
 	w := newWorld(t, "a", "a", "b", "b", "c", "c", "d", "d")
+	w.stopClocks()
 	w.ready(7)
 	before := w.messages(csrelay.KindOrders)
 	zones := []csmodel.AvailabilityZone{"a", "b", "c", "d"}
@@ -123,6 +126,7 @@
 // A store that is lost changes the way to its own targets only: every change of the way costs a new connection.
 func TestLostStoreMovesOnlyItsTargets(t *testing.T) {
 	w := newWorld(t, "a", "b", "b", "b")
+	w.stopClocks()
 	w.ready(3)
 	const targets = 60
 	send := func() {
@@ -238,6 +242,7 @@
 // stores meanwhile, so that not every call has to wait for a refusal.
 func TestStoreThatRefusesRests(t *testing.T) {
 	w := newWorld(t, "a", "b", "c")
+	w.stopClocks()
 	w.ready(2)
 	w.nodes["store/2"].clock.ahead.Add(int64(10 * time.Second))
 	w.nodes["store/2"].relay.Close()
@@ -254,6 +259,35 @@
 	}
 }
 
+// Pattern: a target leaves every call unanswered. Two stores and the leader try in turn; each further store would open new
+// connections, which are charged.
+func TestSilentTargetIsCalledByFewStores(t *testing.T) {
+	w := newWorld(t, "a", "b", "b", "b", "b", "b")
+	w.stopClocks()
+	w.ready(5)
+	for _, n := range w.nodes {
+		n.calls.fail(csrun.ErrNoAnswer)
+	}
+	for range 9 {
+		if err := w.start("t", "b"); !errors.Is(err, csrun.ErrNoAnswer) {
+			t.Fatalf("got error %v, want %v", err, csrun.ErrNoAnswer)
+		}
+	}
+	used := 0
+	for name, n := range w.nodes {
+		got := n.calls.count()
+		if got > 0 {
+			used++
+		}
+		if got != 0 && got != 3 {
+			t.Errorf("%s made %d calls, want none or every third one", name, got)
+		}
+	}
+	if used != 3 || w.nodes[leader].calls.count() == 0 {
+		t.Errorf("%d stores made calls, want three of which one is the leader", used)
+	}
+}
+
 // Pattern: the leader is short of processor time and takes in answers late. Its call has a limit of 200 ms for the exchange
 // with the target; an answer that the relaying store got in time counts.
 func TestSlowLeaderKeepsAnswers(t *testing.T) {
@@ -287,14 +321,17 @@
 // are not queued without bound.
 func TestCallsInARelayAreBounded(t *testing.T) {
 	w := newWorld(t, "a", "b")
+	w.stopClocks()
 	w.ready(1)
 	gate := make(chan struct{})
 	w.nodes["store/2"].calls.gate = gate
 	const calls, most = 1200, 1024
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
 	var all sync.WaitGroup
 	for i := range calls {
 		all.Go(func() {
-			if _, err := w.nodes[leader].relay.Stop(context.Background(), target(csjob.TargetID(fmt.Sprintf("t%d", i)), "b"), csrun.StopOrder{}); err != nil {
+			if _, err := w.nodes[leader].relay.Stop(ctx, target(csjob.TargetID(fmt.Sprintf("t%d", i)), "b"), csrun.StopOrder{}); err != nil {
 				t.Error(err)
 			}
 		})
--- a/internal/node/csrelay/route.go
+++ b/internal/node/csrelay/route.go
@@ -18,7 +18,9 @@
 	// detourFor is how long another way to a target is used after an unanswered call. It is longer than most partitions;
 	// each change of the way costs a new connection to the target.
 	detourFor = 15 * time.Second
-	// relaysFirst is the number of relaying stores that are tried before the leader calls the target itself.
+	// relaysFirst is the number of relaying stores that are tried before the leader calls the target itself. After that the
+	// first one is tried again: where none of these ways works, the target is more likely at fault, and each further store
+	// would open new connections to it.
 	relaysFirst = 2
 	// leaderRests is the number of other stores from which on the leader calls no target first. With 8 stores in 4 zones of
 	// which one is lost, the leader made a fourth of all calls for its own zone.
@@ -94,7 +96,7 @@
 	if d, ok := c.detours[t.Life.Target]; ok && now.Before(d.until) {
 		w.skip = d.skip
 	}
-	if w.via = ways[w.skip%len(ways)]; w.via == c.o.Self {
+	if w.via = ways[w.skip%min(len(ways), relaysFirst+1)]; w.via == c.o.Self {
 		w.via = ""
 	}
 	p := c.peers[w.via]
