--- a/internal/jobs/csrun/beats.go
+++ b/internal/jobs/csrun/beats.go
@@ -167,7 +167,10 @@
 		m.done <- nil
 		return
 	}
-	if len(w.runs) == 0 {
+	busy := len(w.runs) > 0
+	r.o.State.View(func(t *csjob.Table) { busy = busy || r.occupied(t, w.life) })
+	if !busy {
+		w.fencing = true // a start that is chosen before the end is committed is not sent
 		r.event(csjob.TargetEvent{Target: w.record, Gone: true}, m.done, "target left")
 		return
 	}
@@ -176,14 +179,16 @@
 	r.event(csjob.TargetEvent{Target: record}, m.done, "target leaves with open runs")
 }
 
-// closeLost ends the lives of targets that were silent until everything that ran there has ended.
+// closeLost ends the lives of targets that were silent until everything that ran there has ended. A busy leader may take a
+// target for silent whose answers wait to be handled, so a target with open runs is asked once more when its lease is over:
+// what it tells of its runs decides rather than the clock.
 func (r *runner) closeLost(now time.Time, t *csjob.Table) {
 	for _, w := range r.all() {
 		if w.heardAt.IsZero() {
 			w.heardAt = r.since
 		}
 		silent := now.Sub(w.heardAt)
-		if silent < silentAfter(r.o.Timing.Beat) || !w.lapsed(now) || w.stopping {
+		if silent < silentAfter(r.o.Timing.Beat) || w.stopping || !w.lost(now) {
 			continue
 		}
 		w.fencing, w.stopping = true, true // until the table has dropped it
--- a/internal/jobs/csrun/target.go
+++ b/internal/jobs/csrun/target.go
@@ -71,8 +71,11 @@
 	granted   time.Duration // latest end of the lease; an upper bound of what earlier leaders granted
 	leased    time.Duration // latest end of the lease that an answered look has carried; a lower bound
 	lapsesAt  time.Time     // fallback while the clock is not known
+	overAt    time.Time     // when the lease was first found over; zero while it is not
+	deafFrom  time.Time     // start of the last look without a list
 
 	runs     map[runKey]*run
+	list     []*run          // the same runs, for walks
 	strays   map[runKey]bool // listed runs that should not be there; true while a stop is on its way
 	looking  bool
 	fresh    bool // no look has been answered yet
@@ -89,6 +92,8 @@
 	fencing  bool // the life is over, or about to end in the table: no orders and looks
 	stopping bool // the runs of a life that is over are being stopped on the new one
 	grades   grades
+	held     bool // no new tasks: its VM is about to be taken away
+	due      bool // its VM will be taken away soon
 	tally    tally
 }
 
@@ -173,6 +178,18 @@
 	return t.clock+time.Duration((1+clockDrift)*float64(now.Sub(t.clockFrom))) < t.leased
 }
 
+// lost tells whether the lease is over and the target has left a later look without an answer.
+func (t *target) lost(now time.Time) bool {
+	if !t.lapsed(now) {
+		t.overAt = time.Time{}
+		return false
+	}
+	if t.overAt.IsZero() {
+		t.overAt = now
+	}
+	return len(t.runs) == 0 || (!t.looking && !t.deafFrom.Before(t.overAt))
+}
+
 // usable tells whether the target counts as part of its pool.
 func (t *target) usable(now time.Time, beat time.Duration) bool {
 	return !t.record.Leaving && !t.clockAt.IsZero() && t.failures < silentFailures && !t.fencing && !t.fresh &&
@@ -182,6 +199,9 @@
 // silentZones returns the availability zones in which several targets do not answer and none has answered since. A cut
 // reaches all targets of a zone at once, and each task that is sent there waits for the end of its lease.
 func (r *runner) silentZones() csmodel.Set[csmodel.AvailabilityZone] {
+	if r.failing() < silentTargets {
+		return nil
+	}
 	type signs struct {
 		failing  int
 		failedAt time.Time // the first unanswered call
@@ -210,5 +230,16 @@
 	return out
 }
 
+// failing returns the number of targets whose last call was not answered.
+func (r *runner) failing() int {
+	n := 0
+	for _, w := range r.all() {
+		if w.failures > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // silentAfter returns the time without a sign after which a target counts as silent.
 func silentAfter(beat time.Duration) time.Duration { return time.Duration(silentBeats * float64(beat)) }
