Tell a late result from a lost store

A call whose store is lost and a call whose result does not come in time ended with the same error, so the log could not tell them apart. They have their own errors now, and the reason of a target that does not answer no longer repeats "no answer".

--- a/internal/node/csrelay/caller.go
+++ b/internal/node/csrelay/caller.go
@@ -164,7 +164,7 @@
 			}
 			return a, nil
 		case <-timer.Chan():
-			return result{}, fmt.Errorf("%w: %w", csrun.ErrNoAnswer, errLost)
+			return result{}, fmt.Errorf("%w: %w", csrun.ErrNoAnswer, errLate)
 		case <-done:
 			if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 				return result{}, fmt.Errorf("%w: %w", csrun.ErrNoAnswer, ctx.Err())
--- a/internal/node/csrelay/relay.go
+++ b/internal/node/csrelay/relay.go
@@ -62,6 +62,7 @@
 // Errors that tell why a relayed call has no answer. They are joined with csrun.ErrNoAnswer.
 var (
 	errLost    = errors.New("csrelay: relaying store lost")
+	errLate    = errors.New("csrelay: no result from the relaying store in time")
 	errExpired = errors.New("csrelay: order too old when it could be sent")
 	errFull    = errors.New("csrelay: too many calls in the relaying store")
 	errTarget  = errors.New("csrelay: no answer of the target to the relaying store")
--- a/internal/node/csrelay/server.go
+++ b/internal/node/csrelay/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"time"
 
@@ -95,7 +96,7 @@
 	}
 	switch {
 	case errors.Is(err, csrun.ErrNoAnswer):
-		return result{ID: o.ID, Outcome: outcomeUnanswered, Cause: err.Error()}
+		return result{ID: o.ID, Outcome: outcomeUnanswered, Cause: strings.TrimPrefix(err.Error(), csrun.ErrNoAnswer.Error()+": ")}
 	case err != nil:
 		return result{ID: o.ID, Outcome: outcomeMalformed, Cause: err.Error()}
 	default:
