--- a/internal/jobs/csrun/beats.go
+++ b/internal/jobs/csrun/beats.go
@@ -47,7 +47,8 @@
 	w.sequence = b.Sequence
 	w.heardAt = now
 	if w.clockAt.IsZero() {
-		w.reading(b.Clock, now, r.o.Timing.LongestLease)
+		w.reading(b.Clock, time.Time{}, now, r.o.Timing.LongestLease)
+		w.answered(now)
 	}
 	if sameTarget(w.record, b.Target) {
 		m.done <- nil
@@ -84,8 +85,7 @@
 
 // endPredecessors ends older targets with the address: it is given out again only after they have ended.
 func (r *runner) endPredecessors(t csjob.Target) {
-	for _, id := range csmodel.SortedKeys(r.targets) {
-		w := r.targets[id]
+	for _, w := range r.all() {
 		if w.record.Address == t.Address && w.life.Target != t.Life.Target {
 			r.event(csjob.TargetEvent{Target: w.record, Gone: true}, nil, "target replaced at its address")
 		}
@@ -108,9 +108,9 @@
 	for key := range w.runs {
 		stops = append(stops, StopOrder{Task: key.task, Attempt: key.attempt, Fence: csmodel.Fence(r.term)})
 	}
-	ctx, fence := r.ctx, csmodel.Fence(r.term)
+	ctx, term, fence := r.ctx, r.term, csmodel.Fence(r.term)
 	go func() {
-		m := &fenced{beat: b}
+		m := &fenced{term: term, beat: b}
 		m.ends, m.err = r.fence(ctx, b, stops, fence)
 		r.send(m)
 	}()
@@ -140,7 +140,7 @@
 
 func (r *runner) fenced(m *fenced) {
 	w := r.targets[m.beat.Target.Life.Target]
-	if !r.active || w == nil {
+	if !r.active || m.term != r.term || w == nil {
 		return
 	}
 	if m.err != nil {
@@ -178,8 +178,7 @@
 
 // closeLost ends the lives of targets that were silent until everything that ran there has ended.
 func (r *runner) closeLost(now time.Time, t *csjob.Table) {
-	for _, id := range csmodel.SortedKeys(r.targets) {
-		w := r.targets[id]
+	for _, w := range r.all() {
 		if w.heardAt.IsZero() {
 			w.heardAt = r.since
 		}
@@ -188,7 +187,7 @@
 			continue
 		}
 		w.fencing, w.stopping = true, true // until the table has dropped it
-		r.log.Warn("target lost", zap.String("target", string(id)), zap.Duration("silent", silent),
+		r.log.Warn("target lost", zap.String("target", string(w.life.Target)), zap.Duration("silent", silent),
 			zap.Int("runs", len(t.TasksOn(w.life))))
 		r.event(csjob.TargetEvent{Target: w.record, Gone: true}, nil, "target ended by its lease")
 	}
--- a/internal/jobs/csrun/orders.go
+++ b/internal/jobs/csrun/orders.go
@@ -33,8 +33,7 @@
 
 // sendOrders sends the starts and stops that are due.
 func (r *runner) sendOrders(now time.Time, t *csjob.Table) {
-	for _, id := range csmodel.SortedKeys(r.targets) {
-		w := r.targets[id]
+	for _, w := range r.all() {
 		if w.fencing || w.fresh || w.clockAt.IsZero() {
 			continue
 		}
@@ -83,17 +82,19 @@
 	w.calls++
 	r.work.called()
 	if kind == orderStart {
+		u.starts++
 		r.work.starts++
 	} else {
 		r.work.stops++
 	}
 	r.o.Metrics.orders.WithLabelValues(orderNames[kind]).Inc()
 	ctx, timeout := r.ctx, r.o.Timing.CallTimeout
-	m := &ordered{life: w.life, key: u.key, kind: kind, began: r.now()}
+	m := &ordered{term: r.term, life: w.life, key: u.key, kind: kind, began: r.now()}
 	go func() {
 		limited, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		m.reply, m.err = call(limited)
+		m.arrived = r.now()
 		r.send(m)
 	}()
 }
@@ -112,7 +113,7 @@
 
 func (r *runner) ordered(m *ordered) {
 	r.work.returned(m.err)
-	w := r.target(m.life)
+	w := r.called(m.term, m.life)
 	if w == nil {
 		return
 	}
@@ -127,18 +128,36 @@
 		r.unanswered(w, u, m, now)
 		return
 	}
-	w.reading(m.reply.Clock, now, r.o.Timing.LongestLease)
+	known := r.replied(w, m, now)
 	if u == nil {
 		return
 	}
 	u.busy = false
 	if m.reply.Refusal == RefusedNot {
+		u.here = u.here || (known && m.kind == orderStart)
 		r.acknowledged(u, m, now)
 		return
 	}
 	r.orderRefused(w, u, m, now)
 }
 
+// replied takes in what the answer to an order tells of the target. It returns whether the clock of the answer shows that it
+// is of the life that is known.
+func (r *runner) replied(w *target, m *ordered, now time.Time) bool {
+	switch {
+	case m.reply.Clock == 0:
+		w.answered(now)
+		return false
+	case !w.sameLife(m.reply.Clock, m.began, m.arrived):
+		r.log.Info("answer of another life", zap.String("target", string(w.life.Target)), zap.Duration("clock", m.reply.Clock),
+			zap.Duration("known", w.clock), zap.Duration("age", m.arrived.Sub(w.clockAt)))
+		return false
+	}
+	w.reading(m.reply.Clock, m.began, m.arrived, r.o.Timing.LongestLease)
+	w.answered(now)
+	return true
+}
+
 func (r *runner) unanswered(w *target, u *run, m *ordered, now time.Time) {
 	w.unanswered(now)
 	r.log.Info("order not answered", zap.String("order", orderNames[m.kind]), zap.String("job", string(m.key.task.Job)),
@@ -183,7 +202,7 @@
 		u.stop = true // it has ended there, or a stop has overtaken it
 	case RefusedUnhealthy:
 		r.refused(w, m.reply.Refusal, now)
-		if m.kind == orderStart && u.tries <= 1 {
+		if u.onlyStart(m) {
 			r.unrun(w, u)
 			return
 		}
@@ -191,15 +210,24 @@
 		u.nextAt = now.Add(orderRetry)
 	case RefusedRoom, RefusedTicket, RefusedInvalid:
 		w.restTill = now.Add(restAfterRefusal)
-		if u.tries <= 1 {
+		if u.onlyStart(m) {
 			r.unrun(w, u)
 			return
 		}
 		u.stop = true // an earlier copy of the order may still arrive
+		if m.kind == orderStop {
+			u.nextAt = now.Add(orderRetry)
+		}
 	case RefusedNot:
 	}
 }
 
+// onlyStart tells whether an answer is to the only start of this term. Then its refusal means that the run does not exist
+// and never will: starts of earlier terms are refused since the first look of this one, by their fence.
+func (u *run) onlyStart(m *ordered) bool {
+	return m.kind == orderStart && u.starts == 1 && !u.started
+}
+
 // unrun ends a run that the target has refused.
 func (r *runner) unrun(w *target, u *run) {
 	u.busy = true // no further order
