--- a/internal/jobs/csrun/world_test.go
+++ b/internal/jobs/csrun/world_test.go
@@ -472,10 +472,12 @@
 	if lost {
 		return csrun.Look{}, w.unanswered(ctx)
 	}
-	select {
-	case <-time.After(slow):
-	case <-ctx.Done():
-		return csrun.Look{}, csrun.ErrNoAnswer
+	if slow > 0 {
+		select {
+		case <-time.After(slow):
+		case <-ctx.Done():
+			return csrun.Look{}, csrun.ErrNoAnswer
+		}
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
