Leave tasks that last alone where the answers to their start are lost

What callers saw: TestEvictionKeepsAvailability failed once in a while ("stopped while 1 others are away"): 5 of 40 runs of the unchanged code, four processes at a time. Such a stop breaks AVAIL.

Cause: after two starts without an answer a run was stopped, also one of a step that may miss only so many tasks at a time. The target may have begun it with the first start. A leader that is short of processor time gives up on answers that are on their way, so it does this often.

Now the start of a task that lasts is sent again until a look tells whether it is there. Starts of one attempt are idempotent.

Evidence: TestUnansweredStartsStopOnlyRunsThatEnd fails without the change.

--- a/internal/jobs/csrun/answers_test.go
+++ b/internal/jobs/csrun/answers_test.go
@@ -173,3 +173,30 @@
 		t.Error("got the start of this term released, want it kept")
 	}
 }
+
+// Guards against a task that lasts being taken away from its step because the answers to its start were lost: it may be at
+// work already, and others of its step may be away.
+func TestUnansweredStartsStopOnlyRunsThatEnd(t *testing.T) {
+	cases := []struct {
+		name string
+		run  run
+		want bool // the run is stopped
+	}{
+		{"first start", run{tries: 1, starts: 1}, false},
+		{"second start", run{tries: 2, starts: 2}, true},
+		{"second start, listed", run{tries: 2, starts: 2, started: true}, false},
+		{"second start, lasts", run{tries: 2, starts: 2, lasting: true}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r, w := newTestRunner(2)
+			key := runKey{task: csjob.TaskKey{Job: "a"}, attempt: 1}
+			u := c.run
+			w.runs[key] = &u
+			r.ordered(&ordered{term: 2, life: w.life, key: key, kind: orderStart, began: r.now(), arrived: r.now(), err: ErrNoAnswer})
+			if got := u.stop; got != c.want {
+				t.Errorf("got the run stopped %t, want %t", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/jobs/csrun/orders.go
+++ b/internal/jobs/csrun/orders.go
@@ -18,7 +18,8 @@
 	// follows at once: most targets that leave one order unanswered answer the next one.
 	orderRetry     = 200 * time.Millisecond
 	orderRetryMost = time.Second
-	// startTries is the number of unanswered starts after which the run is stopped instead.
+	// startTries is the number of unanswered starts after which the run is stopped instead. A task that lasts may be at work
+	// already, and a stop would take it away from its step; its start is sent again until a look tells.
 	startTries = 2
 )
 
@@ -175,7 +176,7 @@
 	if u.tries > 1 {
 		u.nextAt = now.Add(min(orderRetry<<min(u.tries-2, 4), orderRetryMost))
 	}
-	if m.kind == orderStart && u.tries >= startTries && !u.started {
+	if m.kind == orderStart && u.tries >= startTries && !u.started && !u.lasting {
 		u.stop = true
 	}
 }
