Count a task as at work only while its lease is known to hold

Cause: a task counts as at work by a list that is at most 2 s old. A lease that no answered look has extended can end within that time: it did in the test, whose leases are 600 ms long, where the machine was late; on the platform it can after a silence, because the first answered look extends nothing.

Now the end of the lease by the last answered look that extended it is kept, and a task counts as at work until 250 ms before it. A new leader counts tasks from its second look at a target on, which extends the lease.

TestAtWorkNeedsALease is of the rule.

--- a/internal/jobs/csrun/evict.go
+++ b/internal/jobs/csrun/evict.go
@@ -85,9 +85,20 @@
 // listFresh is how long the list of a target's runs says that they are at work. Looks come at least once per second.
 const listFresh = 2 * time.Second
 
-// atWork tells whether a task that lasts is known to be at work.
+// leaseMargin is how long a lease must still last for its tasks to count as at work: until a stop that counts on them has
+// arrived.
+const leaseMargin = 250 * time.Millisecond
+
+// atWork tells whether a task that lasts is known to be at work. A list alone does not tell, because the lease of what it
+// names may be about to end: an answer after a silence is to a look that has extended nothing.
 func (t *target) atWork(now time.Time, u *run) bool {
-	return u.started && !u.stop && u.percent == fullWork && t.failures == 0 && now.Sub(t.listedAt) < listFresh
+	listed := t.failures == 0 && now.Sub(t.listedAt) < listFresh
+	return u.started && !u.stop && u.percent == fullWork && listed && t.leased(now)
+}
+
+// leased tells whether an extension that the target has confirmed still holds.
+func (t *target) leased(now time.Time) bool {
+	return !t.clockAt.IsZero() && t.clock+now.Sub(t.clockAt)+leaseMargin < t.confirmed
 }
 
 func stepOf(k csjob.TaskKey) csplan.StepKey {
--- a/internal/jobs/csrun/first_test.go
+++ b/internal/jobs/csrun/first_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
 )
@@ -39,3 +40,32 @@
 		t.Errorf("got a target of weight %d first, want %d: tasks that last", got, want)
 	}
 }
+
+// Pattern: a target answers again after a silence, with a list of tasks whose lease is about to end. They must not count as
+// at work while others of their step are stopped (rule AVAIL).
+func TestAtWorkNeedsALease(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	cases := []struct {
+		name      string
+		confirmed time.Duration // after the last reading of the clock
+		age       time.Duration // of that reading
+		want      bool
+	}{
+		{"extended by an answered look", 5 * time.Second, time.Second, true},
+		{"never extended", 0, 0, false},
+		{"about to end", time.Second, time.Second - leaseMargin, false},
+		{"over", time.Second, 1500 * time.Millisecond, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := &target{clock: time.Hour, clockAt: now.Add(-c.age), listedAt: now.Add(-c.age)}
+			if c.confirmed > 0 {
+				w.confirmed = w.clock + c.confirmed
+			}
+			u := &run{lasting: true, started: true, percent: fullWork}
+			if got := w.atWork(now, u); got != c.want {
+				t.Errorf("got at work %t, want %t", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/jobs/csrun/looks.go
+++ b/internal/jobs/csrun/looks.go
@@ -167,6 +167,7 @@
 	prompt := m.started.Sub(w.listedAt) < promptLook
 	w.listedAt = now
 	w.told = max(w.told, m.order.Noted)
+	w.confirmed = max(w.confirmed, m.order.Until)
 	r.takeEnds(w, m.look.Ended, now, prompt)
 	r.takeProgress(w, m)
 }
--- a/internal/jobs/csrun/target.go
+++ b/internal/jobs/csrun/target.go
@@ -69,6 +69,7 @@
 	// clockFrom is when the call with that answer began; zero where it is not known.
 	clockFrom time.Time
 	granted   time.Duration // latest end of the lease; an upper bound of what earlier leaders granted
+	confirmed time.Duration // end of the lease by the last look that extended it and was answered
 	lapsesAt  time.Time     // fallback while the clock is not known
 
 	runs     map[runKey]*run
