--- a/internal/jobs/csjob/table.go
+++ b/internal/jobs/csjob/table.go
@@ -277,7 +277,7 @@
 
 // note counts the open runs of a task on a target.
 func (t *Table) note(l Life, k TaskKey, n int) {
-	t.touch(l.Target)
+	t.touchRun(l, k)
 	m := t.runs[l]
 	if m == nil {
 		m = map[TaskKey]int{}
@@ -302,6 +302,7 @@
 	}
 	i := slices.IndexFunc(k.Runs, func(r Run) bool { return r.Attempt == e.Attempt })
 	if i < 0 {
+		t.endUnheard(j, k, e, at)
 		return
 	}
 	// A restarted target may run what was meant for its earlier life, so the life of the run counts here.
@@ -316,6 +317,21 @@
 	t.retire(j)
 }
 
+// endUnheard takes in how a run ended that was given up with its target. The target keeps the end until it is acknowledged, and
+// the acknowledgement stands: a task that ended done must not start again after it.
+func (t *Table) endUnheard(j *Job, k *Task, e End, at time.Time) {
+	i := slices.Index(k.Unheard, e.Attempt)
+	if i < 0 {
+		return
+	}
+	k.Unheard = slices.Delete(k.Unheard, i, i+1)
+	if e.Checkpoint != "" && e.Attempt == k.Attempts {
+		k.Checkpoint = e.Checkpoint
+	}
+	t.settle(j, k, e, at)
+	t.retire(j)
+}
+
 // settle draws the conclusions of an end for the task and its job.
 func (t *Table) settle(j *Job, k *Task, e End, at time.Time) {
 	step := j.Submission.Steps[e.Task.Step]
@@ -346,14 +362,16 @@
 	if step.Gang {
 		for i := range j.Tasks[key.Occurrence][key.Step] {
 			j.Tasks[key.Occurrence][key.Step][i].Done = true
-			t.touchRuns(&j.Tasks[key.Occurrence][key.Step][i])
+			member := key
+			member.Index = i
+			t.touchRuns(member, &j.Tasks[key.Occurrence][key.Step][i])
 		}
 		*left = 0
 		return
 	}
 	if !k.Done {
 		k.Done = true
-		t.touchRuns(k)
+		t.touchRuns(key, k)
 		*left--
 	}
 }
--- a/internal/jobs/csrun/answers_test.go
+++ b/internal/jobs/csrun/answers_test.go
@@ -97,3 +97,79 @@
 		})
 	}
 }
+
+// Guards against a target with open runs being given up while its answers wait for a busy leader: once the lease is over, a
+// look that began later has to stay without an answer.
+func TestTargetIsAskedBeforeItIsGivenUp(t *testing.T) {
+	const over = 20 // seconds after the last reading; the lease was over long before
+	cases := []struct {
+		name    string
+		runs    int
+		looking bool
+		deaf    int // when the last look without an answer began, in seconds after the last reading
+		want    bool
+	}{
+		{"nothing open", 0, false, 0, true},
+		{"no look since", 1, false, 10, false},
+		{"an answer may wait", 1, true, 21, false},
+		{"a later look was not answered", 1, false, 21, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r, w := newTestRunner(2)
+			read := r.now()
+			for range c.runs {
+				w.runs[runKey{attempt: 1}] = &run{}
+			}
+			w.granted = time.Minute + 5*time.Second
+			if w.lost(read.Add(over*time.Second)) != (c.runs == 0) {
+				t.Error("got the target given up without a look, want it asked")
+			}
+			w.looking = c.looking
+			w.deafFrom = read.Add(time.Duration(c.deaf) * time.Second)
+			if got := w.lost(read.Add(2 * over * time.Second)); got != c.want {
+				t.Errorf("got the target given up %t, want %t", got, c.want)
+			}
+		})
+	}
+}
+
+// Guards against a run being given up whose end is not on the list yet: a target lists its ends in portions, and after a
+// cut of its zone there are more than one portion holds.
+func TestFullListTellsNothingOfRunsThatAreNotOnIt(t *testing.T) {
+	cases := []struct {
+		name  string
+		ended int
+		want  bool // the run is given up
+	}{
+		{"all ends", endsPerList - 1, true},
+		{"a portion", endsPerList, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r, w := newTestRunner(2)
+			key := runKey{task: csjob.TaskKey{Job: "a"}, attempt: 1}
+			w.runs[key] = &run{key: key, starts: 2, stop: true, stopped: true, stopAt: r.now()}
+			m := &looked{term: 2, life: w.life, started: r.now().Add(time.Millisecond), look: Look{Born: w.life.Born}}
+			for n := range c.ended {
+				m.look.Ended = append(m.look.Ended, Ended{Number: int64(n + 1), Task: csjob.TaskKey{Job: "b", Index: n}, Attempt: 1})
+			}
+			r.takeProgress(w, m)
+			if got := len(r.ends) > 0; got != c.want {
+				t.Errorf("got the run given up %t, want %t", got, c.want)
+			}
+		})
+	}
+}
+
+// Guards against the answer to a proposal of an earlier term releasing what this term has reserved for the same task.
+func TestCommitOfAnEarlierTermReleasesNothing(t *testing.T) {
+	r, w := newTestRunner(2)
+	key := csjob.TaskKey{Job: "a"}
+	r.pending = map[csjob.TaskKey]csjob.Life{key: w.life}
+	r.committed(&committed{term: 1, command: csjob.Command{Starts: []csjob.Start{{Task: key, Attempt: 1, Life: w.life}}}, err: ErrNotLeading})
+	r.committed(&committed{term: 1, command: csjob.Command{Starts: []csjob.Start{{Task: key, Attempt: 1, Life: w.life}}}})
+	if !r.onItsWay(key) {
+		t.Error("got the start of this term released, want it kept")
+	}
+}
--- a/internal/jobs/csrun/due_test.go
+++ b/internal/jobs/csrun/due_test.go
@@ -11,10 +11,10 @@
 // not wait behind starts until its task counts as unasked (rule UNASKED).
 func TestStopsGoBeforeStarts(t *testing.T) {
 	now := time.Unix(1_800_000_000, 0)
-	w := &target{runs: map[runKey]*run{}}
+	w := &target{}
 	add := func(u run) {
-		u.key.attempt = csjob.Attempt(len(w.runs) + 1)
-		w.runs[u.key] = &u
+		u.key.attempt = csjob.Attempt(len(w.list) + 1)
+		w.list = append(w.list, &u)
 	}
 	for n := range 40 {
 		add(run{since: now.Add(time.Duration(n) * time.Millisecond)})
--- a/internal/jobs/csrun/evict.go
+++ b/internal/jobs/csrun/evict.go
@@ -29,11 +29,10 @@
 		return
 	}
 	away := r.absent(now, t)
-	for _, w := range r.all() {
-		if !held.Has(w.life) {
-			continue
-		}
-		for key, u := range w.runs {
+	for _, w := range r.of(held) {
+		w.calm = false
+		for _, u := range w.list {
+			key := u.key
 			if u.stop {
 				continue
 			}
@@ -78,27 +77,18 @@
 	if r.overdue(now, t, j, u) {
 		return true
 	}
-	chain := csplan.Chain(&r.learned, j, u.key.task.Occurrence)
-	return now.Add(stopTime + restartReserve + chain).Before(u.onTime)
+	again := now.Add(stopTime + restartReserve)
+	// The chain is worked out only where there is time for one: this is asked for every run of every VM.
+	return again.Before(u.onTime) && again.Add(csplan.Chain(&r.learned, j, u.key.task.Occurrence)).Before(u.onTime)
 }
 
 // listFresh is how long the list of a target's runs says that they are at work. Looks come at least once per second.
 const listFresh = 2 * time.Second
 
-// leaseMargin is how long a lease must still last for its tasks to count as at work: until a stop that counts on them has
-// arrived.
-const leaseMargin = 250 * time.Millisecond
-
-// atWork tells whether a task that lasts is known to be at work. A list alone does not tell, because the lease of what it
-// names may be about to end: an answer after a silence is to a look that has extended nothing.
+// atWork tells whether a task that lasts is known to be at work. A busy leader may extend a lease too late without any
+// call that failed, so the lease has to hold as well.
 func (t *target) atWork(now time.Time, u *run) bool {
-	listed := t.failures == 0 && now.Sub(t.listedAt) < listFresh
-	return u.started && !u.stop && u.percent == fullWork && listed && t.leased(now)
-}
-
-// leased tells whether an extension that the target has confirmed still holds.
-func (t *target) leased(now time.Time) bool {
-	return !t.clockAt.IsZero() && t.clock+now.Sub(t.clockAt)+leaseMargin < t.confirmed
+	return u.started && !u.stop && u.percent == fullWork && t.failures == 0 && now.Sub(t.listedAt) < listFresh && t.holds(now)
 }
 
 func stepOf(k csjob.TaskKey) csplan.StepKey {
@@ -118,10 +108,13 @@
 			}
 		}
 	}
-	for _, w := range r.targets {
-		for key, u := range w.runs {
+	for _, w := range r.all() {
+		if w.tally.fresh && !w.tally.lasts {
+			continue
+		}
+		for _, u := range w.list {
 			if u.lasting && w.atWork(now, u) {
-				out[stepOf(key.task)]--
+				out[stepOf(u.key.task)]--
 			}
 		}
 	}
--- a/internal/jobs/csrun/looks.go
+++ b/internal/jobs/csrun/looks.go
@@ -21,6 +21,9 @@
 	// silentFailures is the number of unanswered calls in a row after which looks no longer extend the lease: an extension
 	// that may or may not have arrived would keep the runs open for ever.
 	silentFailures = 2
+	// endsPerList is the number of ends that a list holds at most, from the platform's protocol. Others follow after an
+	// acknowledgement.
+	endsPerList = 500
 	// missingLooks is the number of looks without a started run after which it is stopped.
 	missingLooks = 2
 )
@@ -119,12 +122,17 @@
 }
 
 // called returns the target that a call of a term was sent to, or nil where its answer no longer matters. An answer from
-// before this node led anew is dropped: it tells nothing about the orders that were sent since.
+// before this node led anew is dropped: it tells nothing about the orders that were sent since. What the target needs next
+// may have changed with the answer.
 func (r *runner) called(term csmodel.Term, l csjob.Life) *target {
 	if term != r.term {
 		return nil
 	}
-	return r.target(l)
+	w := r.target(l)
+	if w != nil {
+		w.calm = false
+	}
+	return w
 }
 
 // target returns the state of a life, or nil where it is over.
@@ -150,24 +158,27 @@
 	r.leader.poke()
 	if m.err != nil {
 		w.unanswered(now)
+		w.deafFrom = m.started
 		r.log.Info("look not answered", zap.String("target", string(w.life.Target)), zap.Int("failures", w.failures), zap.Error(m.err))
 		return
 	}
 	if m.look.Refusal != RefusedNot {
+		w.deafFrom = m.started
 		r.refused(w, m.look.Refusal, now)
 		return
 	}
 	if m.look.Born != 0 && m.look.Born != w.life.Born {
 		w.unanswered(now) // restarted; its heartbeat tells more
+		w.deafFrom = m.started
 		return
 	}
 	w.reading(m.look.Clock, m.started, m.arrived, r.o.Timing.LongestLease)
+	w.leased = max(w.leased, m.order.Until)
 	w.answered(now)
 	w.fresh = false
 	prompt := m.started.Sub(w.listedAt) < promptLook
 	w.listedAt = now
 	w.told = max(w.told, m.order.Noted)
-	w.confirmed = max(w.confirmed, m.order.Until)
 	r.takeEnds(w, m.look.Ended, now, prompt)
 	r.takeProgress(w, m)
 }
@@ -261,6 +272,9 @@
 			delete(w.strays, key)
 		}
 	}
+	if len(m.look.Ended) >= endsPerList {
+		return // the end of a run may be on a later list
+	}
 	ended := csmodel.NewSet[runKey]()
 	for _, e := range m.look.Ended {
 		ended.Add(runKey{e.Task, e.Attempt})
--- a/internal/jobs/csrun/runner.go
+++ b/internal/jobs/csrun/runner.go
@@ -38,6 +38,7 @@
 	cancel  context.CancelFunc
 	term    csmodel.Term
 	active  bool // leads and has every committed entry
+	loaded  bool // has taken over the table
 	since   time.Time
 	changes uint64
 
@@ -47,14 +48,18 @@
 	// pendingOn and pendingOf are the same starts by life and counted by job.
 	pendingOn map[csjob.Life][]csjob.TaskKey
 	pendingOf map[csjob.ID]int
+	pools     map[csmodel.PoolID]*pool
 	ends      []csjob.End
 	noted     map[csjob.Life]int64 // numbers of the ends that wait to be committed
 	events    []csjob.TargetEvent
 	waiters   []chan error
+	unknown   undecided
 	work      workload
 
+	marks     int       // rounds that have marked targets
+	lostAt    time.Time // when targets were last searched for lost ones
 	nextRound time.Time // no round begins earlier
-	synced    int       // targets that were compared with the table
+	synced    int       // tasks on targets that were compared with the table
 	tallied   int       // targets whose runs were added up
 }
 
@@ -78,6 +83,8 @@
 		r.paced()
 	case *beaten:
 		r.beat(m)
+	case *signs:
+		r.signed(m)
 	case *left:
 		r.leave(m)
 	case *looked:
@@ -106,6 +113,7 @@
 	r.noted = map[csjob.Life]int64{}
 	r.pendingOn = map[csjob.Life][]csjob.TaskKey{}
 	r.pendingOf = map[csjob.ID]int{}
+	r.pools = map[csmodel.PoolID]*pool{}
 	r.log.Info("leading", zap.Uint64("term", uint64(t)))
 	r.catchUp(r.ctx, t)
 }
@@ -178,7 +186,10 @@
 	var starts []csjob.Start
 	r.o.State.View(func(t *csjob.Table) {
 		r.sync(t, now)
-		r.closeLost(now, t)
+		if now.Sub(r.lostAt) >= lostEvery {
+			r.lostAt = now
+			r.closeLost(now, t)
+		}
 		r.lap(partSync)
 		silent := r.silentZones()
 		starts = r.schedule(now, t, silent)
@@ -213,10 +224,15 @@
 
 // ended notes that a round has ended, and when the next one may begin.
 func (r *runner) ended(began, now time.Time) {
-	r.nextRound = later(began.Add(roundSpacing), now.Add(restFactor*now.Sub(began)))
+	r.nextRound = later(began.Add(roundSpacing), now.Add(rest(now.Sub(began))))
 	r.work.report(now, r.log, len(r.targets))
 }
 
+// rest returns how long the leader does other work after a round.
+func rest(round time.Duration) time.Duration {
+	return min(restFactor*round, max(restLong, restFactorSlow*round))
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -244,10 +260,11 @@
 // propose commits what the round has decided.
 func (r *runner) propose(starts []csjob.Start) {
 	c := csjob.Command{Ends: r.ends, Targets: r.events, Starts: starts}
-	if len(c.Ends) == 0 && len(c.Targets) == 0 && len(c.Starts) == 0 {
+	if len(c.Ends) == 0 && len(c.Targets) == 0 && len(c.Starts) == 0 && !r.unknown.askable() {
 		return
 	}
-	m := &committed{command: c, noted: r.noted, waiters: r.waiters, began: r.now()}
+	r.unknown.asking = true
+	m := &committed{term: r.term, command: c, noted: r.noted, waiters: r.waiters, began: r.now()}
 	r.ends, r.events, r.waiters = nil, nil, nil
 	r.noted = map[csjob.Life]int64{}
 	ctx := r.ctx
@@ -261,13 +278,11 @@
 
 func (r *runner) committed(m *committed) {
 	r.answer(m.waiters, m.err)
-	if !r.active {
+	if !r.active || m.term != r.term {
 		return
 	}
 	r.work.slowest = max(r.work.slowest, r.now().Sub(m.began))
-	for _, s := range m.command.Starts {
-		r.settled(s.Task)
-	}
+	r.decide(m)
 	if m.err != nil {
 		r.log.Warn("decisions not committed", zap.Int("starts", len(m.command.Starts)), zap.Int("ends", len(m.command.Ends)),
 			zap.Error(m.err))
--- a/internal/jobs/csrun/sync.go
+++ b/internal/jobs/csrun/sync.go
@@ -1,6 +1,8 @@
 package csrun
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,6 +14,7 @@
 
 // sync takes over the targets and open runs of the table that have changed since the last round.
 func (r *runner) sync(t *csjob.Table, now time.Time) {
+	r.loaded = true
 	if t.Changes() == r.changes {
 		return
 	}
@@ -28,6 +31,11 @@
 	for id := range changed.Targets {
 		r.syncTarget(t, id, now)
 	}
+	for o := range changed.Runs {
+		if w := r.targets[o.Life.Target]; w != nil && w.life == o.Life {
+			r.syncTask(t, w, o.Task)
+		}
+	}
 }
 
 // syncAll takes over all targets and open runs.
@@ -57,7 +65,6 @@
 	}
 	w.record = record
 	r.syncRuns(t, w)
-	w.tally.fresh = false
 }
 
 func (r *runner) drop(id csjob.TargetID) {
@@ -76,6 +83,18 @@
 	return r.sorted
 }
 
+// of returns the targets with these lives in ascending order of their names.
+func (r *runner) of(lives csmodel.Set[csjob.Life]) []*target {
+	out := make([]*target, 0, len(lives))
+	for l := range lives {
+		if w := r.target(l); w != nil {
+			out = append(out, w)
+		}
+	}
+	slices.SortFunc(out, func(a, b *target) int { return cmp.Compare(a.life.Target, b.life.Target) })
+	return out
+}
+
 var stateNames = [...]string{"queued", "running", "completed", "failed", "cancelled"}
 
 // jobEnded writes a line for a job that has ended, and frees the room of its starts that are not committed yet.
@@ -106,37 +125,63 @@
 	return now.Add(time.Duration((1+clockDrift)*float64(r.o.Timing.LongestLease)) + lapseSlack)
 }
 
+// syncRuns takes over all open runs of a target.
 func (r *runner) syncRuns(t *csjob.Table, w *target) {
+	tasks := csmodel.NewSet[csjob.TaskKey]()
+	t.EachTaskOn(w.life, tasks.Add)
+	for _, u := range w.list {
+		tasks.Add(u.key.task)
+	}
+	for k := range tasks {
+		r.syncTask(t, w, k)
+	}
+	w.tally.fresh, w.calm = false, false
+}
+
+// syncTask takes over the open runs of a task on a target.
+func (r *runner) syncTask(t *csjob.Table, w *target, k csjob.TaskKey) {
 	r.synced++
-	for _, u := range w.runs {
-		u.open = false
-	}
-	t.EachTaskOn(w.life, func(k csjob.TaskKey) {
-		j := t.Job(k.Job)
-		task := j.Task(k)
-		for i := range task.Runs {
-			if task.Runs[i].Life == w.life {
-				r.syncRun(w, j, task, runKey{k, task.Runs[i].Attempt}, task.Runs[i].Since)
-			}
+	w.tally.fresh, w.calm = false, false
+	for _, u := range w.list {
+		if u.key.task == k {
+			u.open = false
+		}
+	}
+	if j := t.Job(k.Job); j != nil {
+		if task := j.Task(k); task != nil {
+			r.syncOpen(w, j, task, k)
 		}
-	})
-	for key, u := range w.runs {
-		if !u.open {
-			delete(w.runs, key)
+	}
+	kept := w.list[:0]
+	for _, u := range w.list {
+		if u.open {
+			kept = append(kept, u)
+			continue
 		}
+		delete(w.runs, u.key)
 	}
+	clear(w.list[len(kept):])
+	w.list = kept
 }
 
-func (r *runner) syncRun(w *target, j *csjob.Job, task *csjob.Task, key runKey, since time.Time) {
-	step := &j.Submission.Steps[key.task.Step]
-	u := w.runs[key]
-	if u == nil {
-		u = &run{key: key, since: since, expected: r.learned.Duration(j.Submission.Queue, *step)}
-		w.runs[key] = u
-	}
-	u.open, u.job = true, j
-	if j.State.Final() || task.Done || (w.record.Leaving && step.Lasting) {
-		u.stop = true
+func (r *runner) syncOpen(w *target, j *csjob.Job, task *csjob.Task, k csjob.TaskKey) {
+	step := &j.Submission.Steps[k.Step]
+	for i := range task.Runs {
+		o := &task.Runs[i]
+		if o.Life != w.life {
+			continue
+		}
+		key := runKey{k, o.Attempt}
+		u := w.runs[key]
+		if u == nil {
+			u = &run{key: key, since: o.Since, expected: r.learned.Duration(j.Submission.Queue, *step)}
+			w.runs[key] = u
+			w.list = append(w.list, u)
+		}
+		u.open, u.job = true, j
+		if j.State.Final() || task.Done || (w.record.Leaving && step.Lasting) {
+			u.stop = true
+		}
+		u.lasting = step.Lasting && !j.State.Final()
 	}
-	u.lasting = step.Lasting && !j.State.Final()
 }
--- a/internal/node/csrelay/relay_test.go
+++ b/internal/node/csrelay/relay_test.go
@@ -18,6 +18,7 @@
 // An order and its answer arrive unchanged: attempt, fence, lease and checkpoint decide what a target does.
 func TestOrdersArriveUnchanged(t *testing.T) {
 	w := newWorld(t, "a", "b")
+	w.stopClocks()
 	w.ready(1)
 	task := csjob.TaskKey{Job: "00000000000000aa", Occurrence: 1, Step: 2, Index: 3}
 	relaying := w.nodes["store/2"].calls
@@ -65,12 +66,14 @@
 		{"leader alone, other zone", []csmodel.AvailabilityZone{"a"}, "b", leader},
 		{"store in the zone", []csmodel.AvailabilityZone{"a", "b", "c"}, "c", "store/3"},
 		{"only the leader in the zone", []csmodel.AvailabilityZone{"a", "b", "c"}, "a", leader},
+		{"only the leader in the zone of a large group", []csmodel.AvailabilityZone{"a", "b", "c", "d", "e"}, "a", "store/5"},
 		{"leader and a store in the zone", []csmodel.AvailabilityZone{"a", "a", "c"}, "a", "store/2"},
 		{"no store in the zone", []csmodel.AvailabilityZone{"a", "b"}, "d", "store/2"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			w := newWorld(t, c.zones...)
+			w.stopClocks()
 			w.ready(len(c.zones) - 1)
 			if err := w.start("t", c.zone); err != nil {
 				t.Fatal(err)
@@ -92,6 +95,7 @@
 // 1,200 a second. Each store takes a share, and a round's calls need few messages.
 func TestCallsAreShared(t *testing.T) {
 	w := newWorld(t, "a", "a", "b", "b", "c", "c", "d", "d")
+	w.stopClocks()
 	w.ready(7)
 	before := w.messages(csrelay.KindOrders)
 	zones := []csmodel.AvailabilityZone{"a", "b", "c", "d"}
@@ -122,6 +126,7 @@
 // A store that is lost changes the way to its own targets only: every change of the way costs a new connection.
 func TestLostStoreMovesOnlyItsTargets(t *testing.T) {
 	w := newWorld(t, "a", "b", "b", "b")
+	w.stopClocks()
 	w.ready(3)
 	const targets = 60
 	send := func() {
@@ -158,7 +163,7 @@
 		lose func(*world)
 		want time.Duration // longest time until the order ends
 	}{
-		{"order lost", func(w *world) { w.set(w.lose, "store/2") }, 2 * time.Second},
+		{"order lost", func(w *world) { w.set(w.lose, "store/2") }, 2 * time.Second}, // the store still reports
 		{"answer lost", func(w *world) { w.set(w.lose, leader) }, 2 * time.Second},
 		{"connection lost", func(w *world) {
 			w.set(w.lose, "store/2")
@@ -188,40 +193,101 @@
 	}
 }
 
-// Pattern: an order waits in a broken connection or in a machine that is suspended, and arrives when the leader has long
-// taken it for unanswered and may have sent its successor elsewhere. It must not be carried out any more.
+// Pattern: an order waits in a broken connection or in a machine that is suspended, and arrives late. The store must not carry it
+// out: the leader may have taken it for unanswered and sent its successor elsewhere. Where the leader still waits, it learns
+// that nothing was carried out and makes the call itself.
 func TestLateOrderIsNotCarriedOut(t *testing.T) {
+	hold := func(d time.Duration) func(*world) {
+		return func(w *world) {
+			w.set(w.hold, "store/2")
+			time.AfterFunc(d, w.deliver)
+		}
+	}
 	cases := []struct {
-		name string
-		late func(*world)
+		name   string
+		late   func(*world)
+		want   error
+		direct int // calls that the leader makes itself
 	}{
-		{"in the connection", func(w *world) {
-			w.set(w.hold, "store/2")
-			time.AfterFunc(time.Second, w.deliver)
-		}},
-		{"in a suspended machine", func(w *world) { w.nodes["store/2"].clock.ahead.Add(int64(10 * time.Second)) }},
+		{"in the connection", hold(1100 * time.Millisecond), nil, 1},
+		{"in the connection for longer than the leader waits", hold(1700 * time.Millisecond), csrun.ErrNoAnswer, 0},
+		{"in a suspended machine", func(w *world) { w.nodes["store/2"].clock.ahead.Add(int64(10 * time.Second)) }, nil, 1},
 		{"clock of the store set back by its restart", func(w *world) {
 			w.nodes["store/2"].clock.ahead.Add(int64(-10 * time.Second))
-		}},
+		}, nil, 1},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			w := newWorld(t, "a", "b")
 			w.ready(1)
-			w.nodes["store/2"].relay.Close() // no further reports
+			w.nodes[leader].relay.Close()    // the store is not lost while the order waits
+			w.nodes["store/2"].relay.Close() // and gives no newer stamp
 			time.Sleep(20 * time.Millisecond)
 			c.late(w)
-			if err := w.start("t", "b"); !errors.Is(err, csrun.ErrNoAnswer) {
-				t.Errorf("got error %v, want %v", err, csrun.ErrNoAnswer)
+			if err := w.start("t", "b"); !errors.Is(err, c.want) {
+				t.Errorf("got error %v, want %v", err, c.want)
 			}
-			time.Sleep(400 * time.Millisecond)
+			time.Sleep(500 * time.Millisecond)
 			if got := w.nodes["store/2"].calls.count(); got != 0 {
 				t.Errorf("the store made %d calls, want none", got)
 			}
+			if got := w.nodes[leader].calls.count(); got != c.direct {
+				t.Errorf("the leader made %d calls, want %d", got, c.direct)
+			}
 		})
 	}
 }
 
+// Pattern: messages to one store are late for seconds, because its connection is clogged. Its targets are called by other
+// stores meanwhile, so that not every call has to wait for a refusal.
+func TestStoreThatRefusesRests(t *testing.T) {
+	w := newWorld(t, "a", "b", "c")
+	w.stopClocks()
+	w.ready(2)
+	w.nodes["store/2"].clock.ahead.Add(int64(10 * time.Second))
+	w.nodes["store/2"].relay.Close()
+	for i := range 20 {
+		if err := w.start(csjob.TargetID(fmt.Sprintf("t%d", i)), "b"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := w.nodes[leader].calls.count(); got != 1 {
+		t.Errorf("the leader made %d calls, want the one that was refused", got)
+	}
+	if got := w.nodes["store/3"].calls.count(); got != 19 {
+		t.Errorf("the other store made %d calls, want 19", got)
+	}
+}
+
+// Pattern: a target leaves every call unanswered. Two stores and the leader try in turn; each further store would open new
+// connections, which are charged.
+func TestSilentTargetIsCalledByFewStores(t *testing.T) {
+	w := newWorld(t, "a", "b", "b", "b", "b", "b")
+	w.stopClocks()
+	w.ready(5)
+	for _, n := range w.nodes {
+		n.calls.fail(csrun.ErrNoAnswer)
+	}
+	for range 9 {
+		if err := w.start("t", "b"); !errors.Is(err, csrun.ErrNoAnswer) {
+			t.Fatalf("got error %v, want %v", err, csrun.ErrNoAnswer)
+		}
+	}
+	used := 0
+	for name, n := range w.nodes {
+		got := n.calls.count()
+		if got > 0 {
+			used++
+		}
+		if got != 0 && got != 3 {
+			t.Errorf("%s made %d calls, want none or every third one", name, got)
+		}
+	}
+	if used != 3 || w.nodes[leader].calls.count() == 0 {
+		t.Errorf("%d stores made calls, want three of which one is the leader", used)
+	}
+}
+
 // Pattern: the leader is short of processor time and takes in answers late. Its call has a limit of 200 ms for the exchange
 // with the target; an answer that the relaying store got in time counts.
 func TestSlowLeaderKeepsAnswers(t *testing.T) {
@@ -255,14 +321,17 @@
 // are not queued without bound.
 func TestCallsInARelayAreBounded(t *testing.T) {
 	w := newWorld(t, "a", "b")
+	w.stopClocks()
 	w.ready(1)
 	gate := make(chan struct{})
 	w.nodes["store/2"].calls.gate = gate
 	const calls, most = 1200, 1024
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
 	var all sync.WaitGroup
 	for i := range calls {
 		all.Go(func() {
-			if _, err := w.nodes[leader].relay.Stop(context.Background(), target(csjob.TargetID(fmt.Sprintf("t%d", i)), "b"), csrun.StopOrder{}); err != nil {
+			if _, err := w.nodes[leader].relay.Stop(ctx, target(csjob.TargetID(fmt.Sprintf("t%d", i)), "b"), csrun.StopOrder{}); err != nil {
 				t.Error(err)
 			}
 		})
