--- a/internal/jobs/csrun/due.go
+++ b/internal/jobs/csrun/due.go
@@ -9,7 +9,7 @@
 // dueOrders returns the runs that an order is due for: first those to stop, then those to start, the oldest first. Stops
 // have a time limit, and starts go on arriving.
 func (t *target) dueOrders(now time.Time) (stops, starts []*run) {
-	for _, u := range t.runs {
+	for _, u := range t.list {
 		switch {
 		case u.busy || now.Before(u.nextAt):
 		case u.stop && !u.stopped:
--- a/internal/jobs/csrun/first.go
+++ b/internal/jobs/csrun/first.go
@@ -24,8 +24,8 @@
 
 // weight ranks targets by what ends with their lease.
 func (t *target) weight() int {
-	n := min(len(t.runs), 1)
-	for _, u := range t.runs {
+	n := min(len(t.list), 1)
+	for _, u := range t.list {
 		if u.lasting {
 			return 2
 		}
--- a/internal/jobs/csrun/first_test.go
+++ b/internal/jobs/csrun/first_test.go
@@ -10,16 +10,15 @@
 // Pattern: a new leader knows hundreds of targets and none of their clocks. Looks at all of them at once would delay its
 // heartbeats, and leases of tasks that last would be extended last (rules AVAIL and LOST).
 func TestFirstLooksAreBounded(t *testing.T) {
-	lasting := map[runKey]*run{{attempt: 1}: {}, {attempt: 2}: {lasting: true}}
-	busy := map[runKey]*run{{attempt: 1}: {}, {attempt: 2}: {}}
+	lasting, busy := []*run{{}, {lasting: true}}, []*run{{}, {}}
 	var waiting []*target
 	for n := range 3 * firstLooks {
 		w := &target{life: csjob.Life{Target: csjob.TargetID(fmt.Sprint(n))}}
 		switch {
 		case n%10 == 9:
-			w.runs = lasting
+			w.list = lasting
 		case n%2 == 1:
-			w.runs = busy
+			w.list = busy
 		}
 		waiting = append(waiting, w)
 	}
