Let tasks that last leave the VMs of a wave from its start

Cause: the tasks of a step that last leave VMs a few at a time, each after the one before is at work elsewhere, about 2 s each.

Now they leave all VMs that are due as soon as a wave is accepted, within the same limits of availability. A task that was put on a VM that is due for want of another one stays until the VM is taken, so that it does not move in circles.

--- a/internal/jobs/csrun/evict.go
+++ b/internal/jobs/csrun/evict.go
@@ -24,36 +24,52 @@
 	if r.o.Fleet == nil {
 		return
 	}
-	held := r.o.Fleet.Held()
-	if len(held) == 0 {
+	held, due := r.o.Fleet.Held(), r.o.Fleet.Due()
+	if len(held) == 0 && len(due) == 0 {
 		return
 	}
 	away := r.absent(now, t)
 	for _, w := range r.of(held) {
 		w.calm = false
 		for _, u := range w.list {
-			key := u.key
-			if u.stop {
-				continue
-			}
-			if !u.lasting {
+			switch {
+			case u.stop:
+			case u.lasting:
+				r.evictLasting(now, t, w, u, away)
+			default:
 				r.evictRun(now, t, w, u)
-				continue
-			}
-			step := stepOf(key.task)
-			allowed := max(1, t.Job(key.task.Job).Submission.Steps[key.task.Step].Absent)
-			others := away[step]
-			if !w.atWork(now, u) {
-				others-- // it may have come to work since it was listed, so it is treated like one that is
 			}
-			if others < allowed {
-				u.stop = true
-				away[step] = others + 1
+		}
+	}
+	// The tasks of a step that last leave a few at a time, each after the one before is at work elsewhere. A wave would end late
+	// if they began to leave only when their VM is taken.
+	for _, w := range r.of(due) {
+		for _, u := range w.list {
+			if u.lasting && !u.stop && !u.placedDue {
+				r.evictLasting(now, t, w, u, away)
+				w.calm = w.calm && !u.stop
 			}
 		}
 	}
 }
 
+// evictLasting stops a run that lasts if few enough others of its step are away, and counts it as away.
+func (r *runner) evictLasting(now time.Time, t *csjob.Table, w *target, u *run, away map[csplan.StepKey]int) {
+	step := stepOf(u.key.task)
+	allowed := max(1, t.Job(u.key.task.Job).Submission.Steps[u.key.task.Step].Absent)
+	others := away[step]
+	if !w.atWork(now, u) {
+		others-- // it may have come to work since it was listed, so it is treated like one that is
+	}
+	if others < allowed {
+		u.stop = true
+		away[step] = others + 1
+		r.log.Info("lasting run stopped to free its VM", zap.String("job", string(u.key.task.Job)), zap.Stringer("task", u.key.task),
+			zap.String("target", string(w.life.Target)), zap.Int("others_away", others), zap.Int("allowed", allowed),
+			zap.Duration("list_age", now.Sub(w.listedAt)))
+	}
+}
+
 // evictRun stops a run that would keep its VM for long.
 func (r *runner) evictRun(now time.Time, t *csjob.Table, w *target, u *run) {
 	j := t.Job(u.key.task.Job)
--- a/internal/jobs/csrun/leader_test.go
+++ b/internal/jobs/csrun/leader_test.go
@@ -96,13 +96,25 @@
 type fleet struct {
 	mu   sync.Mutex
 	held csmodel.Set[csjob.Life]
+	due  csmodel.Set[csjob.Life]
 }
 
 func (f *fleet) Round(csrun.Round) {}
 
 func (f *fleet) Reset() {}
 
-func (f *fleet) Due() csmodel.Set[csjob.Life] { return nil }
+func (f *fleet) Due() csmodel.Set[csjob.Life] {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.due)
+}
+
+// expect replaces the VMs that will be taken away soon.
+func (f *fleet) expect(lives ...csjob.Life) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.due = csmodel.NewSet(lives...)
+}
 
 func (f *fleet) Dead(csjob.Life) bool { return false }
 
--- a/internal/jobs/csrun/sync.go
+++ b/internal/jobs/csrun/sync.go
@@ -175,6 +175,7 @@
 		u := w.runs[key]
 		if u == nil {
 			u = &run{key: key, since: o.Since, expected: r.learned.Duration(j.Submission.Queue, *step)}
+			u.placedDue = w.due > 0 && w.due == r.marks
 			w.runs[key] = u
 			w.list = append(w.list, u)
 		}
--- a/internal/jobs/csrun/target.go
+++ b/internal/jobs/csrun/target.go
@@ -35,27 +35,28 @@
 
 // run is what the leader knows of an open run on a target.
 type run struct {
-	key      runKey
-	since    time.Time
-	expected time.Duration // predicted run time
-	started  bool          // the target has acknowledged or listed it
-	here     bool          // it was this life of the target that did so
-	ackedAt  time.Time
-	lasting  bool
-	stop     bool // it has to end
-	stopped  bool // the target has acknowledged the stop
-	stopAt   time.Time
-	busy     bool // an order is on its way
-	nextAt   time.Time
-	tries    int
-	starts   int // starts that were sent in this term
-	missing  int // looks that did not list it
-	percent  int
-	load     float64
-	settled  bool      // it has been at full work
-	onTime   time.Time // when its job misses its objective; zero while not computed
-	job      *csjob.Job
-	open     bool // the table lists it
+	key       runKey
+	since     time.Time
+	expected  time.Duration // predicted run time
+	started   bool          // the target has acknowledged or listed it
+	here      bool          // it was this life of the target that did so
+	ackedAt   time.Time
+	lasting   bool
+	placedDue bool // it was put on a VM that is due for want of another one, and stays until the VM is taken
+	stop      bool // it has to end
+	stopped   bool // the target has acknowledged the stop
+	stopAt    time.Time
+	busy      bool // an order is on its way
+	nextAt    time.Time
+	tries     int
+	starts    int // starts that were sent in this term
+	missing   int // looks that did not list it
+	percent   int
+	load      float64
+	settled   bool      // it has been at full work
+	onTime    time.Time // when its job misses its objective; zero while not computed
+	job       *csjob.Job
+	open      bool // the table lists it
 }
 
 // target is what the leader knows of one life of a target.
