Propose the end of a refused run again where its command is lost

Cause: where a target refuses the only start of a run, the run gets no further order and its end is proposed once.

Now these ends are proposed again while the table lists the run. The order stays withheld, because the lost command may still be applied; the table ignores an end that has been applied before.

Evidence: one case of TestLostEndOfARefusedRunIsProposedAgain failed before.

--- a/internal/jobs/csrun/answers_test.go
+++ b/internal/jobs/csrun/answers_test.go
@@ -200,3 +200,32 @@
 		})
 	}
 }
+
+// Guards against a run that stays open for ever: the target has refused its only start, the command with its end is lost in
+// the group, and neither an order nor the end is sent again.
+func TestLostEndOfARefusedRunIsProposedAgain(t *testing.T) {
+	cases := []struct {
+		name    string
+		open    bool // the table still lists the run
+		outcome csjob.Outcome
+		want    int // ends in the next command
+	}{
+		{"refused run", true, csjob.OutcomeUnrun, 1},
+		{"ended meanwhile", false, csjob.OutcomeUnrun, 0},
+		{"listed end, which the target lists again", true, csjob.OutcomeDone, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r, w := newTestRunner(2)
+			key := runKey{task: csjob.TaskKey{Job: "a"}, attempt: 1}
+			if c.open {
+				w.runs[key] = &run{key: key, starts: 1, busy: true}
+			}
+			end := csjob.End{Task: key.task, Attempt: key.attempt, Life: w.life, Outcome: c.outcome}
+			r.committed(&committed{term: 2, command: csjob.Command{Ends: []csjob.End{end}}, err: ErrNotLeading})
+			if got := len(r.ends); got != c.want {
+				t.Errorf("got %d ends to propose, want %d", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/jobs/csrun/runner.go
+++ b/internal/jobs/csrun/runner.go
@@ -291,6 +291,7 @@
 				t.taken = t.noted // the ends are listed again
 			}
 		}
+		r.keepUnrun(m.command.Ends)
 		return
 	}
 	for life, n := range m.noted {
@@ -300,3 +301,16 @@
 	}
 	r.paced()
 }
+
+// keepUnrun proposes the ends of runs that never started again, after their command was left without an outcome. No target
+// lists such an end, and the run gets no further order. The table ignores an end that has been applied before.
+func (r *runner) keepUnrun(ends []csjob.End) {
+	for _, e := range ends {
+		if e.Outcome != csjob.OutcomeUnrun {
+			continue
+		}
+		if w := r.target(e.Life); w != nil && w.runs[runKey{e.Task, e.Attempt}] != nil {
+			r.ends = append(r.ends, e)
+		}
+	}
+}
