Let reads that wait for dropped entries wait for them again

Where the disk failed meanwhile, the waiting entries were dropped, to be fetched anew, and the reads behind them went on at once. Such a read missed commands that were committed before it: an older configuration or an unknown job (CONFIG, LOST).

Now the reads go with the entries. Their callers ask again every Resend, and get an answer or run into their own time limit. A node with a failed disk asks nobody until its folder opens again, as before.

--- a/csgroup/apply.go
+++ b/csgroup/apply.go
@@ -84,7 +84,7 @@
 	r.compact()
 }
 
-// dropEntries drops the entries that wait, because the core hands them in again or a snapshot holds them.
+// dropEntries drops the entries that wait, because a snapshot holds them. Reads that wait for them go on.
 func (r *runner) dropEntries() {
 	var kept []csraft.Command
 	for _, o := range r.tasks.queue {
--- a/csgroup/group_test.go
+++ b/csgroup/group_test.go
@@ -453,3 +453,48 @@
 		t.Errorf("got %d syncs for %d messages, want at most 2", got, messages)
 	}
 }
+
+// TestReadAfterADiskErrorWaits guards against a read that misses a command that was committed before it: both wait for a
+// reader that holds the machine when the disk fails, the entries are dropped and the read goes on.
+func TestReadAfterADiskErrorWaits(t *testing.T) {
+	c := newCluster(t, 0)
+	leader := c.awaitLeader()
+	n := c.nodes[leader.Status().Self]
+	held, release := make(chan struct{}), make(chan struct{})
+	go leader.View(func(csraft.Machine) {
+		close(held)
+		<-release
+	})
+	<-held
+	propose := func() { _, _ = leader.Propose(context.Background(), []byte("add")) }
+	for want := range uint64(2) {
+		go propose()
+		c.until("the others apply it", 5*time.Second, func() bool { return view(c.follower(n.id).group) == want+1 })
+	}
+	reading := make(chan uint64, 1)
+	go func() {
+		err := leader.Read(context.Background(), func(m csraft.Machine) {
+			if k, ok := m.(*counter); ok {
+				reading <- k.total
+			}
+		})
+		if err != nil {
+			t.Error(err)
+		}
+	}()
+	c.pass(200 * time.Millisecond) // a majority answers the read
+	n.disk.FailSync(errors.New("sync failed"))
+	go propose()
+	for failed := false; !failed; time.Sleep(time.Millisecond) {
+		c.mu.Lock()
+		failed = len(n.errs) > 0
+		c.mu.Unlock()
+	}
+	n.disk.FailSync(nil)
+	close(release)
+	// A node with a failed disk asks nobody for reads until it opens its folder again.
+	c.until("the read", 2*reopenDelay, func() bool { return len(reading) == 1 })
+	if got := <-reading; got < 2 {
+		t.Errorf("got %d from a read after two committed commands, want at least 2", got)
+	}
+}
--- a/csgroup/runner.go
+++ b/csgroup/runner.go
@@ -338,7 +338,8 @@
 	r.err = err
 	r.report(err)
 	r.startsAt = r.now().Add(reopenDelay)
-	r.dropEntries()
+	// Reads that wait for these entries go with them, and are asked for again: the machine misses what was committed before.
+	r.tasks.queue = nil
 	r.execute(r.stepCore(csraft.Detach{Applied: r.group.replica.index()}))
 }
 
