Stop listing VMs for a removed VM whose wave has completed

Where the removed VM was the last one of its wave, the leader listed the VMs once per second until the end of its term; the platform bounds and charges these calls.

--- a/internal/fleet/csvms/fleet_test.go
+++ b/internal/fleet/csvms/fleet_test.go
@@ -334,6 +334,23 @@
 	s.run(30*time.Second, func(t *csjob.Table) bool { return t.Wave("1").Completed() })
 }
 
+// Pattern: the last open VM of a wave is removed. The list of VMs must not be asked for again and again after the wave, because
+// the platform bounds and charges the readings.
+func TestRemovedVMIsNotLookedForAfterItsWave(t *testing.T) {
+	t.Parallel()
+	s := newStage(t, map[csmodel.PoolID]int{"a": 1})
+	s.do(csjob.Command{Wave: &csjob.Wave{ID: "1", AtOnce: 2, Deadline: time.Second, VMs: []csmodel.VMID{"a-0", "removed-0"}}})
+	s.run(30*time.Second, func(t *csjob.Table) bool { return len(s.fleet.absences) == 1 && t.Wave("1").Done.Has("a-0") })
+	s.fleet.mu.Lock()
+	for _, a := range s.fleet.absences { // as if the lists had left it out for long
+		a.lists = absentLists
+		a.since = a.since.Add(-absentFor)
+	}
+	s.fleet.mu.Unlock()
+	s.run(30*time.Second, func(t *csjob.Table) bool { return t.Wave("1").Completed() })
+	s.run(5*time.Second, func(*csjob.Table) bool { return len(s.fleet.absences) == 0 })
+}
+
 // Pattern: the leader changes without a fault, because it was slow. The new one must not order a VM within the time in which
 // two holders must not take turns (rule ONE); the same store that leads again need not wait.
 func TestNewLeaderWaitsForItsTurn(t *testing.T) {
--- a/internal/fleet/csvms/wave.go
+++ b/internal/fleet/csvms/wave.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -37,12 +38,18 @@
 
 // waves reserves VMs for the waves in progress.
 func (f *Fleet) waves(r csrun.Round, s *survey) {
+	awaited := csmodel.NewSet[csmodel.VMID]()
 	for _, w := range r.Table.Waves() {
 		delete(f.due, w.Wave.ID)
 		if !w.Completed() {
+			for _, id := range w.Wave.VMs {
+				awaited.Add(id)
+			}
 			f.wave(r, s, w)
 		}
 	}
+	// A VM that no wave waits for is no reason to list the VMs.
+	maps.DeleteFunc(f.absences, func(id csmodel.VMID, _ *absence) bool { return !awaited.Has(id) })
 }
 
 func (f *Fleet) wave(r csrun.Round, s *survey, w *csjob.WaveState) {
