--- a/csgroup/apply.go
+++ b/csgroup/apply.go
@@ -30,7 +30,7 @@
 			r.tasks.queue = r.tasks.queue[1:]
 			r.calls.readable(o.ID)
 		case csraft.Apply:
-			batch := o.Entries[:min(len(o.Entries), applyBatch)]
+			batch := o.Entries[:min(len(o.Entries), applyBatch, r.untilSnapshot())]
 			r.next(len(batch))
 			epoch := r.group.replica.epoch
 			out, ok := r.group.replica.tryApply(epoch, batch)
@@ -42,6 +42,7 @@
 			for _, a := range out {
 				r.applied(a, results)
 			}
+			r.compact()
 		}
 	}
 	r.sendResults(results)
@@ -80,10 +81,14 @@
 		r.applied(a, results)
 	}
 	r.sendResults(results)
-	r.work()
 	r.compact()
+	r.work()
 }
 
+// untilSnapshot returns how many entries may be applied before a snapshot is due, at least one. Entries come in batches of any
+// size, and a snapshot at the end of each batch would let the log grow by as much more.
+func (r *runner) untilSnapshot() int { return max(1, r.o.SnapshotEntries-r.sinceCount) }
+
 // dropEntries drops the entries that wait, because a snapshot holds them. Reads that wait for them go on.
 func (r *runner) dropEntries() {
 	var kept []csraft.Command
