--- a/csgroup/apply.go
+++ b/csgroup/apply.go
@@ -21,10 +21,10 @@
 	panicked any
 }
 
-// work executes the tasks that need not wait.
+// work executes the tasks that need not wait, until a snapshot is due.
 func (r *runner) work() {
 	results := map[csmodel.NodeID][]csraft.Proposal{}
-	for !r.tasks.busy && len(r.tasks.queue) > 0 {
+	for !r.tasks.busy && len(r.tasks.queue) > 0 && !r.snapshotDue() {
 		switch o := r.tasks.queue[0].(type) {
 		case csraft.Readable:
 			r.tasks.queue = r.tasks.queue[1:]
@@ -42,7 +42,6 @@
 			for _, a := range out {
 				r.applied(a, results)
 			}
-			r.compact()
 		}
 	}
 	r.sendResults(results)
@@ -81,8 +80,21 @@
 		r.applied(a, results)
 	}
 	r.sendResults(results)
-	r.compact()
 	r.work()
+	r.finish()
+}
+
+// finish takes the snapshots that are due and goes on with the tasks behind them. It runs when all commands of a step are
+// executed, because a snapshot replaces the log on the disk.
+func (r *runner) finish() {
+	for r.core != nil && !r.tasks.busy && r.snapshotDue() {
+		r.compact()
+		r.work()
+	}
+}
+
+func (r *runner) snapshotDue() bool {
+	return r.sinceCount >= r.o.SnapshotEntries || r.sinceBytes >= r.o.SnapshotBytes
 }
 
 // untilSnapshot returns how many entries may be applied before a snapshot is due, at least one. Entries come in batches of any
--- a/csgroup/runner.go
+++ b/csgroup/runner.go
@@ -206,14 +206,11 @@
 		return
 	}
 	r.execute(r.stepCore(e))
-	r.compact()
+	r.finish()
 }
 
-// compact takes a snapshot where one is due. It does not wait for a reader that entries wait for.
+// compact takes a snapshot.
 func (r *runner) compact() {
-	if r.core == nil || r.tasks.busy || (r.sinceCount < r.o.SnapshotEntries && r.sinceBytes < r.o.SnapshotBytes) {
-		return
-	}
 	r.sinceCount, r.sinceBytes = 0, 0
 	data, index, err := r.group.replica.snapshot()
 	if err != nil {
