Let virtual time wait for the call under test

Cause: the test advances virtual time in a loop while the call runs in another goroutine. On a busy machine time passes before that goroutine gets a processor, and counts as time of the election. Each step now waits a millisecond for it. The bound is unchanged.

--- a/csgroup/cluster_test.go
+++ b/csgroup/cluster_test.go
@@ -238,7 +238,8 @@
 	return c.leader()
 }
 
-// run calls f while virtual time passes.
+// run calls f while virtual time passes. Each step waits for the processor to get to f: on a busy machine virtual time
+// would otherwise pass while f has not begun, and count as time that the group took.
 func (c *cluster) run(f func() error) error {
 	done := make(chan error, 1)
 	go func() { done <- f() }()
@@ -246,7 +247,7 @@
 		select {
 		case err := <-done:
 			return err
-		default:
+		case <-time.After(time.Millisecond):
 			c.step()
 		}
 	}
