--- a/csgroup/cluster_test.go
+++ b/csgroup/cluster_test.go
@@ -246,6 +246,7 @@
 	for {
 		select {
 		case err := <-done:
+			c.settle() // nodes may still send what the call has caused
 			return err
 		case <-time.After(time.Millisecond):
 			c.step()
