--- a/Makefile
+++ b/Makefile
@@ -9,10 +9,13 @@
 	go run ./cmd/cowslipstream demo
 
 # The tests with real processes run alone, because their deadlines are the stated targets of a node with its own processor.
+# A failure of one part does not hide the results of the others.
 test:
-	.ci/test $$(go list ./... | grep -vE '/(csproof|cssoak)$$')
-	.ci/test ./csproof
-	.ci/test ./platform/cssoak
+	@failed=0; \
+	.ci/test $$(go list ./... | grep -vE '/(csproof|cssoak)$$') || failed=1; \
+	.ci/test ./csproof || failed=1; \
+	.ci/test ./platform/cssoak || failed=1; \
+	exit $$failed
 
 check:
 	@unformatted="$$(gofmt -l .)"; if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
