Let a voter campaign that an uncommitted entry removes

Callers could see: a group without a leader for good. Cause: a leader removes a voter and loses its disk when that voter alone has the entry. By its own log the voter is none, so it never asks for votes, and its log is longer than those of the others, so none of them wins its vote. With four voters and one lost disk, which the group must bear, nobody can be elected.

The removed voter still campaigns until the entry is committed, does not count its own vote, and hands the leadership over when the entry is committed. Commits need a majority of the voters before and after a removal, so an elected leader has all committed entries.

--- a/csraft/core.go
+++ b/csraft/core.go
@@ -215,11 +215,18 @@
 	}
 }
 
-// votes tells whether this incarnation is a voter by its own log.
+// votes tells whether this incarnation is a voter by its own log. One that an uncommitted entry removes still is: where the
+// leader is lost, it may be the only node that has the entry, and no voter with a shorter log can win its vote.
 func (c *Core) votes() bool {
-	return !c.detached && !c.config.Volatile && c.log.membership().voter(c.config.Self, c.config.Incarnation)
+	if c.detached || c.config.Volatile {
+		return false
+	}
+	before, _ := c.log.uncommittedChange(c.commit)
+	return c.voter(c.log.membership()) || c.voter(before)
 }
 
+func (c *Core) voter(m Membership) bool { return m.voter(c.config.Self, c.config.Incarnation) }
+
 func (c *Core) silent(d time.Duration) bool { return c.now.Sub(c.contact) >= d }
 
 // follow makes the node a follower of the leader, or of none, in a term that is not older than its own.
--- a/csraft/election.go
+++ b/csraft/election.go
@@ -46,7 +46,10 @@
 	}
 	c.deadline = c.now.Add(retryLeast + c.randomUpTo(retryJitter))
 	c.role = Candidate
-	k.granted = csmodel.NewSet(c.config.Self)
+	k.granted = csmodel.NewSet[csmodel.NodeID]()
+	if c.voter(k.members) {
+		k.granted.Add(c.config.Self)
+	}
 	c.campaign = k
 	term := c.state.Term + 1
 	if k.kind == MessageVote {
--- a/csraft/leader.go
+++ b/csraft/leader.go
@@ -216,9 +216,17 @@
 		}
 	}
 	c.maintainMembers()
+	c.leaveWhenRemoved()
 	c.lead.settled = c.commit
 }
 
+// leaveWhenRemoved hands the leadership over once an entry that removed this node as a voter is committed.
+func (c *Core) leaveWhenRemoved() {
+	if _, pending := c.log.uncommittedChange(c.commit); !pending && !c.voter(c.log.membership()) {
+		c.startTransfer()
+	}
+}
+
 func (c *Core) onAppendReply(m Message) {
 	if m.Term > c.state.Term {
 		c.follow(m.Term, "")
--- a/csraft/replace_test.go
+++ b/csraft/replace_test.go
@@ -52,6 +52,15 @@
 	return nil
 }
 
+func (x *exchange) leader() csmodel.NodeID {
+	for _, n := range csmodel.SortedKeys(x.nodes) {
+		if x.nodes[n].Leading(x.now) {
+			return n
+		}
+	}
+	return ""
+}
+
 func (x *exchange) want(t *testing.T, want ...csmodel.NodeID) {
 	t.Helper()
 	got := x.voters()
