Elect a leader at once where no member can hold a lease

Callers saw: after the loss of all stores, or of a leader that was back within half a second, nothing was accepted or started for another 0.7 to 0.95 s. Cause: a voter waits for the election timeout after its start, because it may have acknowledged a leader just before and has forgotten it; followers wait for the lease of a leader that has started again and says so.

A voter now asks for votes shortly after its start. Such votes do not count while it may be bound to a leader, but they tell that the sender does not lead in the terms before. A follower whose leader says so, and a voter that has heard it from all voters in its log, are not bound to a lease any more and campaign at once. A restarted voter whose log has no entry of its term waits as before, because the leader of that term may be missing in its membership.

Ruled out: shorter timeouts, which would elect beside a slow leader.

--- a/csraft/core.go
+++ b/csraft/core.go
@@ -36,10 +36,13 @@
 	joinAt   time.Time
 
 	campaign campaign
-	blanks   map[csmodel.NodeID]blank
-	lead     leadership
-	install  *incoming
-	reads    map[uint64]csmodel.Index // index to wait for
+	// candidates holds the newest term that each voter has asked for since the start of the process.
+	candidates map[csmodel.NodeID]csmodel.Term
+	unbound    bool // no lease counts on an acknowledgement of this node
+	blanks     map[csmodel.NodeID]blank
+	lead       leadership
+	install    *incoming
+	reads      map[uint64]csmodel.Index // index to wait for
 }
 
 // New returns the core of a member that starts with the given durable state.
@@ -47,14 +50,15 @@
 	c = c.Defaults()
 	r = r.Connected()
 	core := &Core{
-		config:   c,
-		state:    r.State,
-		snapshot: r.Snapshot,
-		commit:   r.Snapshot.Index,
-		applied:  max(r.Snapshot.Index, r.Applied),
-		random:   rand.New(rand.NewPCG(c.Seed, xxhash.Sum64String(string(c.Self)))),
-		blanks:   map[csmodel.NodeID]blank{},
-		reads:    map[uint64]csmodel.Index{},
+		config:     c,
+		state:      r.State,
+		snapshot:   r.Snapshot,
+		commit:     r.Snapshot.Index,
+		applied:    max(r.Snapshot.Index, r.Applied),
+		random:     rand.New(rand.NewPCG(c.Seed, xxhash.Sum64String(string(c.Self)))),
+		blanks:     map[csmodel.NodeID]blank{},
+		reads:      map[uint64]csmodel.Index{},
+		candidates: map[csmodel.NodeID]csmodel.Term{},
 	}
 	core.fresh = r.State.Term == 0 && r.Snapshot.Index == 0 && len(r.Entries) == 0
 	core.log.restore(r)
@@ -112,7 +116,7 @@
 	c.now = now
 	if c.contact.IsZero() {
 		c.contact = now
-		c.deadline = now.Add(c.electionTimeout())
+		c.deadline = now.Add(c.randomUpTo(retryLeast))
 	}
 	c.out = nil
 	switch e := e.(type) {
--- a/csraft/election.go
+++ b/csraft/election.go
@@ -34,6 +34,7 @@
 func (c *Core) tickVoter() {
 	c.fetchWhenStale()
 	alone := len(c.log.membership().Voters()) == 1
+	c.unbound = c.unbound || alone
 	if (c.now.Before(c.deadline) || c.heldUp(c.contact)) && !alone {
 		return
 	}
@@ -45,6 +46,10 @@
 		c.follow(c.state.Term, "")
 	}
 	c.deadline = c.now.Add(retryLeast + c.randomUpTo(retryJitter))
+	// Votes that come too early do not count: the first campaign whose votes do must not wait for a retry as well.
+	if end := c.contact.Add(c.electionTimeout()); c.loyal() && end.Before(c.deadline) {
+		c.deadline = end
+	}
 	c.role = Candidate
 	k.granted = csmodel.NewSet[csmodel.NodeID]()
 	if c.voter(k.members) {
@@ -79,6 +84,9 @@
 	if len(c.campaign.granted) < need {
 		return false
 	}
+	if c.campaign.kind == MessagePreVote && c.loyal() {
+		return false // it asks to tell others that it does not lead; its own vote doesn't count yet
+	}
 	if c.campaign.kind == MessagePreVote {
 		c.startCampaign(campaign{kind: MessageVote, members: c.campaign.members})
 		return true
@@ -93,7 +101,7 @@
 	if c.log.empty() {
 		return false
 	}
-	return c.role == Leader || !c.silent(c.config.Election)
+	return c.role == Leader || (!c.silent(c.config.Election) && !c.unbound)
 }
 
 func (c *Core) upToDate(m Message) bool {
@@ -102,6 +110,7 @@
 }
 
 func (c *Core) onPreVote(m Message) {
+	c.noteCandidate(m)
 	grant := m.Term > c.state.Term && !c.loyal() && c.upToDate(m)
 	reply := Message{Kind: MessagePreVoteReply, Term: m.Term, Formed: !c.log.empty()}
 	if !grant {
--- a/csraft/follower.go
+++ b/csraft/follower.go
@@ -27,7 +27,7 @@
 	if m.Term > c.state.Term || c.leader != m.From || c.role != Follower {
 		c.follow(m.Term, m.From)
 	}
-	c.contact = c.now
+	c.acknowledge()
 	c.deadline = c.now.Add(c.electionTimeout())
 }
 
