List only the channels in use in the status of a link

Nodes of `serve` open two, but the status (and the dump of a node) listed all three, so that an operator saw a channel that was never connected, on each link.

A status lists the channels that the node names for a listed peer, and others that the peer has opened or on which messages wait. Each entry has the name of its channel, because its place no longer tells it.

Ruled out: a lost link. Control and data channels were connected before the fault.

`connected` waits until as many channels are listed as the node names, as before.

--- a/cslink/harness_test.go
+++ b/cslink/harness_test.go
@@ -125,12 +125,15 @@
 	t.Fatalf("not reached: %s", what)
 }
 
-// connected waits until both channels to every peer have had the given number of sockets.
+// connected waits until all channels to every peer have had the given number of sockets.
 func connected(t testing.TB, sockets uint64, nodes ...*node) {
 	t.Helper()
 	for _, n := range nodes {
 		eventually(t, fmt.Sprintf("%s connected", n.options.Self), func() bool {
 			for _, p := range n.Peers() {
+				if len(p.Channels) < len(n.options.Dials) {
+					return false
+				}
 				for _, c := range p.Channels {
 					if !c.Connected || c.Sockets < sockets {
 						return false
--- a/cslink/link.go
+++ b/cslink/link.go
@@ -305,6 +305,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := ChannelStatus{
+		Channel:    l.channel.String(),
 		Connected:  l.socket != nil,
 		Heard:      l.core.heard,
 		RTT:        l.core.rtt,
--- a/cslink/links.go
+++ b/cslink/links.go
@@ -51,6 +51,7 @@
 // peer is one other node.
 type peer struct {
 	address string
+	listed  bool        // by the options or by AddPeer, not admitted
 	dials   atomic.Bool // this node opens the sockets
 	links   [channels]*link
 }
@@ -121,7 +122,7 @@
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	for _, p := range o.Peers {
 		if p.Node != o.Self {
-			l.add(p, o.Self < p.Node)
+			l.add(p, o.Self < p.Node).listed = true
 		}
 	}
 	l.server = l.newServer()
@@ -181,7 +182,9 @@
 	l.known.Lock()
 	defer l.known.Unlock()
 	if l.peers[p.Node] == nil {
-		l.run(l.add(p, dials))
+		added := l.add(p, dials)
+		added.listed = dials
+		l.run(added)
 	}
 	return nil
 }
@@ -290,15 +293,23 @@
 	l.mu.Unlock()
 	s := PeerStatus{Node: name, Address: address, Incarnation: p.links[Control].incarnation()}
 	for c, k := range p.links {
-		s.Channels[c] = k.status()
-	}
-	s.ChannelStatus = s.Channels[Control]
-	for _, c := range s.Channels[Control+1:] {
-		s.add(c)
+		status := k.status()
+		if Channel(c) == Control {
+			s.ChannelStatus = status
+		} else {
+			s.add(status)
+		}
+		if l.uses(p, Channel(c)) || status.Sockets > 0 || status.Queued > 0 {
+			s.Channels = append(s.Channels, status)
+		}
 	}
 	return s
 }
 
+// uses tells whether this node expects a channel to a peer to be open. Listed nodes name the same channels; what an
+// admitted one opens is its own choice.
+func (l *Links) uses(p *peer, c Channel) bool { return p.listed && slices.Contains(l.options.Dials, c) }
+
 // add sums the counters.
 func (s *ChannelStatus) add(t ChannelStatus) {
 	s.Queued += t.Queued
--- a/cslink/options.go
+++ b/cslink/options.go
@@ -111,6 +111,7 @@
 
 // ChannelStatus describes one channel to a peer. The counters start at 0 with the process.
 type ChannelStatus struct {
+	Channel    string // name of the channel
 	Connected  bool
 	Heard      time.Time     // last byte from the peer
 	RTT        time.Duration // smoothed round-trip time
@@ -132,5 +133,7 @@
 	Incarnation csmodel.Incarnation // 0 until the first connection
 	// ChannelStatus has the state of the control channel and the sums of the counters of all channels.
 	ChannelStatus
-	Channels [channels]ChannelStatus
+	// Channels are those in use, in ascending order: the channels that this node names for a listed peer, and others that
+	// the peer has opened or on which messages wait.
+	Channels []ChannelStatus
 }
