End the load of two csproof tests also where they fail

Seen: after t.Fatal in TestSilentLink its requests went on and reported to a test that was over ("Fail in goroutine after TestSilentLink has completed"), which ended the whole package and hid the results of the tests behind it. TestZoneCut left the load of a failed cut running beside the next one.

Both tests now end their load before they return. What they check is unchanged.

--- a/csproof/partition_test.go
+++ b/csproof/partition_test.go
@@ -107,6 +107,11 @@
 			var load sync.WaitGroup
 			load.Go(func() { cutOff.run(end) })
 			load.Go(func() { rest.run(end) })
+			stop := sync.OnceFunc(func() {
+				close(end)
+				load.Wait()
+			})
+			defer stop() // the load must not outlive a cut that fails
 			eventually(t, ample, "load", func() bool { return rest.tally.count(csapi.Answer) > 50 })
 			c.cutZone(leader.Zone, tt.leaving, tt.entering)
 			cut := time.Now()
@@ -123,8 +128,7 @@
 			waitRevision(t, rolloutTarget, revision, c.nodes...)
 			t.Logf("converged %v after the cut", time.Since(cut))
 			eventually(t, ample, "all VMs serve", func() bool { return cutOff.nodes[0].serving(len(targets)) })
-			close(end)
-			load.Wait()
+			stop()
 			for _, s := range []*side{cutOff, rest} {
 				s.tally.check(t, ledger)
 				t.Logf("%s: %d answers, %d not run", s.name, s.tally.count(csapi.Answer), s.tally.count(csapi.NotRun))
--- a/csproof/silence_test.go
+++ b/csproof/silence_test.go
@@ -63,6 +63,11 @@
 		issued := keys(t, owner, 1000)
 		load.Go(func() { forwardOrders(t, dialer, issued, y, end) })
 	}
+	stop := sync.OnceFunc(func() {
+		close(end)
+		load.Wait()
+	})
+	defer stop() // the load must not outlive a test that fails
 	link := c.links[[2]csmodel.NodeID{dialer.Name, owner.Name}]
 	for round := range 2 {
 		eventually(t, ample, "load", func() bool { return y.count(csapi.Answer) > 50*(round+1) })
@@ -90,8 +95,7 @@
 		revision := c.apply(dialer, 10+round)
 		waitRevision(t, rolloutTarget, revision, c.nodes...)
 	}
-	close(end)
-	load.Wait()
+	stop()
 	t.Logf("%d answers, %d not run, %d unknown", y.count(csapi.Answer), y.count(csapi.NotRun), y.count(csapi.Unknown))
 	if n := y.count(""); n > 0 {
 		t.Errorf("%d requests without a response: %s", n, y.examples[""])
