Count a former leader's own leadership as contact with the leader

Cause: the last contact of a former leader was the one of before it led. It was marked stale in the moment in which it stepped down, 1.2 to 1.5 s after the cut, and no longer when it heard the next leader once more on a connection that was not cut yet in that direction; it became stale again 3 s later (traced by polling the status of the isolated nodes: stale at 1.24 s in one group, contact with the next leader at 1.21 s in the other). The test had seen the mark and submitted the task while the node took itself for connected, and waited for a leader. docs/OPERATIONS.md says that a stale node has not heard the leader for 3 s.

The status now counts the newest round that a majority acknowledged as contact. Elections do not use it.

Before: TestFormerLeaderCountsItsLeadershipAsContact fails ("got contact 1970-01-01 00:16:40", the start). After: it and all tests of csraft pass with -race.

--- a/csraft/core.go
+++ b/csraft/core.go
@@ -29,6 +29,7 @@
 	now      time.Time // of the current step
 	out      []Command
 	contact  time.Time // of the leader; the start of the process counts, because it may have acknowledged just before
+	led      time.Time // when a majority last acknowledged this node as leader, in an earlier leadership
 	deadline time.Time // of the next election attempt
 	tickedAt time.Time
 	lateAt   time.Time // last tick that came late
--- a/csraft/leader.go
+++ b/csraft/leader.go
@@ -81,7 +81,19 @@
 	c.appendOwn(first)
 }
 
-func (c *Core) dropLeadership() { c.lead = leadership{} }
+func (c *Core) dropLeadership() {
+	c.led = c.acknowledgedAt()
+	c.lead = leadership{}
+}
+
+// acknowledgedAt returns the send time of the newest round that a majority has acknowledged, or the start of the leadership.
+func (c *Core) acknowledgedAt() time.Time {
+	from := c.leaseFrom(c.now)
+	if from.Before(c.lead.since) {
+		from = c.lead.since
+	}
+	return from
+}
 
 func (c *Core) track(e Entry) {
 	c.lead.backlog += entrySize(e)
@@ -193,10 +205,7 @@
 // before, so it decides nothing meanwhile, and the others elect a leader only after the election timeout. After a tick that
 // came late the acknowledgements may wait behind the tick.
 func (c *Core) deserted() bool {
-	from := c.leaseFrom(c.now)
-	if from.Before(c.lead.since) {
-		from = c.lead.since
-	}
+	from := c.acknowledgedAt()
 	return !c.now.Before(from.Add(c.config.Election)) && !c.heldUp(from)
 }
 
--- a/csraft/status.go
+++ b/csraft/status.go
@@ -13,7 +13,7 @@
 	Term        csmodel.Term
 	Leader      csmodel.NodeID
 	Leading     bool
-	Contact     time.Time // of the leader
+	Contact     time.Time // of the leader, or with the majority while this node led
 	Commit      csmodel.Index
 	Applied     csmodel.Index
 	First       csmodel.Index // first entry that is kept
@@ -39,7 +39,7 @@
 		Term:        c.state.Term,
 		Leader:      c.leader,
 		Leading:     c.Leading(now),
-		Contact:     c.contact,
+		Contact:     c.lastContact(),
 		Commit:      c.commit,
 		Applied:     c.applied,
 		First:       c.log.base + 1,
@@ -63,3 +63,12 @@
 	}
 	return s
 }
+
+// lastContact returns when this node last heard the leader, or was one. Elections do not use it: a former leader need not wait
+// for itself.
+func (c *Core) lastContact() time.Time {
+	if c.led.After(c.contact) {
+		return c.led
+	}
+	return c.contact
+}
