Refuse proposals that were not sent once the leader has been silent for 3 s

Seen: while TestZoneCut/one-way was traced. A node refuses a task at once when its leader has been silent for 3 s, but a task that arrives a moment earlier waited for up to 4 s. Its caller gave up before and could not tell whether it ran, although the node had not sent it.

Groups have an option for the silence after which proposals that were not sent end with ErrNoLeader. Nodes of `serve` set it to the 3 s after which they refuse new ones; stores of the platform do not set it. A proposal that was sent stays unknown until its context ends.

Not covered: for up to 3 s a node also sends proposals to a member that said it knew a leader, and these stay unknown.

Before: TestUnsentProposalsGiveUp fails in three of four cases (ended 11.8 s after the cut, want 3.1 s). After: it, csgroup and csnode pass with -race.

--- a/csgroup/calls.go
+++ b/csgroup/calls.go
@@ -137,6 +137,16 @@
 	}
 }
 
+// refuseUnsent ends the proposals that were not sent, so that their callers need not wait for the end of their contexts.
+func (c *calls) refuseUnsent() {
+	for _, k := range c.queue {
+		if k.stage.CompareAndSwap(stageWaiting, stageAbandoned) {
+			k.finish(nil, ErrNoLeader)
+		}
+	}
+	c.queue = nil
+}
+
 // stop ends all calls with the actor.
 func (c *calls) stop() {
 	all := append(c.queue, c.transfers...)
@@ -221,6 +231,9 @@
 
 func (r *runner) resend(now time.Time) {
 	r.calls.sweep(r.core.ForgetRead)
+	if d := r.o.GiveUp; d > 0 && !r.core.Routed() && r.core.LeaderSilent(d) {
+		r.calls.refuseUnsent()
+	}
 	if batch := r.due(now); len(batch) > 0 {
 		r.step(csraft.Propose{Proposals: batch})
 	}
--- a/csgroup/cluster_test.go
+++ b/csgroup/cluster_test.go
@@ -50,6 +50,7 @@
 	random  *rand.Rand
 	sent    int
 	entries int // snapshot after so many
+	giveUp  time.Duration
 	members []csraft.Member
 }
 
@@ -91,7 +92,7 @@
 	machine := &counter{}
 	o := Options{
 		Config:  csraft.Config{Group: "g", Self: id, Members: c.members, Seed: 1, Trailing: 20},
-		Machine: machine, Clock: c.clock, manual: true, SnapshotEntries: c.entries,
+		Machine: machine, Clock: c.clock, manual: true, SnapshotEntries: c.entries, GiveUp: c.giveUp,
 		Send: func(to csmodel.NodeID, m csraft.Message) { c.deliver(id, to, m) },
 		Observe: Observe{Error: func(err error) {
 			c.mu.Lock()
--- a/csgroup/options.go
+++ b/csgroup/options.go
@@ -16,7 +16,8 @@
 
 // Errors of this package. Test with errors.Is.
 var (
-	// ErrNoLeader reports that no leader was known until the context ended. The proposal was not sent and never runs.
+	// ErrNoLeader reports that no leader was known until the context or Options.GiveUp ended. The proposal was not sent and
+	// never runs.
 	ErrNoLeader = errors.New("csgroup: no leader")
 	// ErrTimeout reports that the context ended after the proposal was sent. The outcome is unknown.
 	ErrTimeout = errors.New("csgroup: outcome unknown")
@@ -52,6 +53,9 @@
 	Tick time.Duration
 	// Resend is the interval after which an unanswered proposal or read is sent again (500 ms).
 	Resend time.Duration
+	// GiveUp is the silence of the leader after which proposals that were not sent end with ErrNoLeader. With 0 they wait
+	// until their context ends.
+	GiveUp time.Duration
 
 	manual bool // tests send the ticks
 }
--- a/csnode/replication.go
+++ b/csnode/replication.go
@@ -67,6 +67,7 @@
 		Clock:   n.clock,
 		Spawner: spawner,
 		Observe: hooks,
+		GiveUp:  staleAfter,
 		Send: func(to csmodel.NodeID, m csraft.Message) {
 			n.sendRaft(to, kind, m)
 		},
--- a/csraft/status.go
+++ b/csraft/status.go
@@ -64,6 +64,9 @@
 	return s
 }
 
+// LeaderSilent tells whether this node has neither heard the leader nor been one for the given time.
+func (c *Core) LeaderSilent(d time.Duration) bool { return c.now.Sub(c.lastContact()) >= d }
+
 // lastContact returns when this node last heard the leader, or was one. Elections do not use it: a former leader need not wait
 // for itself.
 func (c *Core) lastContact() time.Time {
