Play TestLateOrderIsNotCarriedOut in virtual time

Cause: the order was held for 1.1 s of real time, and the leader waits 1.4 s for its answer. A test process that was held up for 300 ms in between saw the leader give up first.

The relays of the test now run on a fake clock, and each step waits for the timer or message that the one before causes. The cases and what they check are the same; the end of the store's part is the message with its refusal instead of 500 ms of silence.

--- a/internal/node/csrelay/harness_test.go
+++ b/internal/node/csrelay/harness_test.go
@@ -24,10 +24,19 @@
 	clockwork.Clock
 	ahead atomic.Int64
 	stop  atomic.Pointer[time.Time] // the clock stands still at this time
+	idle  clockwork.Clock           // of the tickers; nil is the clock itself
 }
 
 func newSkewed() *skewed { return &skewed{Clock: clockwork.NewRealClock()} }
 
+// NewTicker implements clockwork.Clock.
+func (c *skewed) NewTicker(d time.Duration) clockwork.Ticker {
+	if c.idle != nil {
+		return c.idle.NewTicker(d)
+	}
+	return c.Clock.NewTicker(d)
+}
+
 func (c *skewed) Now() time.Time {
 	now := c.Clock.Now()
 	if at := c.stop.Load(); at != nil {
@@ -130,13 +139,25 @@
 
 // newWorld starts a store for each availability zone named. The first one leads.
 func newWorld(t *testing.T, zones ...csmodel.AvailabilityZone) *world {
+	t.Helper()
+	return newWorldOn(t, newSkewed, zones...)
+}
+
+// newVirtualWorld is newWorld in the time of a fake clock. Stores report when the test asks them to.
+func newVirtualWorld(t *testing.T, zones ...csmodel.AvailabilityZone) (*world, *clockwork.FakeClock) {
+	t.Helper()
+	clock := clockwork.NewFakeClock()
+	return newWorldOn(t, func() *skewed { return &skewed{Clock: clock, idle: clockwork.NewFakeClock()} }, zones...), clock
+}
+
+func newWorldOn(t *testing.T, clock func() *skewed, zones ...csmodel.AvailabilityZone) *world {
 	t.Helper()
 	w := &world{
 		t: t, nodes: map[csmodel.NodeID]*node{}, queue: make(chan parcel, 1<<16), lose: map[csmodel.NodeID]bool{},
 		hold: map[csmodel.NodeID]bool{}, sent: map[cslink.Kind]int{},
 	}
 	for i, zone := range zones {
-		n := &node{calls: &calls{}, clock: newSkewed(), world: w, name: csmodel.NodeID(fmt.Sprintf("store/%d", i+1)),
+		n := &node{calls: &calls{}, clock: clock(), world: w, name: csmodel.NodeID(fmt.Sprintf("store/%d", i+1)),
 			signs: make(chan []csrun.Sign, 1<<10)}
 		n.relay = csrelay.New(csrelay.Options{
 			Self: n.name, Zone: zone, Sender: n, Workers: n.calls, Clock: n.clock, Log: zap.NewNop(),
@@ -228,6 +249,23 @@
 	w.t.Fatalf("not reached: %s", what)
 }
 
+// await waits until a number of timers run on the clock.
+func (w *world) await(clock *clockwork.FakeClock, timers int) {
+	w.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	if err := clock.BlockUntilContext(ctx, timers); err != nil {
+		w.t.Fatalf("not reached: %d timers", timers)
+	}
+}
+
+// holding returns the number of messages that wait.
+func (w *world) holding() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.held)
+}
+
 // stopClocks makes ages independent of how busy the test's machine is.
 func (w *world) stopClocks() {
 	now := time.Now()
--- a/internal/node/csrelay/relay_test.go
+++ b/internal/node/csrelay/relay_test.go
@@ -197,38 +197,50 @@
 // out: the leader may have taken it for unanswered and sent its successor elsewhere. Where the leader still waits, it learns
 // that nothing was carried out and makes the call itself.
 func TestLateOrderIsNotCarriedOut(t *testing.T) {
-	hold := func(d time.Duration) func(*world) {
-		return func(w *world) {
-			w.set(w.hold, "store/2")
-			time.AfterFunc(d, w.deliver)
-		}
-	}
+	const collect = 10 * time.Millisecond // longer than orders and results are collected
 	cases := []struct {
 		name   string
-		late   func(*world)
+		held   time.Duration // the order waits in the connection
+		ahead  time.Duration // the store's clock moves on
 		want   error
 		direct int // calls that the leader makes itself
 	}{
-		{"in the connection", hold(1100 * time.Millisecond), nil, 1},
-		{"in the connection for longer than the leader waits", hold(1700 * time.Millisecond), csrun.ErrNoAnswer, 0},
-		{"in a suspended machine", func(w *world) { w.nodes["store/2"].clock.ahead.Add(int64(10 * time.Second)) }, nil, 1},
-		{"clock of the store set back by its restart", func(w *world) {
-			w.nodes["store/2"].clock.ahead.Add(int64(-10 * time.Second))
-		}, nil, 1},
+		{"in the connection", 1100 * time.Millisecond, 0, nil, 1},
+		{"in the connection for longer than the leader waits", 1700 * time.Millisecond, 0, csrun.ErrNoAnswer, 0},
+		{"in a suspended machine", 0, 10 * time.Second, nil, 1},
+		{"clock of the store set back by its restart", 0, -10 * time.Second, nil, 1},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			w := newWorld(t, "a", "b")
+			w, clock := newVirtualWorld(t, "a", "b")
+			store := w.nodes["store/2"]
+			store.relay.Report(leader) // the only one: the store gives no newer stamp
 			w.ready(1)
-			w.nodes[leader].relay.Close()    // the store is not lost while the order waits
-			w.nodes["store/2"].relay.Close() // and gives no newer stamp
-			time.Sleep(20 * time.Millisecond)
-			c.late(w)
-			if err := w.start("t", "b"); !errors.Is(err, c.want) {
-				t.Errorf("got error %v, want %v", err, c.want)
+			if c.held > 0 {
+				w.set(w.hold, "store/2")
+			}
+			store.clock.ahead.Add(int64(c.ahead))
+			done := make(chan error, 1)
+			go func() { done <- w.start("t", "b") }()
+			w.await(clock, 2) // the leader collects orders, and waits for the answer
+			clock.Advance(collect)
+			if c.held > 0 {
+				w.until("order on its way", func() bool { return w.holding() == 1 })
+				clock.Advance(c.held)
+			}
+			timers := 2
+			if c.want != nil { // the leader gives up before the order arrives
+				timers = 1
+				w.until("end of the call", func() bool { return len(done) == 1 })
+			}
+			w.deliver()
+			w.await(clock, timers) // the store collects results
+			clock.Advance(collect)
+			if got := <-done; !errors.Is(got, c.want) {
+				t.Errorf("got error %v, want %v", got, c.want)
 			}
-			time.Sleep(500 * time.Millisecond)
-			if got := w.nodes["store/2"].calls.count(); got != 0 {
+			w.until("answer of the store", func() bool { return w.messages(csrelay.KindReport) == 2 })
+			if got := store.calls.count(); got != 0 {
 				t.Errorf("the store made %d calls, want none", got)
 			}
 			if got := w.nodes[leader].calls.count(); got != c.direct {
