Let the decisions of a leader count in its own term only

Callers could see a task run twice, and a target without a guard for its room could get more than it has, after a change of the leader.

Cause: a proposal that is not committed when its leader is deposed stays pending in the group, which sends it to the next leader as soon as that is known (calls.hurry, due). It is withdrawn only when the context of the term ends, and that waits behind the other messages of the earlier leader's actor, which was seen to be seconds behind. So the end of a life that the earlier leader took for lost is committed although the next leader has heard from the target and started a run there: the run ends in the table only, and its task starts a second time. Starts are committed although the next leader has given their room away, and orders for VMs although it has not emptied them.

A command now names the term in which a leader decided it, and the table refuses it in an entry of another term. Submissions, cancellations, configurations and waves have no term and are handed on as before. The leader takes the refusal for a failed commit, because ends that are not recorded must not be acknowledged to targets.

Ruled out: an entry that the earlier leader appended and that survives in the next one's log has the earlier term and counts; the next leader has applied it before it decides. A copy of it is known by its proposal id.

The test worlds give their entries the term of the leader.

All stores must run the same version while such entries are applied, as for earlier changes of the table.

--- a/internal/fleet/csvms/fleet.go
+++ b/internal/fleet/csvms/fleet.go
@@ -53,6 +53,7 @@
 	cancel   context.CancelFunc
 	since    time.Time // first round of this epoch; zero before
 	epoch    int       // increases with each change of the leader, so that late results are dropped
+	term     csmodel.Term
 	vms      map[csmodel.VMID]VM
 	listedAt time.Time // last list that was answered; zero before the first one
 	askedAt  time.Time // end of the last listing, answered or not
@@ -142,6 +143,7 @@
 	defer f.mu.Unlock()
 	if f.since.IsZero() {
 		f.since = r.Now
+		f.term = csmodel.Term(r.Fence)
 	}
 	if !f.listedAt.IsZero() {
 		f.carryOut(r) // what was committed waits for no decision
--- a/internal/fleet/csvms/fleet_bench_test.go
+++ b/internal/fleet/csvms/fleet_bench_test.go
@@ -67,7 +67,7 @@
 					demand[csmodel.PoolID(fmt.Sprint("pool-", p))] = csrun.PoolDemand{Running: need, Offered: need, Lasting: vmCPU, Width: 8}
 				}
 				r := csrun.Round{
-					Now: now, Table: &g.table, Fence: 1, Demand: demand, Arrivals: func() []csrun.Arrival { return nil },
+					Now: now, Table: &g.table, Fence: stageTerm, Demand: demand, Arrivals: func() []csrun.Arrival { return nil },
 					Busy:   func(l csjob.Life) bool { return len(l.Target)%2 == 0 },
 					Load:   func(csjob.Life) csrun.Load { return csrun.Load{Clear: time.Second} },
 					Usable: func(csjob.Life) bool { return true },
--- a/internal/fleet/csvms/fleet_test.go
+++ b/internal/fleet/csvms/fleet_test.go
@@ -20,6 +20,7 @@
 const (
 	testMove   = 200 * time.Millisecond
 	testUpkeep = 150 * time.Millisecond
+	stageTerm  = 1
 )
 
 // cloud is a platform with VMs. Each VM that comes back has a new target.
@@ -123,7 +124,8 @@
 	mu      sync.RWMutex
 	table   csjob.Table
 	index   csmodel.Index
-	follows bool // the lease has ended
+	follows bool         // the lease has ended
+	later   csmodel.Term // terms after that of the fleet
 }
 
 func (g *group) View(f func(*csjob.Table)) {
@@ -147,7 +149,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.index++
-	return csjob.ParseVerdict(g.table.Apply(csraft.Entry{Index: g.index, At: time.Now(), Data: b})), nil
+	return csjob.ParseVerdict(g.table.Apply(csraft.Entry{Index: g.index, Term: stageTerm + g.later, At: time.Now(), Data: b})), nil
 }
 
 // stage is a fleet with its surroundings.
@@ -202,7 +204,7 @@
 		done := false
 		s.group.View(func(t *csjob.Table) {
 			s.fleet.Round(csrun.Round{
-				Now: time.Now(), Table: t, Fence: 1, Demand: csrun.Demand{}, Arrivals: func() []csrun.Arrival { return nil },
+				Now: time.Now(), Table: t, Fence: stageTerm, Demand: csrun.Demand{}, Arrivals: func() []csrun.Arrival { return nil },
 				Busy: t.Busy, Load: func(csjob.Life) csrun.Load { return csrun.Load{} }, Usable: func(csjob.Life) bool { return true },
 			})
 			done = until(t)
--- a/internal/fleet/csvms/order.go
+++ b/internal/fleet/csvms/order.go
@@ -162,9 +162,11 @@
 }
 
 // propose commits a command in the background. What is lost is decided again.
-// It ends with the epoch: otherwise the group would hand it to a later leader, which has not emptied the VM.
+// It ends with the epoch, and counts in this term only: otherwise the group would hand it to a later leader, which has not
+// emptied the VM.
 func (f *Fleet) propose(c csjob.Command) {
 	epochal := f.ctx
+	c.Term = f.term
 	go func() {
 		ctx, cancel := context.WithTimeout(epochal, callTimeout)
 		defer cancel()
--- a/internal/jobs/csjob/command.go
+++ b/internal/jobs/csjob/command.go
@@ -25,6 +25,9 @@
 	Starts  []Start       `cbor:"6,keyasint,omitempty"`
 	Wave    *Wave         `cbor:"7,keyasint,omitempty"`
 	VMs     []VMOrder     `cbor:"8,keyasint,omitempty"`
+	// Term is that of the leader which decided the command from what it knew. The group may hand the command on to a later
+	// leader, whose log refuses it: that leader may have decided otherwise already. Zero is any term, for commands of others.
+	Term csmodel.Term `cbor:"9,keyasint,omitempty"`
 }
 
 // Ref names a job and the queue that the request came through.
--- a/internal/jobs/csjob/table.go
+++ b/internal/jobs/csjob/table.go
@@ -85,7 +85,7 @@
 	t.changes++
 	t.state.Applied++
 	c, err := decodeCommand(e.Data)
-	if err != nil {
+	if err != nil || (c.Term != 0 && c.Term != e.Term) {
 		return verdict(Refused)
 	}
 	at := e.At.UTC().Truncate(time.Millisecond)
--- a/internal/jobs/csjob/table_test.go
+++ b/internal/jobs/csjob/table_test.go
@@ -24,6 +24,7 @@
 	t     testing.TB
 	table csjob.Table
 	index csmodel.Index
+	term  csmodel.Term
 	now   time.Time
 	last  csjob.Command
 }
@@ -49,7 +50,7 @@
 		h.t.Fatal(err)
 	}
 	h.index++
-	return csjob.ParseVerdict(h.table.Apply(csraft.Entry{Index: h.index, At: h.now, Data: b}))
+	return csjob.ParseVerdict(h.table.Apply(csraft.Entry{Index: h.index, Term: h.term, At: h.now, Data: b}))
 }
 
 func life(n int) csjob.Life {
@@ -321,7 +322,7 @@
 	if err != nil {
 		h.t.Fatal(err)
 	}
-	t.Apply(csraft.Entry{Index: h.index, At: h.now, Data: b})
+	t.Apply(csraft.Entry{Index: h.index, Term: h.term, At: h.now, Data: b})
 }
 
 func (h *history) restore(r *rapid.T) *csjob.Table {
--- a/internal/jobs/csrun/leader_test.go
+++ b/internal/jobs/csrun/leader_test.go
@@ -88,10 +88,17 @@
 		Timing: i.timing,
 	})
 	i.state.hook = l.Changed
+	i.state.set(func() { i.state.term = term })
 	l.Lead(term)
 	return l
 }
 
+// leadAgain lets the leader begin a later term.
+func (i *installation) leadAgain(term csmodel.Term) {
+	i.state.set(func() { i.state.term = term })
+	i.leader.Lead(term)
+}
+
 // fleet holds the VMs that the test names.
 type fleet struct {
 	mu   sync.Mutex
@@ -310,7 +317,7 @@
 		if n%8 == 7 {
 			i.leader.Follow()
 			time.Sleep(50 * time.Millisecond)
-			i.leader.Lead(csmodel.Term(n))
+			i.leadAgain(csmodel.Term(n))
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
--- a/internal/jobs/csrun/load_test.go
+++ b/internal/jobs/csrun/load_test.go
@@ -31,6 +31,7 @@
 	loadTick    = 2 * time.Millisecond
 	loadCommit  = 8 * time.Millisecond
 	loadSurvey  = 100 * time.Millisecond
+	loadTerm    = 1
 )
 
 var loadTiming = Timing{
@@ -106,7 +107,7 @@
 	}))
 	l.r = newRunner(leader)
 	l.populate()
-	l.r.begin(1)
+	l.r.begin(loadTerm)
 	return l
 }
 
@@ -234,7 +235,7 @@
 	defer l.mu.Unlock()
 	began := threadTime()
 	l.index++
-	v := csjob.ParseVerdict(l.table.Apply(csraft.Entry{Index: l.index, At: l.now, Data: b}))
+	v := csjob.ParseVerdict(l.table.Apply(csraft.Entry{Index: l.index, Term: loadTerm, At: l.now, Data: b}))
 	l.replayed += coded + threadTime() - began
 	return v
 }
--- a/internal/jobs/csrun/runner.go
+++ b/internal/jobs/csrun/runner.go
@@ -254,7 +254,7 @@
 
 // propose commits what the round has decided.
 func (r *runner) propose(starts []csjob.Start) {
-	c := csjob.Command{Ends: r.ends, Targets: r.events, Starts: starts}
+	c := csjob.Command{Ends: r.ends, Targets: r.events, Starts: starts, Term: r.term}
 	if len(c.Ends) == 0 && len(c.Targets) == 0 && len(c.Starts) == 0 && !r.unknown.askable() {
 		return
 	}
@@ -266,7 +266,11 @@
 	go func() {
 		limited, cancel := context.WithTimeout(ctx, proposeTimeout)
 		defer cancel()
-		_, m.err = r.o.State.Propose(limited, m.command)
+		v, err := r.o.State.Propose(limited, m.command)
+		if err == nil && v == csjob.Refused {
+			err = ErrNotLeading // its ends are not recorded, so no target may forget them
+		}
+		m.err = err
 		r.send(m)
 	}()
 }
--- a/internal/jobs/csrun/twice_test.go
+++ b/internal/jobs/csrun/twice_test.go
@@ -43,7 +43,7 @@
 	time.Sleep(50 * time.Millisecond)
 	i.leader.Follow()
 	i.holdStarts("")
-	i.leader.Lead(2)
+	i.leadAgain(2)
 	time.Sleep(5 * time.Millisecond)
 	i.with("1", func(k *worker) { k.ill = true })
 	time.Sleep(300 * time.Millisecond)
@@ -187,7 +187,7 @@
 	time.Sleep(2 * testBeat)
 	i.leader.Follow()
 	i.state.set(func() { i.state.idle = true })
-	i.leader.Lead(2)
+	i.leadAgain(2)
 	time.Sleep(50 * time.Millisecond)
 	i.restart("1", true)
 	i.world.release() // the start reaches the new life
--- a/internal/jobs/csrun/world_test.go
+++ b/internal/jobs/csrun/world_test.go
@@ -20,6 +20,7 @@
 	mu    sync.RWMutex
 	table csjob.Table
 	index csmodel.Index
+	term  csmodel.Term // of the leader whose log the commands enter
 	hook  func()
 	log   []csjob.Command
 	// stalled holds commands back: their proposers are told that the outcome is not known.
@@ -44,19 +45,31 @@
 
 // resume ends a stall. The commands that were held back are applied, or are lost.
 func (s *state) resume(apply bool) {
-	s.mu.Lock()
-	s.stalled = false
-	held := s.held
-	s.held = nil
+	held := s.end()
 	if apply {
-		for _, c := range held {
-			s.apply(c)
-		}
+		s.hand(held)
 	}
-	s.mu.Unlock()
 	s.hook()
 }
 
+// end ends a stall and returns the commands that were held back.
+func (s *state) end() []csjob.Command {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := s.held
+	s.stalled, s.held = false, nil
+	return held
+}
+
+// hand applies commands that were held back.
+func (s *state) hand(held []csjob.Command) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range held {
+		s.apply(c)
+	}
+}
+
 func (s *state) apply(c csjob.Command) csjob.Verdict {
 	b, err := c.Encode()
 	if err != nil {
@@ -64,7 +77,7 @@
 	}
 	s.index++
 	s.log = append(s.log, c)
-	return csjob.ParseVerdict(s.table.Apply(csraft.Entry{Index: s.index, At: time.Now(), Data: b}))
+	return csjob.ParseVerdict(s.table.Apply(csraft.Entry{Index: s.index, Term: s.term, At: time.Now(), Data: b}))
 }
 
 func (s *state) View(f func(*csjob.Table)) {
