Maintain a VM of a wave that is listed again

Cause: a VM that several lists in a row leave out counts as removed, which the table records like a maintenance. Lists that name it again while the wave is still in progress changed nothing.

The record of a removal now tells itself from a maintenance (the VM is done and not begun), and a list that names the VM again takes it back.

Ruled out: a VM whose maintenance was carried out and that is listed again is done and begun, and is left alone. After the answer "completed" nothing is taken back.

--- a/internal/fleet/csvms/wave.go
+++ b/internal/fleet/csvms/wave.go
@@ -54,7 +54,7 @@
 
 func (f *Fleet) wave(r csrun.Round, s *survey, w *csjob.WaveState) {
 	var waiting []csmodel.VMID
-	var removed []csjob.VMOrder
+	var changed []csjob.VMOrder
 	down := 0
 	for _, id := range w.Wave.VMs {
 		_, begun := w.Begun[id]
@@ -62,6 +62,9 @@
 		v, exists := f.vms[id]
 		gone := f.removed(r.Table, id, exists)
 		switch {
+		case w.Removed(id) && exists:
+			f.log.Info("removed VM listed again", zap.String("vm", string(id)), zap.String("wave", string(w.Wave.ID)))
+			changed = append(changed, csjob.VMOrder{VM: id, Wave: w.Wave.ID, Done: true, Refused: true})
 		case w.Done.Has(id):
 			delete(f.absences, id)
 		case gone:
@@ -70,8 +73,8 @@
 			if open, ok := r.Table.VMOrders()[id]; ok && open.Wave == w.Wave.ID {
 				end = open
 			}
-			end.Done = true
-			removed = append(removed, end)
+			end.Done, end.Removed = true, true
+			changed = append(changed, end)
 		case begun, o != nil && o.order.Wave == w.Wave.ID:
 			down++
 		case o == nil && exists && f.takeable(r, v):
@@ -80,8 +83,8 @@
 			}
 		}
 	}
-	if len(removed) > 0 {
-		f.propose(csjob.Command{VMs: removed})
+	if len(changed) > 0 {
+		f.propose(csjob.Command{VMs: changed})
 	}
 	f.due[w.Wave.ID] = f.livesOf(r.Table, waiting)
 	for _, id := range f.pickWave(r, s, w, waiting, down) {
--- a/internal/jobs/csjob/command.go
+++ b/internal/jobs/csjob/command.go
@@ -105,6 +105,8 @@
 	Done bool `cbor:"4,keyasint,omitempty"`
 	// Refused tells that a done order had no effect.
 	Refused bool `cbor:"5,keyasint,omitempty"`
+	// Removed tells that a done order has ended because the platform no longer lists the VM.
+	Removed bool `cbor:"8,keyasint,omitempty"`
 	// Holder sends the order. A later leader commits itself as the holder before it repeats the order.
 	Holder Holder `cbor:"7,keyasint,omitempty"`
 }
--- a/internal/jobs/csjob/table.go
+++ b/internal/jobs/csjob/table.go
@@ -50,7 +50,13 @@
 	Wave     Wave                       `cbor:"1,keyasint"`
 	Accepted time.Time                  `cbor:"2,keyasint"`
 	Begun    map[csmodel.VMID]time.Time `cbor:"3,keyasint"`
-	Done     csmodel.Set[csmodel.VMID]  `cbor:"4,keyasint"`
+	Done     csmodel.Set[csmodel.VMID]  `cbor:"4,keyasint"` // a VM that counts as removed is done and not begun
+}
+
+// Removed tells whether a VM counts as done because the platform did not list it any more.
+func (w *WaveState) Removed(id csmodel.VMID) bool {
+	_, begun := w.Begun[id]
+	return w.Done.Has(id) && !begun
 }
 
 // Completed tells whether every VM of the wave has had its maintenance.
--- a/internal/jobs/csjob/target.go
+++ b/internal/jobs/csjob/target.go
@@ -79,6 +79,10 @@
 	case w == nil:
 	case o.Refused:
 		delete(w.Begun, o.VM)
+		w.Done.Delete(o.VM)
+	case o.Removed:
+		delete(w.Begun, o.VM)
+		w.Done.Add(o.VM)
 	default:
 		w.Done.Add(o.VM)
 	}
