Answer the question to join of a folder with an earlier number

A store that lost its folder could stay outside the group for good, so that the group had one store less until somebody noticed: the clock that numbers new folders had been set back behind the number that the group knows.

Cause: the store is to learn from the answer to its question to join which number the group knows, and to move past it. Members drop all messages of an earlier number, the question among them, so the answer was never sent. TestRenumber hands the answer in directly and could not see it.

Ruled out: a replaced store that returns with its old folder. It gets the answer as well and does not renumber, since it has been a member (TestRenumber), and the leader does not admit an earlier number.

Before: TestJoinOfAnEarlierNumberIsAnswered fails, got incarnation 0, want 2. After: passes.

--- a/csraft/core.go
+++ b/csraft/core.go
@@ -259,7 +259,8 @@
 }
 
 func (c *Core) receive(m Message) {
-	if m.From == c.config.Self || c.outdated(m) {
+	// A question to join is answered to any incarnation: a new folder may have a number that the group has passed.
+	if m.From == c.config.Self || (c.outdated(m) && m.Kind != MessageJoin) {
 		return
 	}
 	switch m.Kind {
