Learn nothing of a target from a call that was withdrawn

A store that stops leading and soon leads again called many targets by other ways for 15 s, with new connections to each of them, which are charged; the leader made calls itself that other stores had made before.

Cause: the leader withdraws its calls when it resigns. They end as unanswered, and an unanswered call gives the target another way. So the leader took its own silence for that of the store or the target.

Ruled out: a call whose time is over still counts, because its context ends with the deadline and not with the withdrawal.

Before: TestWithdrawnCallTellsNothing fails, 1 call by the leader itself, want 0. After: passes, as do all tests of the package with the race detector.

--- a/internal/node/csrelay/caller.go
+++ b/internal/node/csrelay/caller.go
@@ -63,7 +63,7 @@
 	w := c.route(t)
 	if w.via == "" {
 		reply, err := c.o.Workers.Start(ctx, t, o)
-		c.ended(t, w, err)
+		c.ended(ctx, t, w, err)
 		return reply, err
 	}
 	a, err := c.exchange(ctx, t, w, o.Spec, order{
@@ -83,7 +83,7 @@
 	w := c.route(t)
 	if w.via == "" {
 		reply, err := c.o.Workers.Stop(ctx, t, o)
-		c.ended(t, w, err)
+		c.ended(ctx, t, w, err)
 		return reply, err
 	}
 	a, err := c.exchange(ctx, t, w, "", order{Kind: orderStop, Task: o.Task, Attempt: o.Attempt, Fence: o.Fence})
@@ -100,7 +100,7 @@
 	w := c.route(t)
 	if w.via == "" {
 		look, err := c.o.Workers.Look(ctx, t, o)
-		c.ended(t, w, err)
+		c.ended(ctx, t, w, err)
 		return look, err
 	}
 	a, err := c.exchange(ctx, t, w, "", order{Kind: orderLook, Until: o.Until, Fence: o.Fence, Noted: o.Noted, Wait: o.Wait})
@@ -144,7 +144,7 @@
 	if a.refused() {
 		c.rest(w.via, a.Outcome)
 	} else {
-		c.ended(t, w, err)
+		c.ended(ctx, t, w, err)
 	}
 	if err != nil {
 		return a, fmt.Errorf("%w (by %s)", err, w.via)
--- a/internal/node/csrelay/route.go
+++ b/internal/node/csrelay/route.go
@@ -1,6 +1,7 @@
 package csrelay
 
 import (
+	"context"
 	"errors"
 	"slices"
 	"time"
@@ -144,8 +145,8 @@
 }
 
 // ended notes the end of a call. After an unanswered one the next call to the target takes another way, so that a store
-// that is cut off from a target does not make it look silent.
-func (c *caller) ended(t csjob.Target, w way, err error) {
+// that is cut off from a target does not make it look silent. A call that was withdrawn tells nothing.
+func (c *caller) ended(ctx context.Context, t csjob.Target, w way, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	kind := "direct"
@@ -156,6 +157,9 @@
 		c.o.Metrics.calls.WithLabelValues(kind + "_answered").Inc()
 		return
 	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
 	c.o.Metrics.calls.WithLabelValues(kind + "_failed").Inc()
 	c.counted.failed++
 	if !errors.Is(err, csrun.ErrNoAnswer) || len(c.peers) == 0 {
