--- a/internal/jobs/csjob/command.go
+++ b/internal/jobs/csjob/command.go
@@ -25,6 +25,9 @@
 	Starts  []Start       `cbor:"6,keyasint,omitempty"`
 	Wave    *Wave         `cbor:"7,keyasint,omitempty"`
 	VMs     []VMOrder     `cbor:"8,keyasint,omitempty"`
+	// Term is that of the leader which decided the command from what it knew. The group may hand the command on to a later
+	// leader, whose log refuses it: that leader may have decided otherwise already. Zero is any term, for commands of others.
+	Term csmodel.Term `cbor:"9,keyasint,omitempty"`
 }
 
 // Ref names a job and the queue that the request came through.
@@ -102,6 +105,8 @@
 	Done bool `cbor:"4,keyasint,omitempty"`
 	// Refused tells that a done order had no effect.
 	Refused bool `cbor:"5,keyasint,omitempty"`
+	// Removed tells that a done order has ended because the platform no longer lists the VM.
+	Removed bool `cbor:"8,keyasint,omitempty"`
 	// Holder sends the order. A later leader commits itself as the holder before it repeats the order.
 	Holder Holder `cbor:"7,keyasint,omitempty"`
 }
