Count the end of a run that was taken for never started

What callers could see: a task runs again although its first run has ended done and that end was acknowledged (TWICE), or it runs once more than its failures allow.

Cause: a run counts as never started when its stop is acknowledged and a later look does not list it. The stop binds only the life that acknowledged it. If the target starts again, a copy of the start that is carried out late runs on the new life. Its end was listed, ignored by the table because the attempt was closed, and acknowledged all the same.

Now such attempts are kept like those that were given up with a target, and the end counts once if a target tells it.

--- a/internal/jobs/csjob/job.go
+++ b/internal/jobs/csjob/job.go
@@ -186,7 +186,8 @@
 	Failures   int     `cbor:"3,keyasint,omitempty"`
 	Runs       []Run   `cbor:"4,keyasint,omitempty"`
 	Checkpoint string  `cbor:"5,keyasint,omitempty"`
-	// Unheard are the attempts that were given up with their target. How they ended counts if the target still tells it.
+	// Unheard are the attempts that were given up with their target or counted as never started. How they ended counts if a
+	// target still tells it.
 	Unheard []Attempt `cbor:"6,keyasint,omitempty"`
 }
 
--- a/internal/jobs/csjob/table.go
+++ b/internal/jobs/csjob/table.go
@@ -313,12 +313,23 @@
 	if e.Checkpoint != "" && e.Attempt == k.Attempts {
 		k.Checkpoint = e.Checkpoint
 	}
+	if e.Outcome == OutcomeUnrun {
+		j.keepUnheard(e.Task, k, e.Attempt)
+	}
 	t.settle(j, k, e, at)
 	t.retire(j)
 }
 
-// endUnheard takes in how a run ended that was given up with its target. The target keeps the end until it is acknowledged, and
-// the acknowledgement stands: a task that ended done must not start again after it.
+// keepUnheard notes an attempt that no target has told the end of.
+func (j *Job) keepUnheard(key TaskKey, k *Task, a Attempt) {
+	if !k.Done && !j.Submission.Steps[key.Step].Lasting {
+		k.Unheard = append(k.Unheard, a)
+	}
+}
+
+// endUnheard takes in how a run ended that was given up with its target, or that counted as never started although a late
+// start reached the target's next life. The target keeps the end until it is acknowledged, and the acknowledgement stands: a
+// task that ended done must not start again after it.
 func (t *Table) endUnheard(j *Job, k *Task, e End, at time.Time) {
 	i := slices.Index(k.Unheard, e.Attempt)
 	if i < 0 {
--- a/internal/jobs/csjob/target.go
+++ b/internal/jobs/csjob/target.go
@@ -40,9 +40,7 @@
 		for _, r := range slices.Clone(task.Runs) {
 			if r.Life == l {
 				t.end(End{Task: k, Attempt: r.Attempt, Life: l, Outcome: OutcomeLapsed}, at)
-				if !task.Done && !j.Submission.Steps[k.Step].Lasting {
-					task.Unheard = append(task.Unheard, r.Attempt)
-				}
+				j.keepUnheard(k, task, r.Attempt)
 			}
 		}
 	}
