Bound the leases of earlier leaders by the first answered look

What callers could see: a task runs twice at the same time (TWICE) after a change of the leader, where a target falls silent right after the new leader's first look.

Cause: the bound was the clock of the first heartbeat plus the longest lease. A heartbeat may take a second, or wait for seconds in the queue of a slow leader. The first answered look then brought the clock up to date but not the bound, so the lease of an earlier leader counted as over up to its whole length too early.

Ruled out: leases granted in this term (each order raises the bound when it is sent), a clock that is 2% slow, and a target that answers no look (the bound and the clock then rest on the same heartbeat).

Now the first answered look raises the bound to its clock plus the longest lease; its fence keeps earlier leaders out after it.

TestFirstLookBoundsEarlierLeases failed before for heartbeats that were 1 s and 8 s old and passes now.

--- a/internal/jobs/csrun/lease_test.go
+++ b/internal/jobs/csrun/lease_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
 )
 
 // Guards against stopping a task that lasts while others of its step have ended with a lease that a busy leader extended too
@@ -38,3 +40,42 @@
 		})
 	}
 }
+
+// Guards against a second run while the first may still run: a new leader takes the clock of a target from a heartbeat that
+// waited in its own queue, or on its way, and derives from it how long the leases of earlier leaders are at most. The first
+// answered look brings the clock up to date, and the leases then counted as over while one of them had seconds left.
+func TestFirstLookBoundsEarlierLeases(t *testing.T) {
+	cases := []struct {
+		name  string
+		delay time.Duration // of the heartbeat until it was handled
+	}{
+		{"prompt heartbeat", 0},
+		{"heartbeat on its way for a second", time.Second},
+		{"heartbeat in the queue of a slow leader", 8 * time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r, w := newTestRunner(2)
+			w.clockAt, w.fresh = time.Time{}, true
+			now := r.now()
+			beat := Beat{Target: csjob.Target{Life: w.life}, Sequence: 1, Clock: time.Minute - c.delay}
+			r.heard(w, &beaten{beat, make(chan error, 1)}, now)
+			// An earlier leader's look is carried out just before the first one of this leader.
+			lease := time.Minute + r.o.Timing.LongestLease
+			w.looking = true
+			r.looked(&looked{
+				term: 2, life: w.life, started: now, arrived: now, look: Look{Reply: Reply{Clock: time.Minute}, Born: w.life.Born},
+			})
+			for after := range 10 {
+				at := now.Add(time.Duration(after) * time.Second)
+				slowest := time.Minute + time.Duration((1-clockDrift)*float64(at.Sub(now)))
+				if w.lapsed(at) && slowest <= lease {
+					t.Fatalf("got the lease over %s after the look, want it held for %s", at.Sub(now), r.o.Timing.LongestLease)
+				}
+			}
+			if !w.lapsed(now.Add(2 * r.o.Timing.LongestLease)) {
+				t.Error("got a lease that is never over")
+			}
+		})
+	}
+}
--- a/internal/jobs/csrun/looks.go
+++ b/internal/jobs/csrun/looks.go
@@ -172,6 +172,11 @@
 		w.deafFrom = m.started
 		return
 	}
+	if w.fresh {
+		// The fence of this look keeps orders of earlier leaders out from now on. A heartbeat before it may have waited, and
+		// its clock bounds no lease that was granted meanwhile.
+		w.granted = max(w.granted, m.look.Clock+r.o.Timing.LongestLease)
+	}
 	w.reading(m.look.Clock, m.started, m.arrived, r.o.Timing.LongestLease)
 	w.leased = max(w.leased, m.order.Until)
 	w.answered(now)
