Give each life that joins a fence of its own

What callers could see: a task runs twice at the same time, or again after it has ended done (TWICE).

Cause: all orders of a term carried the same fence, so a target could not tell an order from before it joined from a new one. An answer to an order from before a target joined again was also taken for one since.

Now the fence is the term and a count within it, and each life that the table takes in gets the next one. Stops on a restarted target carry a new one as well. Answers count only for the fence that they were asked with. Orders to VMs keep the term.

TestAnswerFromBeforeTheTargetJoinedAgain rests on the new field. Not covered: an order that reaches a new life before its first look is answered.

--- a/internal/jobs/csrun/answers_test.go
+++ b/internal/jobs/csrun/answers_test.go
@@ -229,3 +229,36 @@
 		})
 	}
 }
+
+// Guards against an answer from before a target was given up being taken for one of the time since it joined again with the
+// same birth time: it would end the look that is under way, and acknowledge a stop that was not sent.
+func TestAnswerFromBeforeTheTargetJoinedAgain(t *testing.T) {
+	cases := []struct {
+		name  string
+		fence csmodel.Fence // of the order that was answered
+		want  bool          // the answer counts
+	}{
+		{"order of the time before", 4, false},
+		{"order since it joined again", 5, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r, w := newTestRunner(2)
+			key := runKey{task: csjob.TaskKey{Job: "a"}, attempt: 1}
+			u := &run{key: key, stop: true}
+			w.fence, w.looking, w.runs[key] = 5, true, u
+			reply := Reply{Clock: time.Minute}
+			r.ordered(&ordered{term: 2, life: w.life, fence: c.fence, key: key, kind: orderStop, began: r.now(), arrived: r.now(), reply: reply})
+			if got := u.stopped; got != c.want {
+				t.Errorf("got the stop acknowledged %t, want %t", got, c.want)
+			}
+			r.looked(&looked{
+				term: 2, life: w.life, order: LookOrder{Fence: c.fence}, started: r.now(), arrived: r.now(),
+				look: Look{Reply: reply, Born: w.life.Born},
+			})
+			if got := !w.looking; got != c.want {
+				t.Errorf("got the look ended %t, want %t", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/jobs/csrun/beats.go
+++ b/internal/jobs/csrun/beats.go
@@ -108,11 +108,11 @@
 	w.clockAt = time.Time{} // the clock of the earlier life tells nothing about what the new one runs
 	r.log.Info("target restarted", zap.String("target", string(w.life.Target)), zap.Int64("born", b.Target.Life.Born),
 		zap.Int64("before", w.life.Born), zap.Int("runs", len(w.runs)))
+	ctx, term, fence := r.ctx, r.term, r.nextFence()
 	var stops []StopOrder
 	for key := range w.runs {
-		stops = append(stops, StopOrder{Task: key.task, Attempt: key.attempt, Fence: csmodel.Fence(r.term)})
+		stops = append(stops, StopOrder{Task: key.task, Attempt: key.attempt, Fence: fence})
 	}
-	ctx, term, fence := r.ctx, r.term, csmodel.Fence(r.term)
 	go func() {
 		m := &fenced{term: term, beat: b}
 		m.ends, m.err = r.fence(ctx, b, stops, fence)
--- a/internal/jobs/csrun/leader.go
+++ b/internal/jobs/csrun/leader.go
@@ -168,6 +168,7 @@
 	ordered struct {
 		term  csmodel.Term
 		life  csjob.Life
+		fence csmodel.Fence
 		key   runKey
 		kind  orderKind
 		began time.Time
--- a/internal/jobs/csrun/looks.go
+++ b/internal/jobs/csrun/looks.go
@@ -64,7 +64,7 @@
 }
 
 func (r *runner) sendLook(w *target, now time.Time) {
-	o := LookOrder{Fence: csmodel.Fence(r.term)}
+	o := LookOrder{Fence: w.fence}
 	if w.failures == 0 && w.accounted() {
 		// After an unanswered call the target may have restarted as well.
 		o.Noted = w.noted
@@ -122,16 +122,17 @@
 }
 
 // called returns the target that a call of a term was sent to, or nil where its answer no longer matters. An answer from
-// before this node led anew is dropped: it tells nothing about the orders that were sent since. What the target needs next
-// may have changed with the answer.
-func (r *runner) called(term csmodel.Term, l csjob.Life) *target {
+// before this node led anew, or from before the target was given up and joined again, is dropped: it tells nothing about the
+// orders that were sent since. What the target needs next may have changed with the answer.
+func (r *runner) called(term csmodel.Term, l csjob.Life, f csmodel.Fence) *target {
 	if term != r.term {
 		return nil
 	}
 	w := r.target(l)
-	if w != nil {
-		w.calm = false
+	if w == nil || w.fence != f {
+		return nil
 	}
+	w.calm = false
 	return w
 }
 
@@ -148,7 +149,7 @@
 
 func (r *runner) looked(m *looked) {
 	r.work.returned(m.err)
-	w := r.called(m.term, m.life)
+	w := r.called(m.term, m.life, m.order.Fence)
 	if w == nil {
 		return
 	}
--- a/internal/jobs/csrun/orders.go
+++ b/internal/jobs/csrun/orders.go
@@ -6,7 +6,6 @@
 
 	"go.uber.org/zap"
 
-	"cowslipstream.example/cowslipstream/csmodel"
 	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
 )
 
@@ -85,7 +84,7 @@
 	}
 	o := StartOrder{
 		Task: u.key.task, Attempt: u.key.attempt, Spec: j.Submission.Spec, Until: w.until(now, r.o.Timing.Lease),
-		Fence: csmodel.Fence(r.term), Checkpoint: j.Task(u.key.task).Checkpoint,
+		Fence: w.fence, Checkpoint: j.Task(u.key.task).Checkpoint,
 	}
 	w.granted = max(w.granted, o.Until)
 	record := w.record
@@ -106,7 +105,7 @@
 	}
 	r.o.Metrics.orders.WithLabelValues(orderNames[kind]).Inc()
 	ctx, timeout := r.ctx, r.o.Timing.CallTimeout
-	m := &ordered{term: r.term, life: w.life, key: u.key, kind: kind, began: r.now()}
+	m := &ordered{term: r.term, life: w.life, fence: w.fence, key: u.key, kind: kind, began: r.now()}
 	go func() {
 		limited, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
@@ -124,13 +123,13 @@
 
 func (r *runner) stop(w *target, u *run) {
 	record := w.record
-	o := StopOrder{Task: u.key.task, Attempt: u.key.attempt, Fence: csmodel.Fence(r.term)}
+	o := StopOrder{Task: u.key.task, Attempt: u.key.attempt, Fence: w.fence}
 	r.order(w, u, orderStop, func(ctx context.Context) (Reply, error) { return r.o.Workers.Stop(ctx, record, o) })
 }
 
 func (r *runner) ordered(m *ordered) {
 	r.work.returned(m.err)
-	w := r.called(m.term, m.life)
+	w := r.called(m.term, m.life, m.fence)
 	if w == nil {
 		return
 	}
--- a/internal/jobs/csrun/runner.go
+++ b/internal/jobs/csrun/runner.go
@@ -41,6 +41,7 @@
 	loaded  bool // has taken over the table
 	since   time.Time
 	changes uint64
+	fences  int // fences of targets that were used
 
 	targets map[csjob.TargetID]*target
 	sorted  []*target                    // by name; nil where it has to be sorted anew
--- a/internal/jobs/csrun/sync.go
+++ b/internal/jobs/csrun/sync.go
@@ -114,7 +114,7 @@
 
 func (r *runner) newTarget(record csjob.Target, now time.Time) *target {
 	return &target{
-		life: record.Life, record: record, runs: map[runKey]*run{}, strays: map[runKey]bool{}, fresh: true,
+		life: record.Life, record: record, fence: r.nextFence(), runs: map[runKey]*run{}, strays: map[runKey]bool{}, fresh: true,
 		// An earlier leader has granted nothing later than the longest lease after this one was elected.
 		lapsesAt: r.longestLapse(now),
 	}
--- a/internal/jobs/csrun/target.go
+++ b/internal/jobs/csrun/target.go
@@ -63,6 +63,7 @@
 type target struct {
 	life     csjob.Life
 	record   csjob.Target
+	fence    csmodel.Fence // of orders to this life
 	sequence int64
 	heardAt  time.Time
 	clock    time.Duration // of the target
