Give a target up that sends heartbeats but answers no look

Cause: three times a belief from part of the evidence. A heartbeat alone counted as a sign that the runs are held. A look that was refused counted as one that may have extended the lease, without end. Each repetition of an unanswered start raised the bound of the lease.

Ruled out: a busy leader whose answers wait, because the target has 2.5 s after its lease for three looks of 600 ms, one by each way of csrelay, and any list in that time keeps it.

Now looks without a list are counted by themselves: after two of them, or two unanswered calls, neither looks nor starts extend the lease and the target gets no new tasks. A target whose lease is over and that answers no look is given up although it sends heartbeats; it joins again and gets no tasks until a look is answered.

--- a/internal/jobs/csrun/beats.go
+++ b/internal/jobs/csrun/beats.go
@@ -195,19 +195,21 @@
 
 // closeLost ends the lives of targets that were silent until everything that ran there has ended. A busy leader may take a
 // target for silent whose answers wait to be handled, so a target with open runs is asked once more when its lease is over:
-// what it tells of its runs decides rather than the clock.
+// what it tells of its runs decides rather than the clock. A target that sends heartbeats while no look is answered has longer
+// for an answer.
 func (r *runner) closeLost(now time.Time, t *csjob.Table) {
 	for _, w := range r.all() {
 		if w.heardAt.IsZero() {
 			w.heardAt = r.since
 		}
 		silent := now.Sub(w.heardAt)
-		if silent < silentAfter(r.o.Timing.Beat) || w.stopping || !w.lost(now) {
+		if w.stopping || !w.lost(now) || (silent < silentAfter(r.o.Timing.Beat) && !w.deaf(now)) {
 			continue
 		}
 		w.fencing, w.stopping = true, true // until the table has dropped it
 		r.log.Warn("target lost", zap.String("target", string(w.life.Target)), zap.Duration("silent", silent),
-			zap.Int("runs", len(t.TasksOn(w.life))))
+			zap.Int("deaf_looks", w.deafLooks), zap.Time("listed", w.listedAt), zap.Duration("granted", w.granted),
+			zap.Duration("clock", w.clock), zap.Duration("clock_age", now.Sub(w.clockAt)), zap.Int("runs", len(t.TasksOn(w.life))))
 		r.event(csjob.TargetEvent{Target: w.record, Gone: true}, nil, "target ended by its lease")
 	}
 }
--- a/internal/jobs/csrun/first.go
+++ b/internal/jobs/csrun/first.go
@@ -35,7 +35,7 @@
 
 // callTimeout returns the time for the answer to a look, besides the time that it waits.
 func (t *target) callTimeout(usual time.Duration) time.Duration {
-	if t.failures >= silentFailures {
+	if t.silent() {
 		return max(usual, patience)
 	}
 	return usual
--- a/internal/jobs/csrun/looks.go
+++ b/internal/jobs/csrun/looks.go
@@ -18,8 +18,8 @@
 	leastWait = 200 * time.Millisecond
 	// waitMargin is added to the predicted time of the next end: predictions are off by about a fifth.
 	waitMargin = 150 * time.Millisecond
-	// silentFailures is the number of unanswered calls in a row after which looks no longer extend the lease: an extension
-	// that may or may not have arrived would keep the runs open for ever.
+	// silentFailures is the number of unanswered calls, or of looks without a list, in a row after which a target counts as
+	// silent.
 	silentFailures = 2
 	// endsPerList is the number of ends that a list holds at most, from the platform's protocol. Others follow after an
 	// acknowledgement.
@@ -69,7 +69,7 @@
 		// After an unanswered call the target may have restarted as well.
 		o.Noted = w.noted
 	}
-	if len(w.runs) > 0 && w.failures < silentFailures {
+	if len(w.runs) > 0 && !w.silent() {
 		o.Until = w.until(now, r.o.Timing.Lease)
 		w.granted = max(w.granted, o.Until)
 		if !w.fresh {
@@ -159,18 +159,18 @@
 	r.leader.poke()
 	if m.err != nil {
 		w.unanswered(now)
-		w.deafFrom = m.started
+		w.unlisted(m.started)
 		r.log.Info("look not answered", zap.String("target", string(w.life.Target)), zap.Int("failures", w.failures), zap.Error(m.err))
 		return
 	}
 	if m.look.Refusal != RefusedNot {
-		w.deafFrom = m.started
+		w.unlisted(m.started)
 		r.refused(w, m.look.Refusal, now)
 		return
 	}
 	if m.look.Born != 0 && m.look.Born != w.life.Born {
 		w.unanswered(now) // restarted; its heartbeat tells more
-		w.deafFrom = m.started
+		w.unlisted(m.started)
 		return
 	}
 	if w.fresh {
@@ -181,7 +181,7 @@
 	w.reading(m.look.Clock, m.started, m.arrived, r.o.Timing.LongestLease)
 	w.leased = max(w.leased, m.order.Until)
 	w.answered(now)
-	w.fresh = false
+	w.fresh, w.deafLooks = false, 0
 	prompt := m.started.Sub(w.listedAt) < promptLook
 	w.listedAt = now
 	w.told = max(w.told, m.order.Noted)
--- a/internal/jobs/csrun/orders.go
+++ b/internal/jobs/csrun/orders.go
@@ -83,10 +83,9 @@
 		return
 	}
 	o := StartOrder{
-		Task: u.key.task, Attempt: u.key.attempt, Spec: j.Submission.Spec, Until: w.until(now, r.o.Timing.Lease),
+		Task: u.key.task, Attempt: u.key.attempt, Spec: j.Submission.Spec, Until: w.grant(now, r.o.Timing.Lease),
 		Fence: w.fence, Checkpoint: j.Task(u.key.task).Checkpoint,
 	}
-	w.granted = max(w.granted, o.Until)
 	record := w.record
 	r.order(w, u, orderStart, func(ctx context.Context) (Reply, error) { return r.o.Workers.Start(ctx, record, o) })
 }
--- a/internal/jobs/csrun/target.go
+++ b/internal/jobs/csrun/target.go
@@ -16,6 +16,9 @@
 	clockSlack = 50 * time.Millisecond
 	// lapseSlack is added to the end of a lease before its runs count as over.
 	lapseSlack = 500 * time.Millisecond
+	// deafFor is how long after its lease a target that sends heartbeats has for an answer to a look: three looks of patience
+	// with lookRetry between them, one by each way that csrelay tries.
+	deafFor = 2500 * time.Millisecond
 	// silentBeats is the number of heartbeat intervals after which a target gets no new tasks.
 	silentBeats = 2.5
 	// silentTargets is the number of targets that have to be silent for their availability zone to count as cut off: one
@@ -75,6 +78,7 @@
 	lapsesAt  time.Time     // fallback while the clock is not known
 	overAt    time.Time     // when the lease was first found over; zero while it is not
 	deafFrom  time.Time     // start of the last look without a list
+	deafLooks int           // looks without a list in a row
 
 	runs     map[runKey]*run
 	list     []*run          // the same runs, for walks
@@ -157,6 +161,26 @@
 	t.failures++
 }
 
+// unlisted notes a look that brought no list.
+func (t *target) unlisted(began time.Time) {
+	t.deafFrom = began
+	t.deafLooks++
+}
+
+// silent tells whether so many calls or looks in a row were not answered that the lease is no longer extended. An extension
+// that may or may not have arrived would keep the runs open for ever.
+func (t *target) silent() bool { return t.failures >= silentFailures || t.deafLooks >= silentFailures }
+
+// grant returns the end of the lease that a start carries.
+func (t *target) grant(now time.Time, lease time.Duration) time.Duration {
+	until := t.until(now, lease)
+	if t.silent() {
+		return min(until, t.granted)
+	}
+	t.granted = max(t.granted, until)
+	return until
+}
+
 // until returns the end of a lease of a length from now, on the target's clock.
 func (t *target) until(now time.Time, lease time.Duration) time.Duration {
 	if t.clockAt.IsZero() {
@@ -195,9 +219,15 @@
 	return len(t.runs) == 0 || (!t.looking && !t.deafFrom.Before(t.overAt))
 }
 
+// deaf tells whether a target that still sends heartbeats has to be given up: its lease is over, and no look has been answered
+// since.
+func (t *target) deaf(now time.Time) bool {
+	return len(t.runs) > 0 && t.deafLooks > 0 && t.listedAt.Before(t.overAt) && now.Sub(t.overAt) >= deafFor
+}
+
 // usable tells whether the target counts as part of its pool.
 func (t *target) usable(now time.Time, beat time.Duration) bool {
-	return !t.record.Leaving && !t.clockAt.IsZero() && t.failures < silentFailures && !t.fencing && !t.fresh &&
+	return !t.record.Leaving && !t.clockAt.IsZero() && !t.silent() && !t.fencing && !t.fresh &&
 		now.Sub(t.heardAt) < silentAfter(beat) && now.After(t.restTill)
 }
 
--- a/internal/jobs/csrun/world_test.go
+++ b/internal/jobs/csrun/world_test.go
@@ -163,6 +163,7 @@
 	dead    bool          // fails whatever it starts
 	dark    bool          // neither answers nor announces itself
 	mute    bool          // answers and does not announce itself
+	deaf    bool          // announces itself, and no call reaches it
 	ill     bool          // refuses all calls as unhealthy
 	fence   csmodel.Fence // the highest one that was seen
 	reset   int           // looks that find their connection closed by the restart
@@ -215,7 +216,7 @@
 	defer w.mu.Unlock()
 	dice := w.random.Float64()
 	receiver := w.workers[t.Address]
-	if receiver != nil && receiver.dark {
+	if receiver != nil && (receiver.dark || receiver.deaf) {
 		return csrun.Reply{}, false
 	}
 	switch {
@@ -442,7 +443,7 @@
 	w.mu.Lock()
 	k := w.at(t)
 	lost := w.random.Float64() < w.faults.lost
-	if k != nil && (k.reset > 0 || k.dark) {
+	if k != nil && (k.reset > 0 || k.dark || k.deaf) {
 		k.reset--
 		w.mu.Unlock()
 		return csrun.Look{}, csrun.ErrNoAnswer
