Keep a VM reserved while its order may still be committed

What callers could see: tasks that are ended by a move or by maintenance long after they started (AVAIL, LOST, work thrown away), or more VMs of a wave down at once than it allows (LIMIT).

Cause: 8 s after its order was proposed a VM was given free for new tasks, although a command without an answer may still be in the log. When it was applied, the order was sent to a VM at work.

Ruled out: a later leader, for which the command is decided when it has read the log; the end of an order, which is proposed again.

Now such a VM stays reserved until a command that was proposed later is committed.

TestOrderWithUnknownOutcomeStaysReserved (applied and lost) failed before and passes now.

--- a/internal/fleet/csvms/fleet.go
+++ b/internal/fleet/csvms/fleet.go
@@ -60,6 +60,8 @@
 	decided  time.Time
 	loggedAt time.Time
 	reserved map[csmodel.VMID]*reservation
+	asking   bool      // a command is on its way that decides those without a known outcome
+	triedAt  time.Time // when it was last proposed
 	calls    map[csmodel.VMID]*orderCall
 	arriving map[csmodel.VMID]time.Time // moves that were accepted, by the time of their return
 	dead     map[csjob.Life]time.Time   // lives that an order has ended
@@ -90,6 +92,7 @@
 	f.vms = map[csmodel.VMID]VM{}
 	f.listedAt, f.askedAt, f.decided, f.listing = time.Time{}, time.Time{}, time.Time{}, false
 	f.reserved = map[csmodel.VMID]*reservation{}
+	f.asking, f.triedAt = false, time.Time{}
 	f.calls = map[csmodel.VMID]*orderCall{}
 	f.arriving = map[csmodel.VMID]time.Time{}
 	f.dead = map[csjob.Life]time.Time{}
--- a/internal/fleet/csvms/fleet_test.go
+++ b/internal/fleet/csvms/fleet_test.go
@@ -124,6 +124,8 @@
 	table   csjob.Table
 	index   csmodel.Index
 	follows bool // the lease has ended
+	stalled bool // commands are held back
+	held    []csjob.Command
 }
 
 func (g *group) View(f func(*csjob.Table)) {
@@ -140,12 +142,20 @@
 func (g *group) Leading() bool { return !g.follows }
 
 func (g *group) Propose(_ context.Context, c csjob.Command) (csjob.Verdict, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.stalled {
+		g.held = append(g.held, c)
+		return csjob.Refused, errUnknown
+	}
+	return g.apply(c)
+}
+
+func (g *group) apply(c csjob.Command) (csjob.Verdict, error) {
 	b, err := c.Encode()
 	if err != nil {
 		return csjob.Refused, err
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	g.index++
 	return csjob.ParseVerdict(g.table.Apply(csraft.Entry{Index: g.index, At: time.Now(), Data: b})), nil
 }
@@ -182,7 +192,9 @@
 
 func (s *stage) do(c csjob.Command) {
 	s.t.Helper()
-	if _, err := s.group.Propose(context.Background(), c); err != nil {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	if _, err := s.group.apply(c); err != nil {
 		s.t.Fatal(err)
 	}
 }
--- a/internal/fleet/csvms/order.go
+++ b/internal/fleet/csvms/order.go
@@ -24,6 +24,8 @@
 	order csjob.VMOrder
 	since time.Time
 	sent  bool // the order is on its way to being committed
+	// failedAt is when its command was left without a known outcome. It is zero otherwise.
+	failedAt time.Time
 }
 
 // orderCall is the state of a committed order.
@@ -192,10 +194,7 @@
 		s := f.reserved[id]
 		held := f.held.Has(s.order.Life) || s.order.Life.Target == ""
 		switch {
-		case s.sent:
-			if r.Now.Sub(s.since) > holdLimit {
-				delete(f.reserved, id)
-			}
+		case s.sent: // until its outcome is known
 		case held && !r.Busy(s.order.Life) && !f.othersTurn(r, id, false):
 			s.sent = true
 			s.since = r.Now
@@ -206,8 +205,9 @@
 		}
 	}
 	if len(ready) > 0 {
-		f.propose(csjob.Command{VMs: ready})
+		f.commit(r.Now, ready)
 	}
+	f.ask(r)
 }
 
 // hold derives the lives that get no new tasks. A life is held for a whole round before an order for it is committed.
