Hold VMs with open orders before the first list of VMs

What callers could see: tasks that start on a VM in the first seconds of a new leader and are ended at once by an order that the leader before had committed (AVAIL, LOST, work thrown away).

Cause: twice a decision from part of the evidence. A new leader learned which VMs have open orders only once the platform had answered a list of VMs, although the table holds them. And it sent an open order without asking whether something runs there.

Ruled out: the first round itself, in which no target has answered a look and none gets a task.

Now open orders hold their VMs from the first round on, and an open order waits until nothing runs on its VM. Runs there are stopped or end as on each held VM; on a VM that is gone already they end with their lease.

TestOpenOrderHoldsItsVMBeforeTheFirstList and TestOpenOrderWaitsForRuns failed before and pass now.

--- a/internal/fleet/csvms/fleet.go
+++ b/internal/fleet/csvms/fleet.go
@@ -155,6 +155,7 @@
 	f.decided = r.Now
 	f.list(r)
 	if f.listedAt.IsZero() {
+		f.hold(r.Table) // orders of earlier leaders are open whether or not the platform answers
 		return
 	}
 	if config := r.Table.Config(); config != nil {
--- a/internal/fleet/csvms/order.go
+++ b/internal/fleet/csvms/order.go
@@ -57,6 +57,10 @@
 		case o.Holder != f.o.Holder:
 			c.nextAt = r.Now.Add(retryPause)
 			f.takeOver(r, o)
+		case c.accepted.IsZero() && r.Busy(o.Life):
+			c.nextAt = r.Now.Add(retryPause)
+			f.log.Info("VM order waits for runs", zap.String("vm", string(o.VM)), zap.String("target", string(o.Life.Target)),
+				zap.String("pool", string(o.Pool)), zap.String("wave", string(o.Wave)), zap.Duration("leading", r.Now.Sub(f.since)))
 		case c.accepted.IsZero():
 			f.call(r, o, c)
 		case f.returned(r.Now, id, c):
--- a/internal/fleet/csvms/undecided_test.go
+++ b/internal/fleet/csvms/undecided_test.go
@@ -80,3 +80,52 @@
 		})
 	}
 }
+
+// Guards against new tasks on a VM with an open order: a new leader knew such orders only once the VMs had been listed, and an
+// outage of the platform's interface keeps the list from it for long.
+func TestOpenOrderHoldsItsVMBeforeTheFirstList(t *testing.T) {
+	t.Parallel()
+	s := newStage(t, map[csmodel.PoolID]int{"a": 1})
+	life := csjob.Life{Target: "a-0.0", Born: 1}
+	s.do(csjob.Command{
+		Wave:    &csjob.Wave{ID: "1", AtOnce: 1, VMs: []csmodel.VMID{"a-0"}, Deadline: time.Second},
+		Targets: []csjob.TargetEvent{{Target: csjob.Target{Life: life, Pool: "a"}}},
+		VMs:     []csjob.VMOrder{{VM: "a-0", Wave: "1", Life: life}},
+	})
+	s.lead()
+	s.cloud.silent = 1
+	s.rounds(50*time.Millisecond, func() {})
+	if !s.fleet.Held().Has(life) {
+		t.Error("got the VM free for new tasks, want it held")
+	}
+}
+
+// Guards against an order that ends runs: something was started on the VM after the order was decided on, by a leader that did
+// not know the order yet.
+func TestOpenOrderWaitsForRuns(t *testing.T) {
+	t.Parallel()
+	s := newStage(t, map[csmodel.PoolID]int{"a": 1})
+	life := csjob.Life{Target: "a-0.0", Born: 1}
+	key := csjob.QueueKey{Host: "queue.example", Prefix: "/jobs/"}
+	task := csjob.TaskKey{Job: "a"}
+	config := &csjob.Config{
+		Version: 2, Pools: []csjob.Pool{{ID: "a"}}, Queues: []csjob.Queue{{Key: key, Name: "q", Pool: "a", Attempts: 2, Timeout: time.Second}},
+	}
+	s.do(csjob.Command{Config: config})
+	s.do(csjob.Command{
+		Submit:  &csjob.Submission{ID: task.Job, Queue: key, Steps: []csjob.Step{{Tasks: 1}}},
+		Wave:    &csjob.Wave{ID: "1", AtOnce: 1, VMs: []csmodel.VMID{"a-0"}, Deadline: time.Second},
+		Targets: []csjob.TargetEvent{{Target: csjob.Target{Life: life, Pool: "a"}}},
+		Starts:  []csjob.Start{{Task: task, Attempt: 1, Life: life}},
+		VMs:     []csjob.VMOrder{{VM: "a-0", Wave: "1", Life: life}},
+	})
+	s.rounds(500*time.Millisecond, func() {
+		s.cloud.mu.Lock()
+		defer s.cloud.mu.Unlock()
+		if len(s.cloud.sentAt) > 0 {
+			t.Fatal("got the order sent while a task runs there, want it to wait")
+		}
+	})
+	s.do(csjob.Command{Ends: []csjob.End{{Task: task, Attempt: 1, Life: life, Outcome: csjob.OutcomeDone}}})
+	s.run(20*time.Second, func(t *csjob.Table) bool { return t.Wave("1").Completed() })
+}
