--- a/internal/fleet/csvms/order.go
+++ b/internal/fleet/csvms/order.go
@@ -24,6 +24,8 @@
 	order csjob.VMOrder
 	since time.Time
 	sent  bool // the order is on its way to being committed
+	// failedAt is when its command was left without a known outcome. It is zero otherwise.
+	failedAt time.Time
 }
 
 // orderCall is the state of a committed order.
@@ -55,6 +57,10 @@
 		case o.Holder != f.o.Holder:
 			c.nextAt = r.Now.Add(retryPause)
 			f.takeOver(r, o)
+		case c.accepted.IsZero() && r.Busy(o.Life):
+			c.nextAt = r.Now.Add(retryPause)
+			f.log.Info("VM order waits for runs", zap.String("vm", string(o.VM)), zap.String("target", string(o.Life.Target)),
+				zap.String("pool", string(o.Pool)), zap.String("wave", string(o.Wave)), zap.Duration("leading", r.Now.Sub(f.since)))
 		case c.accepted.IsZero():
 			f.call(r, o, c)
 		case f.returned(r.Now, id, c):
@@ -194,10 +200,7 @@
 		s := f.reserved[id]
 		held := f.held.Has(s.order.Life) || s.order.Life.Target == ""
 		switch {
-		case s.sent:
-			if r.Now.Sub(s.since) > holdLimit {
-				delete(f.reserved, id)
-			}
+		case s.sent: // until its outcome is known
 		case held && !r.Busy(s.order.Life) && !f.othersTurn(r, id, false):
 			s.sent = true
 			s.since = r.Now
@@ -208,8 +211,9 @@
 		}
 	}
 	if len(ready) > 0 {
-		f.propose(csjob.Command{VMs: ready})
+		f.commit(r.Now, ready)
 	}
+	f.ask(r)
 }
 
 // hold derives the lives that get no new tasks. A life is held for a whole round before an order for it is committed.
--- a/internal/jobs/csrun/beats.go
+++ b/internal/jobs/csrun/beats.go
@@ -108,11 +108,11 @@
 	w.clockAt = time.Time{} // the clock of the earlier life tells nothing about what the new one runs
 	r.log.Info("target restarted", zap.String("target", string(w.life.Target)), zap.Int64("born", b.Target.Life.Born),
 		zap.Int64("before", w.life.Born), zap.Int("runs", len(w.runs)))
+	ctx, term, fence := r.ctx, r.term, r.nextFence()
 	var stops []StopOrder
 	for key := range w.runs {
-		stops = append(stops, StopOrder{Task: key.task, Attempt: key.attempt, Fence: csmodel.Fence(r.term)})
+		stops = append(stops, StopOrder{Task: key.task, Attempt: key.attempt, Fence: fence})
 	}
-	ctx, term, fence := r.ctx, r.term, csmodel.Fence(r.term)
 	go func() {
 		m := &fenced{term: term, beat: b}
 		m.ends, m.err = r.fence(ctx, b, stops, fence)
@@ -195,19 +195,21 @@
 
 // closeLost ends the lives of targets that were silent until everything that ran there has ended. A busy leader may take a
 // target for silent whose answers wait to be handled, so a target with open runs is asked once more when its lease is over:
-// what it tells of its runs decides rather than the clock.
+// what it tells of its runs decides rather than the clock. A target that sends heartbeats while no look is answered has longer
+// for an answer.
 func (r *runner) closeLost(now time.Time, t *csjob.Table) {
 	for _, w := range r.all() {
 		if w.heardAt.IsZero() {
 			w.heardAt = r.since
 		}
 		silent := now.Sub(w.heardAt)
-		if silent < silentAfter(r.o.Timing.Beat) || w.stopping || !w.lost(now) {
+		if w.stopping || !w.lost(now) || (silent < silentAfter(r.o.Timing.Beat) && !w.deaf(now)) {
 			continue
 		}
 		w.fencing, w.stopping = true, true // until the table has dropped it
 		r.log.Warn("target lost", zap.String("target", string(w.life.Target)), zap.Duration("silent", silent),
-			zap.Int("runs", len(t.TasksOn(w.life))))
+			zap.Int("deaf_looks", w.deafLooks), zap.Time("listed", w.listedAt), zap.Duration("granted", w.granted),
+			zap.Duration("clock", w.clock), zap.Duration("clock_age", now.Sub(w.clockAt)), zap.Int("runs", len(t.TasksOn(w.life))))
 		r.event(csjob.TargetEvent{Target: w.record, Gone: true}, nil, "target ended by its lease")
 	}
 }
--- a/internal/jobs/csrun/looks.go
+++ b/internal/jobs/csrun/looks.go
@@ -18,8 +18,8 @@
 	leastWait = 200 * time.Millisecond
 	// waitMargin is added to the predicted time of the next end: predictions are off by about a fifth.
 	waitMargin = 150 * time.Millisecond
-	// silentFailures is the number of unanswered calls in a row after which looks no longer extend the lease: an extension
-	// that may or may not have arrived would keep the runs open for ever.
+	// silentFailures is the number of unanswered calls, or of looks without a list, in a row after which a target counts as
+	// silent.
 	silentFailures = 2
 	// endsPerList is the number of ends that a list holds at most, from the platform's protocol. Others follow after an
 	// acknowledgement.
@@ -64,12 +64,12 @@
 }
 
 func (r *runner) sendLook(w *target, now time.Time) {
-	o := LookOrder{Fence: csmodel.Fence(r.term)}
+	o := LookOrder{Fence: w.fence}
 	if w.failures == 0 && w.accounted() {
 		// After an unanswered call the target may have restarted as well.
 		o.Noted = w.noted
 	}
-	if len(w.runs) > 0 && w.failures < silentFailures {
+	if len(w.runs) > 0 && !w.silent() {
 		o.Until = w.until(now, r.o.Timing.Lease)
 		w.granted = max(w.granted, o.Until)
 		if !w.fresh {
@@ -122,16 +122,17 @@
 }
 
 // called returns the target that a call of a term was sent to, or nil where its answer no longer matters. An answer from
-// before this node led anew is dropped: it tells nothing about the orders that were sent since. What the target needs next
-// may have changed with the answer.
-func (r *runner) called(term csmodel.Term, l csjob.Life) *target {
+// before this node led anew, or from before the target was given up and joined again, is dropped: it tells nothing about the
+// orders that were sent since. What the target needs next may have changed with the answer.
+func (r *runner) called(term csmodel.Term, l csjob.Life, f csmodel.Fence) *target {
 	if term != r.term {
 		return nil
 	}
 	w := r.target(l)
-	if w != nil {
-		w.calm = false
+	if w == nil || w.fence != f {
+		return nil
 	}
+	w.calm = false
 	return w
 }
 
@@ -148,7 +149,7 @@
 
 func (r *runner) looked(m *looked) {
 	r.work.returned(m.err)
-	w := r.called(m.term, m.life)
+	w := r.called(m.term, m.life, m.order.Fence)
 	if w == nil {
 		return
 	}
@@ -158,24 +159,29 @@
 	r.leader.poke()
 	if m.err != nil {
 		w.unanswered(now)
-		w.deafFrom = m.started
+		w.unlisted(m.started)
 		r.log.Info("look not answered", zap.String("target", string(w.life.Target)), zap.Int("failures", w.failures), zap.Error(m.err))
 		return
 	}
 	if m.look.Refusal != RefusedNot {
-		w.deafFrom = m.started
+		w.unlisted(m.started)
 		r.refused(w, m.look.Refusal, now)
 		return
 	}
 	if m.look.Born != 0 && m.look.Born != w.life.Born {
 		w.unanswered(now) // restarted; its heartbeat tells more
-		w.deafFrom = m.started
+		w.unlisted(m.started)
 		return
 	}
+	if w.fresh {
+		// The fence of this look keeps orders of earlier leaders out from now on. A heartbeat before it may have waited, and
+		// its clock bounds no lease that was granted meanwhile.
+		w.granted = max(w.granted, m.look.Clock+r.o.Timing.LongestLease)
+	}
 	w.reading(m.look.Clock, m.started, m.arrived, r.o.Timing.LongestLease)
 	w.leased = max(w.leased, m.order.Until)
 	w.answered(now)
-	w.fresh = false
+	w.fresh, w.deafLooks = false, 0
 	prompt := m.started.Sub(w.listedAt) < promptLook
 	w.listedAt = now
 	w.told = max(w.told, m.order.Noted)
