--- a/internal/fleet/csvms/undecided.go
+++ b/internal/fleet/csvms/undecided.go
@@ -14,11 +14,14 @@
 // commit proposes the orders for reserved VMs. Where the outcome is not known the orders may be applied at any time, so the VMs
 // stay reserved until a command that was proposed later is committed: by then each order is in the table or never will be.
 func (f *Fleet) commit(now time.Time, orders []csjob.VMOrder) {
-	epoch, epochal := f.epoch, f.ctx
+	epoch, epochal, c := f.epoch, f.ctx, csjob.Command{VMs: orders, Term: f.term}
 	go func() {
 		ctx, cancel := context.WithTimeout(epochal, callTimeout)
 		defer cancel()
-		_, err := f.o.State.Propose(ctx, csjob.Command{VMs: orders})
+		v, err := f.o.State.Propose(ctx, c)
+		if err == nil && v == csjob.Refused {
+			err = csrun.ErrNotLeading // committed in a later term
+		}
 		f.committed(epoch, now, orders, err)
 	}()
 }
