Play two tests of the leader in virtual time

Cause: leases of 600 ms, heartbeats of 150 ms and looks of 100 ms of real time. A test process that stands still for longer than a lease lets leases end in the test world between a decision and its order, which on the platform has 5 s.

Both tests run in a bubble of testing/synctest: times, faults and rules are the same, and time passes only while the leader and its targets wait.

--- a/internal/jobs/csrun/leader_test.go
+++ b/internal/jobs/csrun/leader_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -285,20 +286,22 @@
 // Pattern: a target starts again under its name while orders for its earlier life are on their way.
 func TestRestartedTarget(t *testing.T) {
 	t.Parallel()
-	i := install(t, 7, 3, faults{late: 0.15})
-	for n := range 30 {
-		i.submit(csjob.ID(fmt.Sprintf("%016x", n)), step(4, 1500, 60*time.Millisecond))
-		if n%5 == 4 {
-			i.world.mu.Lock()
-			id := csjob.TargetID("2")
-			i.world.workers[addressOf(id)] = newWorker(id, csjob.Room{CPU: 8000, Memory: 8000})
-			i.world.workers[addressOf(id)].reset = 2
-			i.world.mu.Unlock()
+	synctest.Test(t, func(t *testing.T) {
+		i := install(t, 7, 3, faults{late: 0.15})
+		for n := range 30 {
+			i.submit(csjob.ID(fmt.Sprintf("%016x", n)), step(4, 1500, 60*time.Millisecond))
+			if n%5 == 4 {
+				i.world.mu.Lock()
+				id := csjob.TargetID("2")
+				i.world.workers[addressOf(id)] = newWorker(id, csjob.Room{CPU: 8000, Memory: 8000})
+				i.world.workers[addressOf(id)].reset = 2
+				i.world.mu.Unlock()
+			}
+			time.Sleep(30 * time.Millisecond)
 		}
-		time.Sleep(30 * time.Millisecond)
-	}
-	i.settle(20 * time.Second)
-	i.checkRules()
+		i.settle(20 * time.Second)
+		i.checkRules()
+	})
 }
 
 // Pattern: the leader changes while runs are open and starts are on their way.
@@ -363,25 +366,27 @@
 // Pattern: a maintenance wave goes over targets with tasks that last, while answers get lost.
 func TestEvictionKeepsAvailability(t *testing.T) {
 	t.Parallel()
-	i := install(t, 11, 6, faults{lost: 0.15})
-	time.Sleep(3 * testBeat)
-	for n := range 4 {
-		i.submit(csjob.ID(fmt.Sprintf("%016x", n)),
-			csjob.Step{Tasks: 5, Room: csjob.Room{CPU: 1000, Memory: 100}, Lasting: true, Absent: 1, Spread: 2})
-	}
-	time.Sleep(time.Second)
-	var lives []csjob.Life
-	i.world.mu.Lock()
-	for _, k := range i.world.workers {
-		lives = append(lives, k.life)
-	}
-	i.world.mu.Unlock()
-	for n := range lives {
-		i.fleet.hold(lives[n], lives[(n+1)%len(lives)])
-		time.Sleep(500 * time.Millisecond)
-	}
-	i.fleet.hold()
-	i.checkRules()
+	synctest.Test(t, func(t *testing.T) {
+		i := install(t, 11, 6, faults{lost: 0.15})
+		time.Sleep(3 * testBeat)
+		for n := range 4 {
+			i.submit(csjob.ID(fmt.Sprintf("%016x", n)),
+				csjob.Step{Tasks: 5, Room: csjob.Room{CPU: 1000, Memory: 100}, Lasting: true, Absent: 1, Spread: 2})
+		}
+		time.Sleep(time.Second)
+		var lives []csjob.Life
+		i.world.mu.Lock()
+		for _, k := range i.world.workers {
+			lives = append(lives, k.life)
+		}
+		i.world.mu.Unlock()
+		for n := range lives {
+			i.fleet.hold(lives[n], lives[(n+1)%len(lives)])
+			time.Sleep(500 * time.Millisecond)
+		}
+		i.fleet.hold()
+		i.checkRules()
+	})
 }
 
 // Pattern: the busy phase of a pool is over, and its last runs keep VMs that another pool needs. A run that can be started
