Order no second maintenance of a VM that was missed during its first

A VM could stay without tasks until the next change of the leader.

Cause: a VM whose maintenance had been accepted and that lists then left out was recorded as removed. Listed again, it got a second order, which the platform takes for done without doing anything, and the leader took the target that runs there by now for ended.

Such a VM is now recorded as done. Ruled out: an order without an answer before the lists left the VM out; it is repeated every 300 ms, and only where no answer comes for the whole time is the VM ordered again.

Before: TestVMThatIsListedAgainIsMaintainedOnce fails, 2 orders, want 1. After: passes.

--- a/internal/fleet/csvms/absence_test.go
+++ b/internal/fleet/csvms/absence_test.go
@@ -56,3 +56,36 @@
 		})
 	}
 }
+
+// TestVMThatIsListedAgainIsMaintainedOnce guards against a second order for a VM whose maintenance was accepted before lists left
+// it out: the platform takes it for done, and the new target there would count as ended although it runs.
+func TestVMThatIsListedAgainIsMaintainedOnce(t *testing.T) {
+	t.Parallel()
+	s := newStage(t, map[csmodel.PoolID]int{"a": 1})
+	s.do(csjob.Command{Wave: &csjob.Wave{ID: "1", AtOnce: 2, Deadline: time.Second, VMs: []csmodel.VMID{"a-0", "removed-0"}}})
+	s.run(10*time.Second, func(*csjob.Table) bool {
+		s.fleet.mu.Lock()
+		defer s.fleet.mu.Unlock()
+		c := s.fleet.calls["a-0"]
+		return c != nil && !c.accepted.IsZero()
+	})
+	s.cloud.mu.Lock()
+	s.cloud.hidden["a-0"] = 1000
+	s.cloud.mu.Unlock()
+	s.run(10*time.Second, func(*csjob.Table) bool { return s.fleet.absences["a-0"] != nil })
+	s.fleet.mu.Lock()
+	s.fleet.absences["a-0"].lists = absentLists // as if the lists had left it out for long
+	s.fleet.absences["a-0"].since = s.fleet.listedAt.Add(-absentFor)
+	s.fleet.mu.Unlock()
+	s.run(10*time.Second, func(table *csjob.Table) bool { return table.Wave("1").Done.Has("a-0") })
+	s.cloud.mu.Lock()
+	s.cloud.hidden["a-0"] = 0
+	s.cloud.mu.Unlock()
+	end := time.Now().Add(2 * time.Second) // two lists
+	s.run(10*time.Second, func(*csjob.Table) bool { return time.Now().After(end) })
+	s.cloud.mu.Lock()
+	defer s.cloud.mu.Unlock()
+	if got, want := len(s.cloud.sentAt), 1; got != want {
+		t.Errorf("got %d orders, want %d", got, want)
+	}
+}
--- a/internal/fleet/csvms/wave.go
+++ b/internal/fleet/csvms/wave.go
@@ -73,7 +73,8 @@
 			if open, ok := r.Table.VMOrders()[id]; ok && open.Wave == w.Wave.ID {
 				end = open
 			}
-			end.Done, end.Removed = true, true
+			c := f.calls[id]
+			end.Done, end.Removed = true, c == nil || c.accepted.IsZero()
 			changed = append(changed, end)
 		case begun, o != nil && o.order.Wave == w.Wave.ID:
 			down++
