Park the VMs that no pool needs at the peak of all pools together

Cause: a VM was switched off after 20 s of idleness, and each VM is needed somewhere every few seconds. What all pools need together changes far less than what each of them needs.

Now the VMs of all pools together that were wanted at one time in the last 20 s stay on, and idle VMs beyond them are parked after 1 s. A VM of the standby pool takes as long to another pool (MigrateS) as one of a working pool, so it does not matter where the kept ones are. A leader parks nothing before it has seen a turn from its beginning or led for 20 s, because little work arrives while clients are without a leader. A wave counts VMs on their way to the standby pool as taken soon.

--- a/internal/fleet/csvms/balance.go
+++ b/internal/fleet/csvms/balance.go
@@ -23,6 +23,7 @@
 	pools      []*PoolView
 	byID       map[csmodel.PoolID]*PoolView
 	candidates []Candidate
+	perVM      csmodel.MilliCPU // mean of the VMs
 }
 
 // survey counts the supply of the pools and derives what they need.
@@ -33,7 +34,7 @@
 		f.forecast = Forecast{}
 		f.forecast.Replay(r.Now, r.Arrivals(), func(csmodel.PoolID) csmodel.MilliCPU { return given.CPU })
 	}
-	s := &survey{}
+	s := &survey{perVM: given.CPU / csmodel.MilliCPU(max(1, given.VMs))}
 	s.pools, s.byID = f.views(r, config, given)
 	s.candidates = f.candidates(r, s.byID)
 	f.withdraw(s.byID)
@@ -61,10 +62,13 @@
 	return Candidate{}, false
 }
 
-// balance reserves VMs for moves to pools that need them.
+// balance reserves VMs for moves to pools that need them, and idle ones that none needs for the standby pool.
 func (f *Fleet) balance(r csrun.Round, s *survey) {
 	transfers := Balance(s.pools, s.candidates)
-	transfers = append(transfers, Park(r.Now, s.pools, s.candidates, transfers)...)
+	f.peaks.observe(r.Now, wanted(s.pools, s.perVM))
+	if f.mayPark(r.Now) {
+		transfers = append(transfers, Park(r.Now, s.pools, s.candidates, transfers, f.peaks.highest())...)
+	}
 	f.logCapacity(r, s.pools, len(transfers))
 	for _, t := range transfers {
 		f.reserve(r, t.VM, csjob.VMOrder{VM: t.VM, Pool: t.To})
@@ -98,7 +102,7 @@
 		}
 		expected := max(f.forecast.Expected(r.Now, p.ID, f.o.MoveTime), next[p.ID])
 		v := &PoolView{
-			ID: p.ID, Standby: p.Standby, Need: d.Need(), Expected: d.Lasting + expected, Floor: floorVMs, Keep: !f.forecast.Seen(p.ID),
+			ID: p.ID, Standby: p.Standby, Need: d.Need(), Expected: d.Lasting + expected, Floor: floorVMs,
 		}
 		if certain {
 			v.Certain = d.Lasting + next[p.ID]
--- a/internal/fleet/csvms/fleet.go
+++ b/internal/fleet/csvms/fleet.go
@@ -66,6 +66,7 @@
 	held     csmodel.Set[csjob.Life]    // no new tasks there
 	idle     map[csmodel.VMID]time.Time // since when VMs have been idle
 	forecast Forecast
+	peaks    peaks                           // of the VMs that all pools together should have
 	turn     turn                            // the last one that was logged
 	learned  bool                            // the forecast has taken in what the table knows
 	due      map[csmodel.WaveID][]csjob.Life // targets whose VMs wait for their maintenance
@@ -96,6 +97,7 @@
 	f.held = csmodel.NewSet[csjob.Life]()
 	f.idle = map[csmodel.VMID]time.Time{}
 	f.learned = false
+	f.peaks = peaks{}
 	f.due = map[csmodel.WaveID][]csjob.Life{}
 	f.absences = map[csmodel.VMID]*absence{}
 	f.tenants = map[csmodel.VMID]csjob.TargetID{}
--- a/internal/fleet/csvms/forecast.go
+++ b/internal/fleet/csvms/forecast.go
@@ -356,9 +356,3 @@
 	}
 	return csmodel.MilliCPU(firstPhase * s.given)
 }
-
-// Seen tells whether a pool has had a busy phase that is over.
-func (f *Forecast) Seen(pool csmodel.PoolID) bool {
-	s := f.pools[pool]
-	return s != nil && s.mean > 0
-}
--- a/internal/fleet/csvms/policy.go
+++ b/internal/fleet/csvms/policy.go
@@ -23,9 +23,6 @@
 	spareVMs = 1
 	// memoryHeadroom allows for memory that no task of the right size fits into.
 	memoryHeadroom = 1.3
-	// parkAfter is how long a VM has been idle and not needed before it is switched off. It is longer than the pause between
-	// two busy phases of different pools, because a VM that was switched off comes back too late for a sudden one.
-	parkAfter = 20 * time.Second
 )
 
 // Candidate is a VM that may be taken.
@@ -51,7 +48,6 @@
 	VMs      int              // that are up or on their way
 	Floor    int              // least number of VMs that it keeps
 	Required int              // least number of VMs that it must have
-	Keep     bool             // its idle VMs are not switched off
 }
 
 // Transfer takes a VM to a pool.
@@ -130,37 +126,6 @@
 // anyRuns allows VMs that can be emptied soon.
 func anyRuns(c *Candidate) bool { return c.Idle || (!c.Lasts && c.Clear <= longestClear) }
 
-// Park returns the transfers to a standby pool of VMs that have been idle for a while and that no pool needs. It is called
-// after Balance.
-func Park(now time.Time, pools []*PoolView, candidates []Candidate, moved []Transfer) []Transfer {
-	byID := map[csmodel.PoolID]*PoolView{}
-	var standby *PoolView
-	for _, p := range pools {
-		byID[p.ID] = p
-		if p.Standby && standby == nil {
-			standby = p
-		}
-	}
-	if standby == nil {
-		return nil
-	}
-	taken := csmodel.NewSet[csmodel.VMID]()
-	for _, t := range moved {
-		taken.Add(t.VM)
-	}
-	var out []Transfer
-	for _, c := range candidates {
-		p := byID[c.Pool]
-		if p == nil || p.Standby || p.Keep || !c.Idle || taken.Has(c.ID) || now.Sub(c.Since) < parkAfter || !spares(soon, p, c.CPU) {
-			continue
-		}
-		p.Supply -= c.CPU
-		p.VMs--
-		out = append(out, Transfer{VM: c.ID, To: standby.ID})
-	}
-	return out
-}
-
 // neediest returns the pool with the largest deficit that is worth a VM, or nil.
 func neediest(h horizon, pools []*PoolView) *PoolView {
 	var best *PoolView
--- a/internal/fleet/csvms/wave.go
+++ b/internal/fleet/csvms/wave.go
@@ -55,7 +55,7 @@
 func (f *Fleet) wave(r csrun.Round, s *survey, w *csjob.WaveState) {
 	var waiting []csmodel.VMID
 	var removed []csjob.VMOrder
-	down := 0
+	down, parking := 0, 0
 	for _, id := range w.Wave.VMs {
 		_, begun := w.Begun[id]
 		o := f.reserved[id]
@@ -74,6 +74,8 @@
 			removed = append(removed, end)
 		case begun, o != nil && o.order.Wave == w.Wave.ID:
 			down++
+		case f.parking(r.Table, s, id):
+			parking++
 		case o == nil && exists && f.takeable(r, v):
 			if _, ordered := r.Table.VMOrders()[id]; !ordered {
 				waiting = append(waiting, id)
@@ -84,7 +86,7 @@
 		f.propose(csjob.Command{VMs: removed})
 	}
 	f.due[w.Wave.ID] = f.livesOf(r.Table, waiting)
-	for _, id := range f.pickWave(r, s, w, waiting, down) {
+	for _, id := range f.pickWave(r, s, w, waiting, down, parking) {
 		f.reserve(r, id, csjob.VMOrder{VM: id, Wave: w.Wave.ID})
 	}
 }
@@ -125,9 +127,26 @@
 	return !alive
 }
 
+// parking tells whether a VM is on its way to a standby pool, where its maintenance disturbs nobody.
+func (f *Fleet) parking(t *csjob.Table, s *survey, id csmodel.VMID) bool {
+	pool := csmodel.PoolID("")
+	if v := f.vms[id]; v.Phase == Moving {
+		pool = v.Pool
+	}
+	if o := f.reserved[id]; o != nil {
+		pool = o.order.Pool
+	}
+	if o, ordered := t.VMOrders()[id]; ordered {
+		pool = o.Pool
+	}
+	p := s.byID[pool]
+	return p != nil && p.Standby
+}
+
 // pickWave takes VMs from their pools and returns them: idle ones that no pool needs as soon as the wave allows, others
-// only as fast as its deadline asks, because every busy VM that is taken is missed.
-func (f *Fleet) pickWave(r csrun.Round, s *survey, w *csjob.WaveState, waiting []csmodel.VMID, down int) []csmodel.VMID {
+// only as fast as its deadline asks, because every busy VM that is taken is missed. VMs on their way to a standby pool
+// are taken soon, so no others are taken in their place.
+func (f *Fleet) pickWave(r csrun.Round, s *survey, w *csjob.WaveState, waiting []csmodel.VMID, down, parking int) []csmodel.VMID {
 	var out, needed []csmodel.VMID
 	for _, id := range waiting {
 		v := f.vms[id]
@@ -144,7 +163,7 @@
 	}
 	slices.SortStableFunc(needed, func(a, b csmodel.VMID) int { return cmp.Compare(f.burden(r, a), f.burden(r, b)) })
 	for _, id := range needed {
-		if down+len(out) >= f.pace(r.Now, w) {
+		if down+parking+len(out) >= f.pace(r.Now, w) {
 			break
 		}
 		out = append(out, id)
