Count arriving work by the span of its jobs

Cause: work that arrives within a second counts at once as the cores that it keeps busy in the long run. Jobs of a chain of 4 s reach them only after 4 s, and about 15 such jobs of very different sizes arrive in a second.

Now the need within the time that a VM takes to come (2.5 s: move, emptying, notice) holds the part that such jobs reach by then. The same part is taken of the work of the next turn. Pools with jobs shorter than that are treated as before. A pool keeps the span of its last jobs.

--- a/internal/fleet/csvms/balance.go
+++ b/internal/fleet/csvms/balance.go
@@ -91,7 +91,9 @@
 		}
 	}
 	f.logTurn(r)
-	next := f.forecast.NextTurn(r.Now, working, f.o.MoveTime+prepareFor+emptyFor)
+	// A VM that is asked for now works after this time.
+	ahead := f.o.MoveTime + prepareFor + emptyFor
+	next := f.forecast.NextTurn(r.Now, working, ahead)
 	// Busy VMs are taken no earlier than they are needed: the work of the pool that loses them goes on.
 	certain := f.forecast.steady() && f.forecast.changing(r.Now, f.o.MoveTime)
 	for _, p := range config.Pools {
@@ -100,12 +102,13 @@
 		if f.forecast.Ending(r.Now, p.ID, f.o.MoveTime) {
 			d.Offered, d.Running = 0, scale(d.Running, endingShare)
 		}
-		expected := max(f.forecast.Expected(r.Now, p.ID, f.o.MoveTime), next[p.ID])
+		turn := d.Ramped(ahead, next[p.ID])
+		expected := max(d.Ramped(ahead, f.forecast.Expected(r.Now, p.ID, f.o.MoveTime)), turn)
 		v := &PoolView{
-			ID: p.ID, Standby: p.Standby, Need: d.Need(), Expected: d.Lasting + expected, Floor: floorVMs,
+			ID: p.ID, Standby: p.Standby, Need: d.Need(ahead), Expected: d.Lasting + expected, Floor: floorVMs,
 		}
 		if certain {
-			v.Certain = d.Lasting + next[p.ID]
+			v.Certain = d.Lasting + turn
 		}
 		if !p.Standby {
 			v.Required = requiredVMs(d.Width, float64(d.Memory), float64(given.Memory)/float64(max(1, given.VMs)))
--- a/internal/jobs/csrun/leader.go
+++ b/internal/jobs/csrun/leader.go
@@ -104,6 +104,7 @@
 	Lasting csmodel.MilliCPU // of tasks that last, running or waiting
 	Offered csmodel.MilliCPU // work that arrived lately, as the cores that it keeps busy
 	Jobs    int              // that arrived in the same time
+	Span    time.Duration    // usual time from the first start to the last end of a job that arrived
 	Targets int              // that can take tasks now
 	Free    csmodel.MilliCPU // of these, after what was placed
 	// Width is the number of targets that the tasks of the widest step that lasts have to be spread over.
@@ -116,9 +117,19 @@
 // objective leaves a task about as long to wait as it takes.
 const backlogShare = 1.0
 
-// Need returns the capacity that the pool could use now.
-func (d PoolDemand) Need() csmodel.MilliCPU {
-	return d.Lasting + max(d.Running+csmodel.MilliCPU(backlogShare*float64(d.Waiting)), d.Offered)
+// Need returns the capacity that the pool could use after some time.
+func (d PoolDemand) Need(after time.Duration) csmodel.MilliCPU {
+	present := d.Running + csmodel.MilliCPU(backlogShare*float64(d.Waiting))
+	return d.Lasting + present + d.Ramped(after, max(0, d.Offered-present))
+}
+
+// Ramped returns the part of newly arriving work that runs after some time. The cores that it keeps busy in the long run
+// are reached only after the span of its jobs: later steps start when earlier ones have ended.
+func (d PoolDemand) Ramped(after time.Duration, work csmodel.MilliCPU) csmodel.MilliCPU {
+	if d.Span <= after {
+		return work
+	}
+	return csmodel.MilliCPU(float64(work) * float64(after) / float64(d.Span))
 }
 
 // Timing holds the durations that a leader works with.
--- a/internal/jobs/csrun/offered.go
+++ b/internal/jobs/csrun/offered.go
@@ -18,6 +18,7 @@
 	arrivals []Arrival
 	rates    map[csmodel.PoolID]csmodel.MilliCPU
 	jobs     map[csmodel.PoolID]int
+	spans    map[csmodel.PoolID]time.Duration // of the latest jobs of each pool
 }
 
 // Arrival is an accepted job whose tasks end by themselves.
@@ -25,6 +26,7 @@
 	At   time.Time
 	Pool csmodel.PoolID
 	Work csmodel.MilliCPU // thousandths of a core times seconds
+	Span time.Duration    // predicted time from the first start to the last end
 }
 
 // arrivals returns the jobs that the table still knows and that end by themselves, in order of acceptance.
@@ -39,7 +41,7 @@
 }
 
 func arrivalOf(j *csjob.Job, t *csjob.Table, e csplan.Estimator) Arrival {
-	return Arrival{At: j.Accepted, Pool: t.QueueOf(j).Pool, Work: workOf(j, e)}
+	return Arrival{At: j.Accepted, Pool: t.QueueOf(j).Pool, Work: workOf(j, e), Span: csplan.Whole(e, j)}
 }
 
 // observe takes in the jobs that were accepted since the last call.
@@ -65,6 +67,22 @@
 		}
 	}
 	o.arrivals = kept
+	o.measureSpans()
+}
+
+// measureSpans averages the spans of the jobs of each pool by their work. A pool to which nothing arrives keeps its last one.
+func (o *offered) measureSpans() {
+	if o.spans == nil {
+		o.spans = map[csmodel.PoolID]time.Duration{}
+	}
+	work, products := map[csmodel.PoolID]float64{}, map[csmodel.PoolID]float64{}
+	for _, a := range o.arrivals {
+		work[a.Pool] += float64(a.Work)
+		products[a.Pool] += float64(a.Work) * float64(a.Span)
+	}
+	for pool, sum := range work {
+		o.spans[pool] = time.Duration(products[pool] / sum)
+	}
 }
 
 // workOf returns the predicted work of a job that ends by itself.
--- a/internal/jobs/csrun/schedule.go
+++ b/internal/jobs/csrun/schedule.go
@@ -161,9 +161,9 @@
 		sum.Running += p.timely
 		d[id] = sum
 	}
-	for pool, cores := range r.offered.rates {
+	for pool, span := range r.offered.spans {
 		p := d[pool]
-		p.Offered, p.Jobs = cores, r.offered.jobs[pool]
+		p.Offered, p.Jobs, p.Span = r.offered.rates[pool], r.offered.jobs[pool], span
 		d[pool] = p
 	}
 }
