Begin a turn when its work rises

Cause: the begin of a turn was the begin of the run of arrivals without a pause. At grown size several jobs per second arrive in the quiet time as well, so the run begins at a random time before the turn.

Now it is the time from which more work arrives than the threshold that ends a phase.

--- a/internal/fleet/csvms/forecast.go
+++ b/internal/fleet/csvms/forecast.go
@@ -69,7 +69,7 @@
 	at      time.Time
 	busy    bool
 	low     time.Time // since when little work arrives in a busy phase
-	since   time.Time // start of the present run of arrivals without a pause
+	since   time.Time // since when more work arrives than in the time between two phases
 	starts  []time.Time
 	sum     float64 // of the work in this phase
 	samples int
@@ -90,12 +90,6 @@
 		s = &season{at: now}
 		f.pools[pool] = s
 	}
-	switch {
-	case jobs < 2:
-		s.since = time.Time{}
-	case s.since.IsZero():
-		s.since = now
-	}
 	s.peak *= 1 - 0.5*min(1, now.Sub(s.at).Seconds()/forgetPeak.Seconds())
 	s.at = now
 	s.given = float64(given)
@@ -103,6 +97,12 @@
 	s.peak = max(s.peak, level)
 	reference := max(s.peak, leastPhase*s.given)
 	switch {
+	case jobs < 2 || level < busyTo*reference:
+		s.since = time.Time{}
+	case s.since.IsZero():
+		s.since = now
+	}
+	switch {
 	case !s.busy && jobs >= leastJobs && level >= busyFrom*reference:
 		s.begin(now)
 		f.changeTurn(s.since, pool)
--- a/internal/fleet/csvms/policy_test.go
+++ b/internal/fleet/csvms/policy_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cowslipstream.example/cowslipstream/csmodel"
+	"cowslipstream.example/cowslipstream/internal/jobs/csrun"
 )
 
 const vmCPU = csmodel.MilliCPU(16000)
@@ -230,6 +231,35 @@
 	}
 }
 
+// Pattern: jobs of a quiet pool arrive without a pause, and then its turn begins. Guards against a turn that counts from
+// somewhere in the quiet time: the next one would be expected seconds too early.
+func TestTurnBeginsWhenItsWorkRises(t *testing.T) {
+	const length, tick = 8 * time.Second, 100 * time.Millisecond
+	start := time.Unix(1_800_000_000, 0)
+	var f Forecast
+	for at := time.Duration(0); at < 2*length; at += tick {
+		turn := int(at / length)
+		for p, id := range []csmodel.PoolID{"a", "b"} {
+			work, jobs := csmodel.MilliCPU(4000), 4
+			if p == turn {
+				// Arrivals are averaged over a second, so the work rises as long.
+				risen := min(1, (at%length).Seconds()/csrun.OfferedWindow.Seconds())
+				work, jobs = csmodel.MilliCPU(4000+96_000*risen), 4+int(16*risen)
+			}
+			f.Observe(start.Add(at), id, work, jobs, 60_000)
+		}
+	}
+	if got, want := len(f.turns), 2; got != want {
+		t.Fatalf("got %d turns, want %d", got, want)
+	}
+	if got := f.turns[1].at.Sub(start); got < length || got > length+csrun.OfferedWindow {
+		t.Errorf("got the second turn at %s, want at most %s after %s", got, csrun.OfferedWindow, length)
+	}
+	if got, known := f.turnLength(); !known || got < length || got > length+csrun.OfferedWindow {
+		t.Errorf("got a turn of %s (known: %t), want %s", got, known, length)
+	}
+}
+
 // Pattern: queues are busy by turns, in an order that is not known. From the third turn on the work of the next one is
 // expected, spread over the pools that have had no turn yet, and the pool whose turn ends is told apart.
 func TestForecastExpectsTheNextTurn(t *testing.T) {
