--- a/internal/fleet/csvms/balance.go
+++ b/internal/fleet/csvms/balance.go
@@ -23,6 +23,7 @@
 	pools      []*PoolView
 	byID       map[csmodel.PoolID]*PoolView
 	candidates []Candidate
+	perVM      csmodel.MilliCPU // mean of the VMs
 }
 
 // survey counts the supply of the pools and derives what they need.
@@ -33,7 +34,7 @@
 		f.forecast = Forecast{}
 		f.forecast.Replay(r.Now, r.Arrivals(), func(csmodel.PoolID) csmodel.MilliCPU { return given.CPU })
 	}
-	s := &survey{}
+	s := &survey{perVM: given.CPU / csmodel.MilliCPU(max(1, given.VMs))}
 	s.pools, s.byID = f.views(r, config, given)
 	s.candidates = f.candidates(r, s.byID)
 	f.withdraw(s.byID)
@@ -61,10 +62,13 @@
 	return Candidate{}, false
 }
 
-// balance reserves VMs for moves to pools that need them.
+// balance reserves VMs for moves to pools that need them, and idle ones that none needs for the standby pool.
 func (f *Fleet) balance(r csrun.Round, s *survey) {
 	transfers := Balance(s.pools, s.candidates)
-	transfers = append(transfers, Park(r.Now, s.pools, s.candidates, transfers)...)
+	f.peaks.observe(r.Now, wanted(s.pools, s.perVM))
+	if f.mayPark(r.Now) {
+		transfers = append(transfers, Park(r.Now, s.pools, s.candidates, transfers, f.peaks.highest())...)
+	}
 	f.logCapacity(r, s.pools, len(transfers))
 	for _, t := range transfers {
 		f.reserve(r, t.VM, csjob.VMOrder{VM: t.VM, Pool: t.To})
@@ -87,7 +91,9 @@
 		}
 	}
 	f.logTurn(r)
-	next := f.forecast.NextTurn(r.Now, working, f.o.MoveTime+prepareFor+emptyFor)
+	// A VM that is asked for now works after this time.
+	ahead := f.o.MoveTime + prepareFor + emptyFor
+	next := f.forecast.NextTurn(r.Now, working, ahead)
 	// Busy VMs are taken no earlier than they are needed: the work of the pool that loses them goes on.
 	certain := f.forecast.steady() && f.forecast.changing(r.Now, f.o.MoveTime)
 	for _, p := range config.Pools {
@@ -96,12 +102,13 @@
 		if f.forecast.Ending(r.Now, p.ID, f.o.MoveTime) {
 			d.Offered, d.Running = 0, scale(d.Running, endingShare)
 		}
-		expected := max(f.forecast.Expected(r.Now, p.ID, f.o.MoveTime), next[p.ID])
+		turn := d.Ramped(ahead, next[p.ID])
+		expected := max(d.Ramped(ahead, f.forecast.Expected(r.Now, p.ID, f.o.MoveTime)), turn)
 		v := &PoolView{
-			ID: p.ID, Standby: p.Standby, Need: d.Need(), Expected: d.Lasting + expected, Floor: floorVMs, Keep: !f.forecast.Seen(p.ID),
+			ID: p.ID, Standby: p.Standby, Need: d.Need(ahead), Expected: d.Lasting + expected, Floor: floorVMs,
 		}
 		if certain {
-			v.Certain = d.Lasting + next[p.ID]
+			v.Certain = d.Lasting + turn
 		}
 		if !p.Standby {
 			v.Required = requiredVMs(d.Width, float64(d.Memory), float64(given.Memory)/float64(max(1, given.VMs)))
