Wait only for present voters before an early election

Cause: the restarted voters waited for word from each voter of any membership in their log, also from one that had been replaced meanwhile and is a learner, which never asks for votes.

The latest membership is enough, since the leader of the term has the same log up to the entry of its term. The one exception, a leader that its own log removes, has no lease any more and hands the leadership over at once.

TestRestartAfterAVoterWasReplaced fails where all memberships of the log count.

--- a/csraft/leader.go
+++ b/csraft/leader.go
@@ -229,9 +229,9 @@
 	c.lead.settled = c.commit
 }
 
-// leaveWhenRemoved hands the leadership over once an entry that removed this node as a voter is committed.
+// leaveWhenRemoved hands the leadership over where an entry in the log removes this node as a voter.
 func (c *Core) leaveWhenRemoved() {
-	if _, pending := c.log.uncommittedChange(c.commit); !pending && !c.voter(c.log.membership()) {
+	if !c.voter(c.log.membership()) {
 		c.startTransfer()
 	}
 }
@@ -360,9 +360,10 @@
 	return from
 }
 
-// Leading tells whether this node is the leader and its lease is valid at the given time.
+// Leading tells whether this node is the leader and its lease is valid at the given time. One that its own log removes as a
+// voter has none: voters that have the entry do not count on it.
 func (c *Core) Leading(now time.Time) bool {
-	if c.role != Leader || c.detached {
+	if c.role != Leader || c.detached || !c.voter(c.log.membership()) {
 		return false
 	}
 	return now.Before(c.leaseFrom(now).Add(c.config.Lease))
--- a/csraft/unbound.go
+++ b/csraft/unbound.go
@@ -1,6 +1,9 @@
 package csraft
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // unboundJitter spreads the campaigns of nodes that learn at the same time that nobody leads.
 const unboundJitter = 50 * time.Millisecond
@@ -20,8 +23,8 @@
 
 // boundToAny tells whether a member may hold a lease that counts on an acknowledgement of this node. A node that follows a
 // leader has acknowledged that one last; the leaders before it had lost their leases when it was elected. A node that has
-// started again does not know whom it acknowledged: one of the voters in its log, if the log has an entry of the term. The
-// leader of the term was a voter before that entry, and is not removed by it before it has been committed.
+// started again does not know whom it acknowledged: one of the voters in its log, if the log has an entry of the term, because
+// the leader of the term has the same log up to there, and has a lease only while it is a voter by its own log.
 func (c *Core) boundToAny() bool {
 	if c.leader != "" {
 		return c.candidates[c.leader] <= c.state.Term
@@ -29,14 +32,9 @@
 	if c.log.lastTerm() != c.state.Term {
 		return true
 	}
-	for _, p := range c.log.members {
-		for _, v := range p.membership.Voters() {
-			if v.Node != c.config.Self && c.candidates[v.Node] <= c.state.Term {
-				return true
-			}
-		}
-	}
-	return false
+	return slices.ContainsFunc(c.log.membership().Voters(), func(v Member) bool {
+		return v.Node != c.config.Self && c.candidates[v.Node] <= c.state.Term
+	})
 }
 
 // acknowledge binds this node to a leader again.
--- a/csraft/unbound_test.go
+++ b/csraft/unbound_test.go
@@ -77,3 +77,35 @@
 		t.Error("no leader after the lease")
 	}
 }
+
+// TestRestartAfterAVoterWasReplaced guards against a wait for a node that is a voter no longer and therefore never asks for votes.
+func TestRestartAfterAVoterWasReplaced(t *testing.T) {
+	x := started(t)
+	x.add("d", true)
+	x.advance(5 * time.Second)
+	lost := csmodel.NodeID("a")
+	if x.leader() == lost {
+		lost = "b"
+	}
+	for _, n := range []csmodel.NodeID{lost, "d"} { // the place of the first goes to d until it is back
+		x.whileAway(n, 10*time.Second)
+	}
+	if got := x.nodes[x.leader()].log.membership(); got.voter("d", x.nodes["d"].config.Incarnation) {
+		t.Fatalf("d is still a voter: %+v", got)
+	}
+	for _, n := range csmodel.SortedKeys(x.nodes) {
+		x.restart(n)
+	}
+	if got, want := x.untilLeader(5*time.Second), DefaultElection/2; got > want {
+		t.Errorf("a leader after %v, want one within %v", got, want)
+	}
+}
+
+// whileAway lets time pass without a node and some more after its return.
+func (x *exchange) whileAway(n csmodel.NodeID, d time.Duration) {
+	c := x.nodes[n]
+	delete(x.nodes, n)
+	x.advance(d)
+	x.nodes[n] = c
+	x.advance(2 * time.Second)
+}
