Count the objective of a job from its client's first attempt

Cause: the objective counted from the acceptance, so a job that was first sent two seconds before went first, although it could not be on time any more, and each new job waited 1.3 s behind those.

Clients name how long they still wait, over all their attempts. The entry learns the longest deadline of each queue, and the difference is the time that a client has waited; the timeout of the queue bounds it, so a client that names an hour does not make the others late. The job keeps it, and plans, VM demand and evictions follow.

--- a/internal/jobs/csjob/job.go
+++ b/internal/jobs/csjob/job.go
@@ -82,6 +82,7 @@
 	First    time.Time     `cbor:"5,keyasint,omitzero"` // due time of the first occurrence
 	Interval time.Duration `cbor:"6,keyasint,omitempty"`
 	Repeats  int           `cbor:"7,keyasint,omitempty"` // zero is one occurrence that is due at once
+	Waited   time.Duration `cbor:"8,keyasint,omitempty"` // since the client account first sent it
 }
 
 // Occurrences returns how often the steps run.
@@ -222,6 +223,9 @@
 	queue *Queue // its newest settings, shared by the jobs of the queue
 }
 
+// Asked returns when the client account first sent the job, which may be before a refusal.
+func (j *Job) Asked() time.Time { return j.Accepted.Add(-j.Submission.Waited) }
+
 // lasts tells whether any step lasts.
 func (j *Job) lasts() bool {
 	return slices.ContainsFunc(j.Submission.Steps, func(s Step) bool { return s.Lasting })
--- a/internal/jobs/csplan/plan.go
+++ b/internal/jobs/csplan/plan.go
@@ -126,7 +126,7 @@
 }
 
 func objective(q *csjob.Queue, j *csjob.Job, occurrence int, whole time.Duration) (onTime, worthless time.Time) {
-	start := j.Accepted
+	start := j.Asked()
 	if j.Submission.Repeats > 0 {
 		if due := j.Submission.Due(occurrence); due.After(start) {
 			start = due
--- a/internal/jobs/csplan/plan_test.go
+++ b/internal/jobs/csplan/plan_test.go
@@ -81,6 +81,34 @@
 	}
 }
 
+// Pattern: after some seconds without a leader the refused clients come back together with new ones, more than a pool holds.
+// A job that was first sent two seconds ago cannot be on time any more and must not take the room of one that can.
+func TestReturnedJobCountsFromItsFirstRequest(t *testing.T) {
+	now := time.Now()
+	cases := []struct {
+		name   string
+		waited time.Duration
+		want   string
+	}{
+		{"just sent", 0, "back"},
+		{"can still be on time", 300 * time.Millisecond, "back"},
+		{"cannot be on time", 2 * time.Second, "new"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			back, fresh := job("back", now, step(1, 1000, 1)), job("new", now.Add(time.Millisecond), step(1, 1000, 1))
+			back.Submission.Waited = c.waited
+			placed := plan(now.Add(time.Millisecond), []*Slot{slot("a", 1000, 100)}, back, fresh)
+			if len(placed) != 1 {
+				t.Fatalf("got %d placements, want 1", len(placed))
+			}
+			if got := string(placed[0].Task.Job); got != c.want {
+				t.Errorf("got %s, want %s", got, c.want)
+			}
+		})
+	}
+}
+
 func TestPlacement(t *testing.T) {
 	now := time.Now()
 	spread := step(4, 100, 1)
--- a/internal/node/csentry/entry.go
+++ b/internal/node/csentry/entry.go
@@ -62,6 +62,8 @@
 	requests *prometheus.CounterVec
 	latency  prometheus.Histogram
 
+	patience patience
+
 	mu     sync.Mutex
 	leader csmodel.NodeID
 	term   csmodel.Term
@@ -221,6 +223,9 @@
 // Do passes a request on to the leader. The context holds the deadline of the client account.
 func (e *Entry) Do(ctx context.Context, r csrpc.JobRequest) csrpc.JobAnswer {
 	started := e.options.Clock.Now()
+	if r.Action == csrpc.ActionSubmit {
+		r.Waited = e.patience.waited(started, r)
+	}
 	a := e.do(ctx, started, r.Action, csrpc.Encode(r))
 	after := e.options.Clock.Now().Sub(started)
 	e.latency.Observe(after.Seconds())
--- a/internal/node/csrpc/messages.go
+++ b/internal/node/csrpc/messages.go
@@ -36,6 +36,11 @@
 	Path   string            `cbor:"3,keyasint"`
 	Job    *csjob.Submission `cbor:"4,keyasint,omitempty"`
 	Size   int64             `cbor:"5,keyasint,omitempty"` // of the body in bytes
+	// Remaining is how long the client account will still wait for an answer, also by sending the request again. Zero where it
+	// named no time.
+	Remaining time.Duration `cbor:"6,keyasint,omitempty"`
+	// Waited is the entry's estimate of the time since the client account first sent the request.
+	Waited time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 // JobResult is what became of a request.
--- a/internal/node/csstore/calls.go
+++ b/internal/node/csstore/calls.go
@@ -83,7 +83,7 @@
 	if request.Action != csrpc.ActionState {
 		s.log.Info("job request", zap.String("job", string(j.id)), zap.Uint8("action", uint8(request.Action)),
 			zap.String("entry", string(from)), zap.String("queue", j.queue.Name), zap.Uint8("result", uint8(a.Result)),
-			zap.Int64("config", j.version), zap.Duration("after", s.options.Clock.Now().Sub(started)))
+			zap.Int64("config", j.version), zap.Duration("waited", waited(request, j.queue.Timeout)), zap.Duration("after", s.options.Clock.Now().Sub(started)))
 	}
 	return a
 }
@@ -110,13 +110,19 @@
 	switch j.request.Action {
 	case csrpc.ActionSubmit:
 		job := *j.request.Job
-		job.ID, job.Queue = j.id, j.queue.Key
+		job.ID, job.Queue, job.Waited = j.id, j.queue.Key, waited(j.request, j.queue.Timeout)
 		return j.propose(csjob.Command{Submit: &job})
 	default:
 		return j.propose(csjob.Command{Cancel: &csjob.Ref{Queue: j.queue.Key, ID: j.id}})
 	}
 }
 
+// waited returns how long the client account has been sending a request. The time that the operator grants requests of the
+// queue bounds the estimate of the entry, so that clients that name longer ones do not make the others look late.
+func waited(r csrpc.JobRequest, granted time.Duration) time.Duration {
+	return min(r.Waited, max(0, granted-r.Remaining))
+}
+
 // idLength is the length of a job's identifier: 64 bits in hexadecimal.
 const idLength = 16
 
