End attempts to open a link after 300 ms without a connection

Cause: an attempt that meets a machine without power lasted for the whole handshake timeout of 1 s, because the system repeats a lost opening packet after a second only, and the pause between attempts grew to 0.65 s.

The connection now has 300 ms and the pause grows to 300 ms; the handshake keeps its second.

The gain was not measured apart from the wait for elections.

--- a/cslink/dial.go
+++ b/cslink/dial.go
@@ -15,10 +15,14 @@
 	path = "/link"
 	// handshakeTimeout bounds the time from the start of a connection until both sides are authenticated.
 	handshakeTimeout = time.Second
-	// The waits between attempts grow from firstRetry to maxRetry, each with a jitter of half its length, so that they
-	// stay below 1 s.
+	// connectTimeout bounds the wait for the peer's machine to accept a connection, which takes one round trip. A lost opening
+	// packet is sent again after a second only, so an attempt that meets a machine without power would last until long after
+	// the machine is back.
+	connectTimeout = 300 * time.Millisecond
+	// The waits between attempts grow from firstRetry to maxRetry, each with a jitter of half its length. A store
+	// that starts again is needed at once, for the election of a leader and for the requests that wait.
 	firstRetry  = 50 * time.Millisecond
-	maxRetry    = 650 * time.Millisecond
+	maxRetry    = 300 * time.Millisecond
 	retryJitter = 0.5
 	retryGrowth = 1.5
 	// settled is the lifetime of a socket after which its loss is followed by an immediate attempt. Sockets that end
@@ -77,7 +81,7 @@
 	var c *conn
 	transport := &http.Transport{
 		DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
-			var d net.Dialer
+			d := net.Dialer{Timeout: connectTimeout}
 			n, err := d.DialContext(ctx, network, address)
 			if err != nil {
 				return nil, err
