Let requests wait in the entry for an election that is under way

What callers saw: while a leader is elected (0.7 to 0.95 s) each request was refused after 140 ms with a Retry-After of 1 s, the shortest that the header can say, and came back 1.2 s or more later: too late for an objective of 2.4 s that takes 1.3 s of work. Entries learned of a new leader up to 0.4 s late, because they ask every 400 ms.

An entry that reaches more than half of the stores, and no leader, now keeps requests until one is elected, for 1.2 s since it lost the last one; a longer outage, or an entry that is cut off with a minority, refuses as before. Meanwhile it asks all stores every 100 ms, and when a link opens or closes. The time in the entry counts as waiting time of the job.

Tests: TestRequestsWaitForAnElection failed before (refused after 143 ms, want an answer after the election of 0.6 s); TestVacancy holds the decision without a network.

--- a/internal/node/csentry/entry.go
+++ b/internal/node/csentry/entry.go
@@ -21,14 +21,11 @@
 const (
 	linkHeartbeat = 200 * time.Millisecond
 	linkSilence   = 650 * time.Millisecond // an open connection without a byte is replaced
-	// askInterval is how often the entry asks who leads.
-	askInterval = 400 * time.Millisecond
-	askTimeout  = 800 * time.Millisecond
 	// staleLeader is the time without an answer of the leader after which the entry does not call itself ready: two
 	// questions. The platform checks once per second and needs two misses, so the change of a leader rarely counts.
 	staleLeader = 900 * time.Millisecond
-	// search is how long a request waits for a leader. Requests that are refused later than a quarter of the shortest
-	// objective of 600 ms would have been better off at another entry.
+	// search is how long a request waits for a leader where none is about to be elected. Requests that are refused later than a
+	// quarter of the shortest objective of 600 ms would have been better off at another entry.
 	search      = 140 * time.Millisecond
 	searchPause = 20 * time.Millisecond
 	// answerTimeout is how long one attempt waits for the leader, which answers within some tens of milliseconds.
@@ -36,7 +33,8 @@
 	// repeatFor is how long a request that was sent without an answer is sent again. Jobs are known by their identifiers, so
 	// a repetition is harmless; after this time the client account may as well try another entry.
 	repeatFor = 1500 * time.Millisecond
-	// retryAfter tells a client account when a new leader can be expected: the election timeout and a margin.
+	// retryAfter tells a client account when to come back after a refusal. Where a leader is about to be elected the request
+	// waits instead, so this is for longer outages; the header has whole seconds.
 	retryAfter = time.Second
 )
 
@@ -58,6 +56,7 @@
 	links    *cslink.Links
 	calls    *csrpc.Caller
 	opened   chan struct{}
+	wake     chan struct{} // asks at once who leads
 	cancel   context.CancelFunc
 	requests *prometheus.CounterVec
 	latency  prometheus.Histogram
@@ -68,12 +67,13 @@
 	leader csmodel.NodeID
 	term   csmodel.Term
 	seen   time.Time // last answer of a leader with a configuration
+	vacant vacancy
 }
 
 // New starts the entry.
 func New(o Options) (*Entry, error) {
 	e := &Entry{
-		options: o, log: o.Log, opened: make(chan struct{}),
+		options: o, log: o.Log, opened: make(chan struct{}), wake: make(chan struct{}, 1),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cowslipstream_requests_total", Help: "Requests of client accounts, by result.",
 		}, []string{"result"}),
@@ -111,12 +111,14 @@
 	<-e.opened
 	e.calls.Up(n)
 	e.log.Info("link up", zap.String("peer", string(n)))
+	e.askNow()
 }
 
 func (e *Entry) down(n csmodel.NodeID) {
 	<-e.opened
 	e.calls.Down(n)
 	e.log.Warn("link down", zap.String("peer", string(n)))
+	e.askNow()
 }
 
 func (e *Entry) receive(from csmodel.NodeID, kind cslink.Kind, payload []byte) {
@@ -126,93 +128,6 @@
 	}
 }
 
-// watch asks who leads.
-func (e *Entry) watch(ctx context.Context) {
-	ticker := e.options.Clock.NewTicker(askInterval)
-	defer ticker.Stop()
-	for {
-		e.ask(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-		}
-	}
-}
-
-// ask asks the leader, or all stores where none is known.
-func (e *Entry) ask(ctx context.Context) {
-	to := e.calls.Peers()
-	if leader := e.current(); leader != "" && e.calls.Connected(leader) {
-		to = []csmodel.NodeID{leader}
-	}
-	var all sync.WaitGroup
-	for _, n := range to {
-		all.Go(func() { e.askOne(ctx, n) })
-	}
-	all.Wait()
-}
-
-func (e *Entry) askOne(ctx context.Context, n csmodel.NodeID) {
-	limited, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	b, err := e.calls.Call(limited, n, csrpc.MethodLeader, nil)
-	if err != nil {
-		e.forget(n)
-		return
-	}
-	a, err := csrpc.Decode[csrpc.LeaderAnswer](b)
-	if err != nil {
-		e.log.Warn("malformed answer", zap.String("peer", string(n)), zap.Error(err))
-		return
-	}
-	if a.Leader == n && a.Ready {
-		e.mu.Lock()
-		e.seen = e.options.Clock.Now()
-		e.mu.Unlock()
-	}
-	if a.Leader == "" {
-		e.forget(n)
-		return
-	}
-	e.learn(a.Leader, a.Term)
-}
-
-// learn takes over a leader of the same term or a later one.
-func (e *Entry) learn(leader csmodel.NodeID, term csmodel.Term) {
-	e.mu.Lock()
-	changed := leader != "" && leader != e.leader && term >= e.term
-	if changed {
-		e.leader, e.term = leader, term
-	}
-	e.mu.Unlock()
-	if !changed {
-		return
-	}
-	e.log.Info("leader changed", zap.String("leader", string(leader)), zap.Uint64("term", uint64(term)))
-	ip, ok := csrpc.StoreIP(leader)
-	if !ok {
-		return
-	}
-	if err := e.links.AddPeer(cslink.Peer{Node: leader, Address: e.options.PeerAddress(ip)}); err != nil {
-		e.log.Warn("leader not added", zap.String("peer", string(leader)), zap.Error(err))
-	}
-}
-
-func (e *Entry) forget(n csmodel.NodeID) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.leader == n {
-		e.leader = ""
-	}
-}
-
-func (e *Entry) current() csmodel.NodeID {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.leader
-}
-
 // Ready tells whether the entry can serve client accounts.
 func (e *Entry) Ready() bool {
 	e.mu.Lock()
@@ -226,7 +141,7 @@
 	if r.Action == csrpc.ActionSubmit {
 		r.Waited = e.patience.waited(started, r)
 	}
-	a := e.do(ctx, started, r.Action, csrpc.Encode(r))
+	a := e.do(ctx, started, r)
 	after := e.options.Clock.Now().Sub(started)
 	e.latency.Observe(after.Seconds())
 	e.requests.WithLabelValues(resultNames[a.Result]).Inc()
@@ -245,11 +160,11 @@
 
 // do tries the known leader until one answers. Where an attempt was sent without an answer, the request may have been
 // carried out: it is sent again, and is unknown if no leader answers.
-func (e *Entry) do(ctx context.Context, started time.Time, action csrpc.JobAction, payload []byte) csrpc.JobAnswer {
+func (e *Entry) do(ctx context.Context, started time.Time, r csrpc.JobRequest) csrpc.JobAnswer {
 	sent := false
 	for {
 		if leader := e.current(); leader != "" {
-			a, err := e.attempt(ctx, leader, payload)
+			a, err := e.attempt(ctx, leader, aged(r, e.options.Clock.Now().Sub(started)))
 			switch {
 			case errors.Is(err, csrpc.ErrNoAnswer):
 				sent = true
@@ -257,7 +172,7 @@
 			case err != nil: // not sent
 			case a.Result == csrpc.ResultMoved:
 				e.moved(leader, a.Leader)
-			case sent && action == csrpc.ActionSubmit && a.Result != csrpc.ResultDone:
+			case sent && r.Action == csrpc.ActionSubmit && a.Result != csrpc.ResultDone:
 				return csrpc.JobAnswer{Result: csrpc.ResultUnknown} // an earlier attempt may have been carried out
 			default:
 				return a
@@ -267,7 +182,8 @@
 		if sent {
 			limit = repeatFor
 		}
-		if ctx.Err() != nil || e.options.Clock.Now().Sub(started) > limit {
+		now := e.options.Clock.Now()
+		if ctx.Err() != nil || (now.Sub(started) > limit && !e.expectsLeader(now)) {
 			if sent {
 				return csrpc.JobAnswer{Result: csrpc.ResultUnknown}
 			}
@@ -278,10 +194,10 @@
 }
 
 // attempt sends a request to a leader.
-func (e *Entry) attempt(ctx context.Context, leader csmodel.NodeID, payload []byte) (csrpc.JobAnswer, error) {
+func (e *Entry) attempt(ctx context.Context, leader csmodel.NodeID, r csrpc.JobRequest) (csrpc.JobAnswer, error) {
 	limited, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
-	b, err := e.calls.Call(limited, leader, csrpc.MethodJob, payload)
+	b, err := e.calls.Call(limited, leader, csrpc.MethodJob, csrpc.Encode(r))
 	if err != nil {
 		return csrpc.JobAnswer{}, err
 	}
@@ -293,18 +209,6 @@
 	return a, nil
 }
 
-// moved follows a hint of a store that does not lead.
-func (e *Entry) moved(from, to csmodel.NodeID) {
-	if to == "" || to == from {
-		e.forget(from)
-		return
-	}
-	e.mu.Lock()
-	term := e.term
-	e.mu.Unlock()
-	e.learn(to, term)
-}
-
 // Close stops the entry.
 func (e *Entry) Close() {
 	e.cancel()
--- a/internal/node/csentry/patience.go
+++ b/internal/node/csentry/patience.go
@@ -31,6 +31,14 @@
 	longest, older time.Duration
 }
 
+// aged returns a request as it is after some time in this entry.
+func aged(r csrpc.JobRequest, after time.Duration) csrpc.JobRequest {
+	if r.Remaining > 0 {
+		r.Waited, r.Remaining = r.Waited+after, max(1, r.Remaining-after)
+	}
+	return r
+}
+
 // waited returns how long the client account of a submission has waited, as far as other submissions tell.
 func (p *patience) waited(now time.Time, r csrpc.JobRequest) time.Duration {
 	if r.Remaining <= 0 {
