Start and stop gangs as a whole

What callers could see: a job of a gang that ends late or fails, with runs that end alone (GANG).

Cause: the end of one member's run was taken for that of the gang. When a target was given up or refused a start, that member was placed by itself with the next attempt, which the others do not have, and the others waited for it until they ended alone.

Ruled out: a gang that ends done (one such end stands for all, and the others are stopped).

Now a gang is placed only when none of its members runs or is on its way, and once a run of it has ended without done, the others are stopped.

--- a/internal/jobs/csjob/changes.go
+++ b/internal/jobs/csjob/changes.go
@@ -86,6 +86,18 @@
 	}
 }
 
+// touchGang notes the open runs of the gang that a task belongs to.
+func (t *Table) touchGang(j *Job, key TaskKey) {
+	if !j.Submission.Steps[key.Step].Gang {
+		return
+	}
+	for i := range j.Tasks[key.Occurrence][key.Step] {
+		member := key
+		member.Index = i
+		t.touchRuns(member, j.Task(member))
+	}
+}
+
 // touchJob notes the open runs of a job.
 func (t *Table) touchJob(j *Job) {
 	if j.Open > 0 {
--- a/internal/jobs/csjob/job.go
+++ b/internal/jobs/csjob/job.go
@@ -246,6 +246,17 @@
 	return &j.Tasks[k.Occurrence][k.Step][k.Index]
 }
 
+// Whole tells whether every member of the gang that a task belongs to has an open run of an attempt, or is done.
+func (j *Job) Whole(k TaskKey, a Attempt) bool {
+	for i := range j.Tasks[k.Occurrence][k.Step] {
+		m := &j.Tasks[k.Occurrence][k.Step][i]
+		if !m.Done && !slices.ContainsFunc(m.Runs, func(r Run) bool { return r.Attempt == a }) {
+			return false
+		}
+	}
+	return true
+}
+
 func newJob(s Submission, at time.Time, order csmodel.Index) *Job {
 	j := &Job{Submission: s, Accepted: at, Order: order}
 	for range s.Occurrences() {
--- a/internal/jobs/csjob/table.go
+++ b/internal/jobs/csjob/table.go
@@ -310,6 +310,7 @@
 	k.Runs = slices.Delete(k.Runs, i, i+1)
 	j.Open--
 	t.note(life, e.Task, -1)
+	t.touchGang(j, e.Task)
 	if e.Checkpoint != "" && e.Attempt == k.Attempts {
 		k.Checkpoint = e.Checkpoint
 	}
--- a/internal/jobs/csplan/plan.go
+++ b/internal/jobs/csplan/plan.go
@@ -268,6 +268,9 @@
 }
 
 func placeStep(w *Work, slots []*Slot, taken func(csjob.TaskKey) bool) (out []Placement, all bool) {
+	if w.Step.Gang && !w.allIdle(taken) {
+		return nil, true // its other runs end first, because the members share an attempt
+	}
 	need := w.Step.Needs()
 	rack := ""
 	for i := range w.Step.Tasks {
@@ -292,6 +295,17 @@
 	return out, true
 }
 
+// allIdle tells whether no task of the step runs or is on its way.
+func (w *Work) allIdle(taken func(csjob.TaskKey) bool) bool {
+	for i := range w.Step.Tasks {
+		key := csjob.TaskKey{Job: w.Key.Job, Occurrence: w.Key.Occurrence, Step: w.Key.Step, Index: i}
+		if !w.Job.Task(key).Idle() || taken(key) {
+			return false
+		}
+	}
+	return true
+}
+
 // reserve keeps the slot free that lacks the least for a task of the step. The choice is stable while the slot empties.
 func reserve(w *Work, slots []*Slot) {
 	need := w.Step.Needs()
--- a/internal/jobs/csrun/sync.go
+++ b/internal/jobs/csrun/sync.go
@@ -183,6 +183,9 @@
 		if j.State.Final() || task.Done || (w.record.Leaving && step.Lasting) {
 			u.stop = true
 		}
+		if step.Gang && !u.stop && !j.State.Final() && !j.Whole(k, o.Attempt) {
+			u.stop = true // the rest of a gang would wait in vain
+		}
 		u.lasting = step.Lasting && !j.State.Final()
 	}
 }
