--- a/internal/jobs/csrun/late_test.go
+++ b/internal/jobs/csrun/late_test.go
@@ -151,7 +151,7 @@
 				}
 				if n%20 == 19 {
 					i.leader.Follow()
-					i.leader.Lead(csmodel.Term(n))
+					i.leadAgain(csmodel.Term(n))
 				}
 				time.Sleep(time.Duration(random.IntN(120)) * time.Millisecond)
 			}
