Ignore what a list of VMs from before an order tells of its VM

What callers could see: more VMs of a wave down at once than it allows (LIMIT), or a move that is planned again.

Cause: the age of a list was counted from its arrival. A list takes up to 2 s, so one that was made before an order was carried out could arrive after it, show the VM as up, and count as its return from maintenance.

Ruled out: the wait for the time of the maintenance itself, which goes by the answer to the order.

Now a VM whose order was accepted after a list was asked for keeps what is known of it until a later list.

TestListFromBeforeAnOrderIsNoNews fails without the check and passes now.

--- a/internal/fleet/csvms/fleet.go
+++ b/internal/fleet/csvms/fleet.go
@@ -64,6 +64,7 @@
 	triedAt  time.Time // when it was last proposed
 	calls    map[csmodel.VMID]*orderCall
 	arriving map[csmodel.VMID]time.Time // moves that were accepted, by the time of their return
+	changed  map[csmodel.VMID]time.Time // orders that were accepted, until a list that was asked for later
 	dead     map[csjob.Life]time.Time   // lives that an order has ended
 	held     csmodel.Set[csjob.Life]    // no new tasks there
 	idle     map[csmodel.VMID]time.Time // since when VMs have been idle
@@ -95,6 +96,7 @@
 	f.asking, f.triedAt = false, time.Time{}
 	f.calls = map[csmodel.VMID]*orderCall{}
 	f.arriving = map[csmodel.VMID]time.Time{}
+	f.changed = map[csmodel.VMID]time.Time{}
 	f.dead = map[csjob.Life]time.Time{}
 	f.held = csmodel.NewSet[csjob.Life]()
 	f.idle = map[csmodel.VMID]time.Time{}
@@ -173,7 +175,7 @@
 		return
 	}
 	f.listing = true
-	epoch := f.epoch
+	epoch, began := f.epoch, f.o.Clock.Now()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		defer cancel()
@@ -190,16 +192,30 @@
 			return
 		}
 		f.listedAt = f.askedAt
-		f.vms = map[csmodel.VMID]VM{}
-		for _, v := range vms {
-			f.vms[v.ID] = v
-			if v.Target != "" {
-				f.tenants[v.ID] = v.Target
-			}
-		}
+		f.listed(vms, began)
 	}()
 }
 
+// listed takes in a list that was asked for at a time. It may have been made before an order that was accepted since, and then
+// tells nothing of that VM.
+func (f *Fleet) listed(vms []VM, began time.Time) {
+	before := f.vms
+	f.vms = map[csmodel.VMID]VM{}
+	for _, v := range vms {
+		if v.Target != "" {
+			f.tenants[v.ID] = v.Target
+		}
+		if at, changed := f.changed[v.ID]; changed && at.After(began) {
+			f.log.Info("VM in a list from before its order", zap.String("vm", string(v.ID)), zap.Duration("list_age", f.listedAt.Sub(began)),
+				zap.Duration("order_age", f.listedAt.Sub(at)))
+			v = before[v.ID]
+		} else {
+			delete(f.changed, v.ID)
+		}
+		f.vms[v.ID] = v
+	}
+}
+
 // outdated tells whether the list of VMs may have changed.
 func (f *Fleet) outdated(r csrun.Round) bool {
 	if f.listedAt.IsZero() || len(r.Table.VMOrders()) > 0 || len(f.arriving) > 0 || len(f.absences) > 0 {
--- a/internal/fleet/csvms/fleet_test.go
+++ b/internal/fleet/csvms/fleet_test.go
@@ -32,6 +32,7 @@
 	silent int                  // listings that get no answer
 	hidden map[csmodel.VMID]int // listings that leave out a VM
 	mute   bool                 // orders get no answer and have no effect
+	slow   time.Duration        // a list arrives that much later than it was made
 	sentAt []time.Time          // of all orders
 }
 
@@ -55,6 +56,7 @@
 		return nil, ErrNoAnswer
 	}
 	out := c.list()
+	time.Sleep(c.slow)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return slices.DeleteFunc(out, func(v VM) bool {
--- a/internal/fleet/csvms/order.go
+++ b/internal/fleet/csvms/order.go
@@ -147,6 +147,7 @@
 
 func (f *Fleet) done(now time.Time, o csjob.VMOrder, c *orderCall) {
 	c.accepted = now
+	f.changed[o.VM] = now
 	command := csjob.Command{}
 	if o.Life.Target != "" {
 		f.dead[o.Life] = now
--- a/internal/fleet/csvms/undecided_test.go
+++ b/internal/fleet/csvms/undecided_test.go
@@ -7,6 +7,7 @@
 
 	"cowslipstream.example/cowslipstream/csmodel"
 	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
+	"cowslipstream.example/cowslipstream/internal/jobs/csrun"
 )
 
 var errUnknown = errors.New("outcome unknown")
@@ -129,3 +130,41 @@
 	s.do(csjob.Command{Ends: []csjob.End{{Task: task, Attempt: 1, Life: life, Outcome: csjob.OutcomeDone}}})
 	s.run(20*time.Second, func(t *csjob.Table) bool { return t.Wave("1").Completed() })
 }
+
+// Guards against more VMs of a wave that are down at once than it allows: a list that was made before an order was carried out and
+// arrives after it shows the VM as up, and so as back from its maintenance. The next list counts.
+func TestListFromBeforeAnOrderIsNoNews(t *testing.T) {
+	t.Parallel()
+	s := newStage(t, map[csmodel.PoolID]int{"a": 1})
+	s.rounds(300*time.Millisecond, func() {})
+	life := csjob.Life{Target: "a-0.0", Born: 1}
+	o := csjob.VMOrder{VM: "a-0", Wave: "1", Life: life}
+	c := &orderCall{order: o}
+	ask := func() {
+		s.group.View(func(table *csjob.Table) {
+			s.fleet.mu.Lock()
+			defer s.fleet.mu.Unlock()
+			s.fleet.askedAt, s.fleet.listedAt = time.Time{}, time.Time{}
+			s.fleet.list(csrun.Round{Now: time.Now(), Table: table})
+		})
+	}
+	back := func() bool {
+		time.Sleep(2*s.cloud.slow + testUpkeep)
+		s.fleet.mu.Lock()
+		defer s.fleet.mu.Unlock()
+		return s.fleet.returned(time.Now(), o.VM, c)
+	}
+	s.cloud.slow = 400 * time.Millisecond
+	ask()
+	time.Sleep(s.cloud.slow / 2)
+	s.fleet.mu.Lock()
+	s.fleet.done(time.Now(), o, c)
+	s.fleet.mu.Unlock()
+	if back() {
+		t.Error("got the VM back by a list from before its maintenance")
+	}
+	ask()
+	if !back() {
+		t.Error("got the VM still away, want it back by the next list")
+	}
+}
