Keep leading when a restarted target refuses an order on its way

What callers could see: a leader that resigns ("a target has seen a higher fence") although no other one leads, and then starts and ends nothing.

Cause: the stops that a restarted target gets carry a new fence. A look or an order to the earlier life that was still on its way reached the new life after them, was refused by its fence, and the answer matched what the leader knew of the earlier life.

Ruled out: a target that joins again with the same birth time, where answers with an earlier fence are dropped already.

Now what is known of the earlier life takes the fence of the stops, so that such answers are dropped as well.

--- a/internal/jobs/csrun/beats.go
+++ b/internal/jobs/csrun/beats.go
@@ -109,6 +109,8 @@
 	r.log.Info("target restarted", zap.String("target", string(w.life.Target)), zap.Int64("born", b.Target.Life.Born),
 		zap.Int64("before", w.life.Born), zap.Int("runs", len(w.runs)))
 	ctx, term, fence := r.ctx, r.term, r.nextFence()
+	// The new life refuses what is still on its way to the earlier one. Such a refusal tells nothing of another leader.
+	w.fence = fence
 	var stops []StopOrder
 	for key := range w.runs {
 		stops = append(stops, StopOrder{Task: key.task, Attempt: key.attempt, Fence: fence})
--- a/internal/jobs/csrun/late_test.go
+++ b/internal/jobs/csrun/late_test.go
@@ -169,3 +169,32 @@
 	cut(true)
 	time.AfterFunc(d, func() { cut(false) })
 }
+
+// Guards against a leader that resigns although no other one leads, and then decides nothing for ever: a look at the earlier life
+// of a target is still on its way when the new life has seen the fence of the stops, and is refused there.
+func TestLookOnItsWayDuringARestartEndsNoTerm(t *testing.T) {
+	t.Parallel()
+	timing := testTiming
+	timing.CallTimeout = time.Second
+	i := installWith(t, 42, 1, faults{}, timing)
+	time.Sleep(3 * testBeat)
+	i.hand(1, 100*time.Millisecond)
+	i.await("the run", func() bool { return i.runsOn("1") == 1 })
+	gate := make(chan struct{})
+	var before csmodel.Fence
+	i.with("1", func(k *worker) { before, i.world.gate = k.fence, gate })
+	i.await("a look on its way", func() (taken bool) {
+		i.with("1", func(*worker) { taken = i.world.gate == nil })
+		return taken
+	})
+	i.state.set(func() { i.state.pause = 150 * time.Millisecond })
+	i.restart("1", false)
+	i.await("the fence of the stops", func() (seen bool) {
+		i.with("1", func(k *worker) { seen = k.fence > before })
+		return seen
+	})
+	close(gate)
+	i.state.set(func() { i.state.pause = 0 })
+	i.settle(5 * time.Second)
+	i.checkRules()
+}
--- a/internal/jobs/csrun/world_test.go
+++ b/internal/jobs/csrun/world_test.go
@@ -138,6 +138,7 @@
 	held    []held
 	// lapsesVoid leaves out ends whose target's lease lapsed before they were noted, as the platform's rules do.
 	lapsesVoid bool
+	gate       chan struct{} // the next look is on its way until it is closed; nil is none
 }
 
 // release carries out the starts that were held. They reach whoever has the address by now.
@@ -457,6 +458,12 @@
 // Look implements csrun.Workers.
 func (w *world) Look(ctx context.Context, t csjob.Target, o csrun.LookOrder) (csrun.Look, error) {
 	w.mu.Lock()
+	if gate := w.gate; gate != nil {
+		w.gate = nil
+		w.mu.Unlock()
+		<-gate
+		w.mu.Lock()
+	}
 	k := w.at(t)
 	lost := w.random.Float64() < w.faults.lost
 	if k != nil && (k.reset > 0 || k.dark || k.deaf) {
