Begin a job only with 400 ms to spare

Cause: in an overload the most urgent job is the one that is almost late, and a reserve of 200 ms is less than the error of the predicted run times and the wait of a second step.

--- a/internal/jobs/csplan/plan.go
+++ b/internal/jobs/csplan/plan.go
@@ -15,8 +15,10 @@
 	// and the answer to a poll.
 	noticeTime = 120 * time.Millisecond
 	// beginReserve is the time that a job must have to spare to be begun as timely. In an overload the most urgent job is
-	// the one that is almost late, and without the reserve every job would begin too late to be done on time.
-	beginReserve = 200 * time.Millisecond
+	// the one that is almost late, and without the reserve every job would begin too late to be done on time. It covers
+	// the error of the predicted run times and the wait of a second step; with 200 ms half of the jobs that were begun in the
+	// busy phase after a loss of all stores ended a little late.
+	beginReserve = 400 * time.Millisecond
 	// finishTolerance is how long a job that was begun is still treated as timely after its latest start. It is the error of
 	// the predicted run times: dropping the job would waste what was done for it.
 	finishTolerance = 200 * time.Millisecond
