--- a/internal/node/csentry/entry.go
+++ b/internal/node/csentry/entry.go
@@ -24,8 +24,9 @@
 	// staleLeader is the time without an answer of the leader after which the entry does not call itself ready: two
 	// questions. The platform checks once per second and needs two misses, so the change of a leader rarely counts.
 	staleLeader = 900 * time.Millisecond
-	// search is how long a request waits for a leader where none is about to be elected. Requests that are refused later than a
-	// quarter of the shortest objective of 600 ms would have been better off at another entry.
+	// search is how long a request waits for a leader. Requests that are refused later than a quarter of the shortest objective
+	// of 600 ms would have been better off at another entry. Waits for the end of an election were tried: all held requests
+	// reached the new leader at once and delayed its first looks, so that fewer jobs were on time.
 	search      = 140 * time.Millisecond
 	searchPause = 20 * time.Millisecond
 	// answerTimeout is how long one attempt waits for the leader, which answers within some tens of milliseconds.
@@ -33,8 +34,7 @@
 	// repeatFor is how long a request that was sent without an answer is sent again. Jobs are known by their identifiers, so
 	// a repetition is harmless; after this time the client account may as well try another entry.
 	repeatFor = 1500 * time.Millisecond
-	// retryAfter tells a client account when to come back after a refusal. Where a leader is about to be elected the request
-	// waits instead, so this is for longer outages; the header has whole seconds.
+	// retryAfter tells a client account when a new leader can be expected: the election timeout and a margin.
 	retryAfter = time.Second
 )
 
@@ -67,7 +67,6 @@
 	leader csmodel.NodeID
 	term   csmodel.Term
 	seen   time.Time // last answer of a leader with a configuration
-	vacant vacancy
 }
 
 // New starts the entry.
@@ -182,8 +181,7 @@
 		if sent {
 			limit = repeatFor
 		}
-		now := e.options.Clock.Now()
-		if ctx.Err() != nil || (now.Sub(started) > limit && !e.expectsLeader(now)) {
+		if ctx.Err() != nil || e.options.Clock.Now().Sub(started) > limit {
 			if sent {
 				return csrpc.JobAnswer{Result: csrpc.ResultUnknown}
 			}
--- a/internal/node/csentry/watch.go
+++ b/internal/node/csentry/watch.go
@@ -16,14 +16,11 @@
 	// askInterval is how often the entry asks its leader whether it still leads.
 	askInterval = 400 * time.Millisecond
 	askTimeout  = 800 * time.Millisecond
-	// searchInterval is how often the entry asks all stores while it knows no leader that it is connected to. Requests wait in
-	// the meantime; with the interval of a known leader most of them waited 0.4 s longer than the election took.
+	// searchInterval is how often the entry asks all stores while it knows no leader that it is connected to. Requests are
+	// refused in the meantime; with the interval of a known leader that went on for 0.4 s after the election.
 	searchInterval = 100 * time.Millisecond
 	// searchTimeout bounds such a question, so that a frozen store does not delay the next one to the others.
 	searchTimeout = 200 * time.Millisecond
-	// electionWait is how long a new leader is expected after the last one was lost: the longest election timeout of the stores
-	// of 950 ms, and a quarter of a second for the votes, for reading the table and for the answer to a question.
-	electionWait = 1200 * time.Millisecond
 )
 
 // watch asks who leads.
@@ -138,29 +135,3 @@
 	e.mu.Unlock()
 	e.learn(to, term)
 }
-
-// expectsLeader tells whether a leader is about to be elected that this entry will be able to reach.
-func (e *Entry) expectsLeader(now time.Time) bool {
-	connected := len(e.calls.Peers())
-	leader := e.current()
-	usable := leader != "" && e.calls.Connected(leader)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.vacant.expected(now, usable, connected, len(e.options.Seeds))
-}
-
-// vacancy is the time for which an entry has been connected to most stores and to no leader. The zero value is none.
-type vacancy struct{ since time.Time }
-
-// expected tells whether the vacancy is likely to end soon. Where most stores cannot be reached, the entry is cut off with a
-// minority that elects none, or there is nobody to vote yet.
-func (v *vacancy) expected(now time.Time, usable bool, connected, stores int) bool {
-	if usable || 2*connected <= stores {
-		v.since = time.Time{}
-		return false
-	}
-	if v.since.IsZero() {
-		v.since = now
-	}
-	return now.Sub(v.since) < electionWait
-}
