Play the test of leases under a slow leader in virtual time

Seen by the reviewer: TestSlowLeaderExtendsLeases failed in 1 of 2 runs of its package beside other work (load average 35 to 67), all six tasks ended by their leases. Cause: leases of 1.5 s of real time, in a process that stands still for longer on such a machine; on the platform they have 5 s. In a bubble of testing/synctest the same answers are 400 ms late, and time passes only while all wait.

--- a/internal/jobs/csrun/leader_test.go
+++ b/internal/jobs/csrun/leader_test.go
@@ -464,29 +464,31 @@
 // run out, because a lapse ends tasks that last on sound targets (rules AVAIL and LOST).
 func TestSlowLeaderExtendsLeases(t *testing.T) {
 	t.Parallel()
-	timing := testTiming
-	timing.Lease, timing.LongestLease = 1500*time.Millisecond, 1800*time.Millisecond
-	i := installWith(t, 13, 3, faults{}, timing)
-	time.Sleep(3 * testBeat)
-	lasting := csjob.Step{Tasks: 6, Room: csjob.Room{CPU: 1000, Memory: 100}, Lasting: true, Spread: 2}
-	i.submit("00000000000000aa", lasting)
-	time.Sleep(300 * time.Millisecond)
-	i.world.mu.Lock()
-	i.world.faults.slow = 400 * time.Millisecond
-	i.world.mu.Unlock()
-	time.Sleep(5 * time.Second)
-	i.checkRules()
-	i.world.mu.Lock()
-	defer i.world.mu.Unlock()
-	for _, k := range i.world.workers {
-		i.world.expire(k)
-	}
-	for _, r := range i.world.runs {
-		if r.over {
-			t.Errorf("%s has ended with outcome %d, want it at work", r.task, r.outcome)
+	synctest.Test(t, func(t *testing.T) {
+		timing := testTiming
+		timing.Lease, timing.LongestLease = 1500*time.Millisecond, 1800*time.Millisecond
+		i := installWith(t, 13, 3, faults{}, timing)
+		time.Sleep(3 * testBeat)
+		lasting := csjob.Step{Tasks: 6, Room: csjob.Room{CPU: 1000, Memory: 100}, Lasting: true, Spread: 2}
+		i.submit("00000000000000aa", lasting)
+		time.Sleep(300 * time.Millisecond)
+		i.world.mu.Lock()
+		i.world.faults.slow = 400 * time.Millisecond
+		i.world.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		i.checkRules()
+		i.world.mu.Lock()
+		defer i.world.mu.Unlock()
+		for _, k := range i.world.workers {
+			i.world.expire(k)
 		}
-	}
-	if got, want := len(i.world.runs), lasting.Tasks; got != want {
-		t.Errorf("got %d runs, want %d", got, want)
-	}
+		for _, r := range i.world.runs {
+			if r.over {
+				t.Errorf("%s has ended with outcome %d, want it at work", r.task, r.outcome)
+			}
+		}
+		if got, want := len(i.world.runs), lasting.Tasks; got != want {
+			t.Errorf("got %d runs, want %d", got, want)
+		}
+	})
 }
