Count a target as silent after four looks without a list

The bound itself stays: at most four looks in a row extend a lease.

TestRunsLeaveTheVMsOfAnotherPool and TestLastingTasksLeaveVMsThatAreDue depend on the load of the machine.

--- a/internal/jobs/csrun/looks.go
+++ b/internal/jobs/csrun/looks.go
@@ -18,9 +18,11 @@
 	leastWait = 200 * time.Millisecond
 	// waitMargin is added to the predicted time of the next end: predictions are off by about a fifth.
 	waitMargin = 150 * time.Millisecond
-	// silentFailures is the number of unanswered calls, or of looks without a list, in a row after which a target counts as
-	// silent.
+	// silentFailures is the number of unanswered calls in a row after which a target counts as silent.
 	silentFailures = 2
+	// silentLooks is the number of looks without a list in a row after which it does, whatever other calls are answered. It is
+	// higher because looks wait for ends and are the first calls that a busy leader reads too late.
+	silentLooks = 4
 	// endsPerList is the number of ends that a list holds at most, from the platform's protocol. Others follow after an
 	// acknowledgement.
 	endsPerList = 500
--- a/internal/jobs/csrun/target.go
+++ b/internal/jobs/csrun/target.go
@@ -169,7 +169,7 @@
 
 // silent tells whether so many calls or looks in a row were not answered that the lease is no longer extended. An extension
 // that may or may not have arrived would keep the runs open for ever.
-func (t *target) silent() bool { return t.failures >= silentFailures || t.deafLooks >= silentFailures }
+func (t *target) silent() bool { return t.failures >= silentFailures || t.deafLooks >= silentLooks }
 
 // grant returns the end of the lease that a start carries.
 func (t *target) grant(now time.Time, lease time.Duration) time.Duration {
