--- a/internal/jobs/csjob/table.go
+++ b/internal/jobs/csjob/table.go
@@ -321,13 +321,6 @@
 	t.retire(j)
 }
 
-// keepUnheard notes an attempt that no target has told the end of.
-func (j *Job) keepUnheard(key TaskKey, k *Task, a Attempt) {
-	if !k.Done && !j.Submission.Steps[key.Step].Lasting {
-		k.Unheard = append(k.Unheard, a)
-	}
-}
-
 // endUnheard takes in how a run ended that was given up with its target, or that counted as never started although a late
 // start reached the target's next life. The target keeps the end until it is acknowledged, and the acknowledgement stands: a
 // task that ended done must not start again after it.
--- a/internal/jobs/csjob/target.go
+++ b/internal/jobs/csjob/target.go
@@ -46,6 +46,13 @@
 	}
 }
 
+// keepUnheard notes an attempt that no target has told the end of.
+func (j *Job) keepUnheard(key TaskKey, k *Task, a Attempt) {
+	if !k.Done && !j.Submission.Steps[key.Step].Lasting {
+		k.Unheard = append(k.Unheard, a)
+	}
+}
+
 func (t *Table) addWave(w Wave, at time.Time) {
 	if t.state.Waves[w.ID] == nil {
 		t.state.Waves[w.ID] = &WaveState{
