Play two tests of runs that leave VMs in virtual time

Cause as for the other tests of the leader: leases of 600 ms and heartbeats of 150 ms of real time, in a process that stands still for as long. In virtual time the checks are the same.

--- a/internal/jobs/csrun/due_test.go
+++ b/internal/jobs/csrun/due_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
@@ -22,22 +23,24 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			i := install(t, 12, 6, faults{})
-			time.Sleep(3 * testBeat)
-			i.submit("00000000000000aa",
-				csjob.Step{Tasks: 6, Room: csjob.Room{CPU: 500, Memory: 100}, Lasting: true, Absent: 1, Spread: 2})
-			time.Sleep(time.Second)
-			due := i.busiest(c.due)
-			i.fleet.expect(due...)
-			time.Sleep(3 * time.Second)
-			runs, left := i.lastingOn(due)
-			if c.leave && left > 0 {
-				t.Errorf("got %d tasks on targets that are due, want none", left)
-			}
-			if most := 6 + 2*6; runs > most {
-				t.Errorf("got %d runs, want %d at most: tasks without another target stay", runs, most)
-			}
-			i.checkRules()
+			synctest.Test(t, func(t *testing.T) {
+				i := install(t, 12, 6, faults{})
+				time.Sleep(3 * testBeat)
+				i.submit("00000000000000aa",
+					csjob.Step{Tasks: 6, Room: csjob.Room{CPU: 500, Memory: 100}, Lasting: true, Absent: 1, Spread: 2})
+				time.Sleep(time.Second)
+				due := i.busiest(c.due)
+				i.fleet.expect(due...)
+				time.Sleep(3 * time.Second)
+				runs, left := i.lastingOn(due)
+				if c.leave && left > 0 {
+					t.Errorf("got %d tasks on targets that are due, want none", left)
+				}
+				if most := 6 + 2*6; runs > most {
+					t.Errorf("got %d runs, want %d at most: tasks without another target stay", runs, most)
+				}
+				i.checkRules()
+			})
 		})
 	}
 }
--- a/internal/jobs/csrun/leader_test.go
+++ b/internal/jobs/csrun/leader_test.go
@@ -411,22 +411,24 @@
 	for n, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			i := install(t, uint64(20+n), 2, faults{})
-			time.Sleep(3 * testBeat)
-			i.submit("00000000000000aa", step(1, 1000, c.duration))
-			time.Sleep(200 * time.Millisecond)
-			i.state.View(func(table *csjob.Table) {
-				for _, l := range table.BusyLives() {
-					i.fleet.hold(l)
+			synctest.Test(t, func(t *testing.T) {
+				i := install(t, uint64(20+n), 2, faults{})
+				time.Sleep(3 * testBeat)
+				i.submit("00000000000000aa", step(1, 1000, c.duration))
+				time.Sleep(200 * time.Millisecond)
+				i.state.View(func(table *csjob.Table) {
+					for _, l := range table.BusyLives() {
+						i.fleet.hold(l)
+					}
+				})
+				i.settle(5 * time.Second)
+				i.checkRules()
+				i.world.mu.Lock()
+				defer i.world.mu.Unlock()
+				if got := i.world.runs[len(i.world.runs)-1].attempt; got != c.want {
+					t.Errorf("got %d attempts, want %d", got, c.want)
 				}
 			})
-			i.settle(5 * time.Second)
-			i.checkRules()
-			i.world.mu.Lock()
-			defer i.world.mu.Unlock()
-			if got := i.world.runs[len(i.world.runs)-1].attempt; got != c.want {
-				t.Errorf("got %d attempts, want %d", got, c.want)
-			}
 		})
 	}
 }
