--- a/internal/node/csentry/entry.go
+++ b/internal/node/csentry/entry.go
@@ -25,8 +25,8 @@
 	// questions. The platform checks once per second and needs two misses, so the change of a leader rarely counts.
 	staleLeader = 900 * time.Millisecond
 	// search is how long a request waits for a leader. Requests that are refused later than a quarter of the shortest objective
-	// of 600 ms would have been better off at another entry. Waits for the end of an election were tried: all held requests
-	// reached the new leader at once and delayed its first looks, so that fewer jobs were on time.
+	// of 600 ms would have been better off at another entry. Requests that wait for the end of an election all reach the new
+	// leader at once and delay its first looks.
 	search      = 140 * time.Millisecond
 	searchPause = 20 * time.Millisecond
 	// answerTimeout is how long one attempt waits for the leader, which answers within some tens of milliseconds.
