Cut the leader's work that grows with the square of the targets

Cause: at 1,100 targets a wave of half the VMs summed up the runs of each VM for every comparison with another one and searched the candidates linearly; first polls of a new leader advanced 64 per round, and its rounds are up to 100 ms apart; 147 entries asked ten times per second who leads while nobody did, and 2.5 times per second otherwise; each heartbeat searched all targets for its address.

Change: a VM's load is summed up once per decision; an answered first poll makes room for the next one; stores announce a new leader to the entries, which ask every 150 ms while they know none that is ready (2 s otherwise); targets are found by address. A leader that answers before its lease is valid is no longer forgotten by the entries.

Two calls in a row to a target without an answer (an order counts as one) make it silent; each poll then takes 600 ms and was followed by a pause of 250 ms, and all jobs with tasks there are late together. A poll after an unanswered call no longer waits for an end, and the pause counts from the start of the poll.

--- a/internal/fleet/csvms/balance.go
+++ b/internal/fleet/csvms/balance.go
@@ -1,7 +1,6 @@
 package csvms
 
 import (
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,7 +22,8 @@
 	pools      []*PoolView
 	byID       map[csmodel.PoolID]*PoolView
 	candidates []Candidate
-	cpuPerVM   csmodel.MilliCPU // mean CPU of a VM
+	index      map[csmodel.VMID]int // positions in candidates of those that have not been removed
+	cpuPerVM   csmodel.MilliCPU     // mean CPU of a VM
 }
 
 // buildView counts the supply of the pools and derives their demand.
@@ -36,39 +36,60 @@
 	}
 	view := &fleetView{cpuPerVM: share.CPU / csmodel.MilliCPU(max(1, share.VMs))}
 	view.pools, view.byID = f.poolViews(r, config, share)
-	view.candidates = f.collectCandidates(r, view.byID)
+	view.setCandidates(f.collectCandidates(r, view.byID))
 	f.cancelUnneededMoves(view.byID)
 	return view
 }
 
+func (v *fleetView) setCandidates(candidates []Candidate) {
+	v.candidates, v.index = candidates, make(map[csmodel.VMID]int, len(candidates))
+	for i := range candidates {
+		v.index[candidates[i].ID] = i
+	}
+}
+
 // removeCandidate removes a VM from the candidates and from the supply of its pool. Other VMs that a wave may take count in no
 // supply.
 func (v *fleetView) removeCandidate(id csmodel.VMID) {
-	c, known := v.candidate(id)
-	if !known {
+	c := v.candidate(id)
+	if c == nil {
 		return
 	}
 	v.byID[c.Pool].Supply -= c.CPU
 	v.byID[c.Pool].VMs--
-	v.candidates = slices.DeleteFunc(v.candidates, func(o Candidate) bool { return o.ID == id })
+	delete(v.index, id)
+}
+
+// candidate returns a VM that may be taken, or nil if it is not known what taking it would end.
+func (v *fleetView) candidate(id csmodel.VMID) *Candidate {
+	i, known := v.index[id]
+	if !known {
+		return nil
+	}
+	return &v.candidates[i]
 }
 
-// candidate returns a VM that may be taken, or false if it is not known what taking it would end.
-func (v *fleetView) candidate(id csmodel.VMID) (Candidate, bool) {
-	for _, c := range v.candidates {
-		if c.ID == id {
-			return c, true
+// remaining returns the candidates that have not been removed.
+func (v *fleetView) remaining() []Candidate {
+	if len(v.index) == len(v.candidates) {
+		return v.candidates
+	}
+	out := make([]Candidate, 0, len(v.index))
+	for i := range v.candidates {
+		if c := &v.candidates[i]; v.candidate(c.ID) != nil {
+			out = append(out, *c)
 		}
 	}
-	return Candidate{}, false
+	return out
 }
 
 // balance reserves VMs for moves to pools that need them, and idle VMs that no pool needs for the standby pool.
 func (f *Fleet) balance(r csrun.Round, view *fleetView) {
-	transfers := Balance(view.pools, view.candidates)
+	candidates := view.remaining()
+	transfers := Balance(view.pools, candidates)
 	f.peakVMs.observe(r.Now, totalDesiredVMs(view.pools, view.cpuPerVM))
 	if f.mayPark(r.Now) {
-		transfers = append(transfers, Park(r.Now, view.pools, view.candidates, transfers, f.peakVMs.maximum())...)
+		transfers = append(transfers, Park(r.Now, view.pools, candidates, transfers, f.peakVMs.maximum())...)
 	}
 	f.logCapacity(r, view.pools, len(transfers))
 	for _, t := range transfers {
--- a/internal/fleet/csvms/fleet.go
+++ b/internal/fleet/csvms/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"time"
 
@@ -68,15 +67,16 @@
 	arriving       map[csmodel.VMID]time.Time      // expected return of VMs whose move was accepted
 	changedAt      map[csmodel.VMID]time.Time      // accepted orders, until a list arrives that was requested later
 	endedAt        map[csjob.Incarnation]time.Time // target incarnations that an order has ended
-	held           csmodel.Set[csjob.Incarnation]  // target incarnations that get no new tasks
+	held           csmodel.Set[csjob.Incarnation]  // target incarnations that get no new tasks; each decision makes a new set
 	idleSince      map[csmodel.VMID]time.Time      // start of the idle time of VMs
 	forecast       Forecast
-	peakVMs        slidingMax                             // VMs that all pools together should have
-	loggedTurn     turn                                   // last turn that was logged
-	replayed       bool                                   // the forecast has learned from the arrivals before this epoch
-	evictingSoon   map[csmodel.WaveID][]csjob.Incarnation // targets whose VMs await their maintenance
-	absences       map[csmodel.VMID]*absence              // VMs of open waves that are missing from the lists
-	lastTargets    map[csmodel.VMID]csjob.TargetID        // last target listed on each VM
+	peakVMs        slidingMax // VMs that all pools together should have
+	loggedTurn     turn       // last turn that was logged
+	replayed       bool       // the forecast has learned from the arrivals before this epoch
+	// awaitingMaintenance are the targets whose VMs await their maintenance. Each decision makes a new set.
+	awaitingMaintenance csmodel.Set[csjob.Incarnation]
+	absences            map[csmodel.VMID]*absence       // VMs of open waves that are missing from the lists
+	lastTargets         map[csmodel.VMID]csjob.TargetID // last target listed on each VM
 }
 
 // New returns a Fleet that requests a list of the VMs in its first round.
@@ -105,7 +105,7 @@
 	f.idleSince = map[csmodel.VMID]time.Time{}
 	f.replayed = false
 	f.peakVMs = slidingMax{}
-	f.evictingSoon = map[csmodel.WaveID][]csjob.Incarnation{}
+	f.awaitingMaintenance = nil
 	f.absences = map[csmodel.VMID]*absence{}
 	f.lastTargets = map[csmodel.VMID]csjob.TargetID{}
 }
@@ -121,20 +121,14 @@
 func (f *Fleet) Evicting() csmodel.Set[csjob.Incarnation] {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return maps.Clone(f.held)
+	return f.held
 }
 
 // EvictingSoon implements csrun.Fleet.
 func (f *Fleet) EvictingSoon() csmodel.Set[csjob.Incarnation] {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := csmodel.NewSet[csjob.Incarnation]()
-	for _, incarnations := range f.evictingSoon {
-		for _, incarnation := range incarnations {
-			out.Add(incarnation)
-		}
-	}
-	return out
+	return f.awaitingMaintenance
 }
 
 // Ended implements csrun.Fleet.
--- a/internal/fleet/csvms/wave.go
+++ b/internal/fleet/csvms/wave.go
@@ -39,8 +39,8 @@
 // advanceWaves reserves VMs for the open waves and records VMs that were removed.
 func (f *Fleet) advanceWaves(r csrun.Round, view *fleetView) {
 	awaited := csmodel.NewSet[csmodel.VMID]()
+	f.awaitingMaintenance = csmodel.NewSet[csjob.Incarnation]()
 	for _, w := range r.Table.Waves() {
-		delete(f.evictingSoon, w.Wave.ID)
 		if !w.Completed() {
 			for _, id := range w.Wave.VMs {
 				awaited.Add(id)
@@ -90,7 +90,7 @@
 	if len(updates) > 0 {
 		f.propose(csjob.Command{VMs: updates})
 	}
-	f.evictingSoon[w.Wave.ID] = f.targetIncarnations(r.Table, waiting)
+	f.addTargetIncarnations(f.awaitingMaintenance, r.Table, waiting)
 	for _, id := range f.selectWaveVMs(r, view, w, waiting, down, moving) {
 		f.reserve(r, id, csjob.VMOrder{VM: id, Wave: w.Wave.ID})
 	}
@@ -156,9 +156,9 @@
 	var out, inUse []csmodel.VMID
 	for _, id := range waiting {
 		v := f.vms[id]
-		c, known := view.candidate(id)
+		c := view.candidate(id)
 		p := view.byID[v.Pool]
-		if !known || !c.Idle || p == nil || !canSpare(forecastDesired, p, v.Resources.CPU) {
+		if c == nil || !c.Idle || p == nil || !canSpare(forecastDesired, p, v.Resources.CPU) {
 			inUse = append(inUse, id)
 			continue
 		}
@@ -167,11 +167,11 @@
 			view.removeCandidate(id)
 		}
 	}
-	slices.SortStableFunc(inUse, func(a, b csmodel.VMID) int { return cmp.Compare(f.drainRank(r, a), f.drainRank(r, b)) })
-	for _, id := range inUse {
-		if down+moving+len(out) >= f.requiredConcurrency(r.Now, w) {
-			break
-		}
+	free := f.requiredConcurrency(r.Now, w) - down - moving - len(out)
+	if free <= 0 {
+		return out
+	}
+	for _, id := range f.byDrainTime(r, view, inUse)[:min(free, len(inUse))] {
 		out = append(out, id)
 		view.removeCandidate(id)
 	}
@@ -203,27 +203,41 @@
 	return min(w.Wave.MaxConcurrent, int(math.Ceil(need)))
 }
 
-// targetIncarnations returns the incarnations of the known targets on VMs.
-func (f *Fleet) targetIncarnations(t *csjob.Table, vms []csmodel.VMID) []csjob.Incarnation {
-	var out []csjob.Incarnation
+// addTargetIncarnations adds the incarnations of the known targets on VMs.
+func (f *Fleet) addTargetIncarnations(to csmodel.Set[csjob.Incarnation], t *csjob.Table, vms []csmodel.VMID) {
 	for _, id := range vms {
 		if o, ok := f.targetOn(t, f.vms[id]); ok {
-			out = append(out, o.Incarnation)
+			to.Add(o.Incarnation)
 		}
 	}
-	return out
 }
 
-// drainRank orders the VMs of a wave, lowest first. Those with long-running tasks come first, because these tasks leave one at a
-// time; then those that drain soonest.
-func (f *Fleet) drainRank(r csrun.Round, id csmodel.VMID) time.Duration {
+// byDrainTime sorts the VMs of a wave. Those with long-running tasks come first, because these tasks leave one at a time; then
+// those that drain soonest. The load of each VM is summed up once: a wave may have hundreds of VMs with ten runs each.
+func (f *Fleet) byDrainTime(r csrun.Round, view *fleetView, vms []csmodel.VMID) []csmodel.VMID {
+	ranks := make(map[csmodel.VMID]time.Duration, len(vms))
+	for _, id := range vms {
+		ranks[id] = f.drainRank(r, view, id)
+	}
+	slices.SortStableFunc(vms, func(a, b csmodel.VMID) int { return cmp.Compare(ranks[a], ranks[b]) })
+	return vms
+}
+
+// drainRank ranks a VM of a wave, the first one to drain lowest.
+func (f *Fleet) drainRank(r csrun.Round, view *fleetView, id csmodel.VMID) time.Duration {
+	rank := func(drainTime time.Duration, longRunning bool) time.Duration {
+		if longRunning {
+			return drainTime - time.Hour
+		}
+		return drainTime
+	}
+	if c := view.candidate(id); c != nil {
+		return rank(c.DrainTime, c.LongRunning)
+	}
 	t, ok := f.targetOn(r.Table, f.vms[id])
 	if !ok {
 		return 0
 	}
 	l := r.Load(t.Incarnation)
-	if l.HasLongRunning {
-		return l.DrainTime - time.Hour
-	}
-	return l.DrainTime
+	return rank(l.DrainTime, l.HasLongRunning)
 }
--- a/internal/fleet/csvms/wave_test.go
+++ b/internal/fleet/csvms/wave_test.go
@@ -44,3 +44,32 @@
 		}
 	}
 }
+
+// Pattern: half of 1,100 VMs, each with runs, are due for maintenance. Guards against decisions that sum up the runs of a VM for
+// each comparison with another one: they took more than the processor of a store has.
+func TestWaveSumsUpEachVMOnce(t *testing.T) {
+	const size = 1100
+	h := newHarness(t, map[csmodel.PoolID]int{"pool": size})
+	for _, v := range h.platform.list() {
+		target := csjob.Target{Incarnation: csjob.Incarnation{Target: v.Target, StartedAtMs: 1}, Pool: v.Pool}
+		h.apply(csjob.Command{Targets: []csjob.TargetEvent{{Target: target}}})
+	}
+	proposeWave(t, h.group, h.platform)
+	loads := 0
+	decide := func() {
+		loads = 0
+		h.group.View(func(table *csjob.Table) {
+			h.fleet.Round(csrun.Round{
+				Now: time.Now(), Table: table, Fence: testTerm, Demand: csrun.Demand{}, Arrivals: func() []csrun.Arrival { return nil },
+				Busy: func(csjob.Incarnation) bool { return true }, Usable: func(csjob.Incarnation) bool { return true },
+				Load: func(csjob.Incarnation) csrun.Load { loads++; return csrun.Load{DrainTime: time.Second} },
+			})
+		})
+	}
+	for deadline := time.Now().Add(10 * time.Second); loads == 0 && time.Now().Before(deadline); time.Sleep(decisionInterval) {
+		decide() // the first one requests the list of VMs
+	}
+	if got, want := loads, size; got == 0 || got > want {
+		t.Errorf("got %d sums of runs in one decision about %d VMs, want at most %d", got, size, want)
+	}
+}
--- a/internal/jobs/csrun/answers_test.go
+++ b/internal/jobs/csrun/answers_test.go
@@ -263,3 +263,23 @@
 		})
 	}
 }
+
+// Guards against ends that become known late because two answers in a row are lost: the second poll would wait for another end
+// of the target before it times out.
+func TestPollAfterUnansweredCallDoesNotWait(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		failures int
+		unpolled bool
+		waits    bool
+	}{{"answered", 0, false, true}, {"unanswered call", 1, false, false}, {"two unanswered calls", 2, false, false}, {"first poll", 0, true, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			r, w := newTestRunner(2)
+			r.options.Timing.PollWait = time.Second
+			w.failures, w.unpolled = c.failures, c.unpolled
+			if got := r.pollWait(w, r.now()); got > 0 != c.waits {
+				t.Errorf("got a wait of %v, want one = %t", got, c.waits)
+			}
+		})
+	}
+}
--- a/internal/jobs/csrun/heartbeats.go
+++ b/internal/jobs/csrun/heartbeats.go
@@ -76,19 +76,16 @@
 
 // addressReused reports whether a target that was started later has the same address.
 func (r *runner) addressReused(t csjob.Target) bool {
-	for _, w := range r.targets {
-		if w.incarnation.StartedAtMs > t.Incarnation.StartedAtMs && w.record.Address == t.Address && w.incarnation.Target != t.Incarnation.Target {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(r.addresses.at(t.Address), func(id csjob.TargetID) bool {
+		return id != t.Incarnation.Target && r.targets[id].incarnation.StartedAtMs > t.Incarnation.StartedAtMs
+	})
 }
 
 // endPredecessors ends older targets with the same address. An address is reused only after its previous holder has ended.
 func (r *runner) endPredecessors(t csjob.Target) {
-	for _, w := range r.targetsByName() {
-		if w.record.Address == t.Address && w.incarnation.Target != t.Incarnation.Target {
-			r.addTargetEvent(csjob.TargetEvent{Target: w.record, Ended: true}, nil, "target replaced at its address")
+	for _, id := range r.addresses.at(t.Address) {
+		if id != t.Incarnation.Target {
+			r.addTargetEvent(csjob.TargetEvent{Target: r.targets[id].record, Ended: true}, nil, "target replaced at its address")
 		}
 	}
 }
--- a/internal/jobs/csrun/initial_polls.go
+++ b/internal/jobs/csrun/initial_polls.go
@@ -22,6 +22,19 @@
 	return unpolled[:min(len(unpolled), max(0, maxInitialPolls-inFlight))]
 }
 
+// sendNextInitialPoll replaces an answered first poll by the next one. Otherwise first polls would advance only once per round,
+// and rounds of a busy leader are up to maxPause apart.
+func (r *runner) sendNextInitialPoll(now time.Time) {
+	for len(r.initialPolls) > 0 {
+		w := r.initialPolls[0]
+		r.initialPolls = r.initialPolls[1:]
+		if w.unpolled && r.currentTarget(w.incarnation) == w && r.pollDue(w, now) {
+			r.sendPoll(w, now)
+			return
+		}
+	}
+}
+
 // pollPriority ranks a target by what would end with its lease: 2 for long-running tasks, 1 for other runs, 0 for none.
 func (t *target) pollPriority() int {
 	priority := min(len(t.list), 1)
--- a/internal/jobs/csrun/initial_polls_test.go
+++ b/internal/jobs/csrun/initial_polls_test.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"testing"
+	"time"
+
+	"go.uber.org/zap"
 
 	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
 )
@@ -38,3 +41,14 @@
 		t.Errorf("got a target of priority %d first, want %d: long-running tasks", got, want)
 	}
 }
+
+// Pattern: the leader changes while 1,100 targets have about 10,000 open runs, and a round of the new leader takes 20 ms on its
+// slow VM. Guards against first polls that advance only once per round: tasks wait until their targets have answered.
+func TestNewLeaderPollsAllTargetsWithinASecond(t *testing.T) {
+	sim := newSimulationOf(1100, zap.NewNop())
+	sim.advance(6 * time.Second)
+	sim.roundTime = 20 * time.Millisecond
+	if got, want := sim.changeLeader(), time.Second; got > want {
+		t.Errorf("got all targets polled after %v, want at most %v", got, want)
+	}
+}
--- a/internal/jobs/csrun/leader.go
+++ b/internal/jobs/csrun/leader.go
@@ -65,9 +65,11 @@
 	// Round is called on the leader in each round. It must not block and must not retain the table.
 	Round(Round)
 	// Evicting returns the incarnations whose VM is about to be reclaimed. They get no new tasks. Long-running tasks on them are stopped as
-	// far as the availability of their step allows, as are runs that can be restarted in time or are late.
+	// far as the availability of their step allows, as are runs that can be restarted in time or are late. The caller must not
+	// modify the set.
 	Evicting() csmodel.Set[csjob.Incarnation]
-	// EvictingSoon returns the incarnations whose VMs will be reclaimed soon. Long-running tasks should be placed elsewhere.
+	// EvictingSoon returns the incarnations whose VMs will be reclaimed soon. Long-running tasks should be placed elsewhere. The
+	// caller must not modify the set.
 	EvictingSoon() csmodel.Set[csjob.Incarnation]
 	// Ended reports whether a VM order has ended the incarnation.
 	Ended(csjob.Incarnation) bool
--- a/internal/jobs/csrun/polls.go
+++ b/internal/jobs/csrun/polls.go
@@ -46,9 +46,11 @@
 			r.sendPoll(w, now)
 		}
 	}
-	for _, w := range pickInitialPolls(firstPolls, inFlight) {
+	picked := pickInitialPolls(firstPolls, inFlight)
+	for _, w := range picked {
 		r.sendPoll(w, now)
 	}
+	r.initialPolls = firstPolls[len(picked):]
 }
 
 func (r *runner) pollDue(w *target, now time.Time) bool {
@@ -74,9 +76,7 @@
 	if len(w.runs) > 0 && !w.silent() {
 		o.LeaseEnd = w.leaseEnd(now, r.options.Timing.Lease)
 		w.maxLeaseEnd = max(w.maxLeaseEnd, o.LeaseEnd)
-		if !w.unpolled {
-			o.Wait = r.pollWait(w, now)
-		}
+		o.Wait = r.pollWait(w, now)
 	}
 	w.polling = true
 	w.polledAt = now
@@ -96,8 +96,12 @@
 }
 
 // pollWait returns how long a poll may wait for an end. It is limited by the time until the next expected end: if the answer
-// is lost, the leader learns of all ends of the target only after the wait.
+// is lost, the leader learns of all ends of the target only after the wait. After an unanswered call it is zero, because ends
+// may be listed there already, and the next answer may be lost as well.
 func (r *runner) pollWait(w *target, now time.Time) time.Duration {
+	if w.unpolled || w.failures > 0 {
+		return 0
+	}
 	wait := r.options.Timing.PollWait
 	for _, u := range w.runs {
 		if !u.longRunning {
@@ -157,8 +161,13 @@
 	}
 	now := r.now()
 	w.polling = false
-	w.polledAt = now
+	if m.err == nil {
+		w.polledAt = now // a poll that has timed out has waited long enough
+	}
 	r.leader.requestRound()
+	if w.unpolled {
+		r.sendNextInitialPoll(now)
+	}
 	if m.err != nil {
 		w.recordFailure(now)
 		w.recordUnansweredPoll(m.sentAt)
--- a/internal/jobs/csrun/runner.go
+++ b/internal/jobs/csrun/runner.go
@@ -44,12 +44,14 @@
 	issuedFences   int // number of fences issued in this term
 
 	targets       map[csjob.TargetID]*target
-	sorted        []*target                           // by name; nil if it has to be rebuilt
+	sorted        []*target // by name; nil if it has to be rebuilt
+	addresses     addressIndex
 	pendingStarts map[csjob.TaskKey]csjob.Incarnation // starts that are proposed and not committed yet
 	// pendingByIncarnation and pendingByJob index the same starts: the tasks by incarnation, and their number by job.
 	pendingByIncarnation map[csjob.Incarnation][]csjob.TaskKey
 	pendingByJob         map[csjob.ID]int
 	pools                map[csmodel.PoolID]*poolPlan
+	initialPolls         []*target // targets that wait for their first poll, the most urgent first
 	proposedEnds         []csjob.End
 	endNumbers           map[csjob.Incarnation]int64 // highest number of the ends to propose, by incarnation
 	targetEvents         []csjob.TargetEvent
--- a/internal/jobs/csrun/sync.go
+++ b/internal/jobs/csrun/sync.go
@@ -64,11 +64,13 @@
 		r.sorted = nil
 	}
 	w.record = record
+	r.addresses.set(id, record.Address)
 	r.syncRuns(t, w)
 }
 
 func (r *runner) removeTarget(id csjob.TargetID) {
 	delete(r.targets, id)
+	r.addresses.set(id, "")
 	r.sorted = nil
 }
 
--- a/internal/node/csentry/entry.go
+++ b/internal/node/csentry/entry.go
@@ -21,9 +21,6 @@
 const (
 	linkHeartbeat = 200 * time.Millisecond
 	linkSilence   = 650 * time.Millisecond // an open connection without a byte is replaced
-	// staleLeader is the time without an answer of the leader after which the entry does not call itself ready: two
-	// questions. The platform checks once per second and needs two misses, so the change of a leader rarely counts.
-	staleLeader = 900 * time.Millisecond
 	// search is how long a request waits for a leader. Requests that are refused later than a quarter of the shortest objective
 	// of 600 ms would have been better off at another entry. Requests that wait for the end of an election all reach the new
 	// leader at once and delay its first looks.
@@ -66,7 +63,7 @@
 	mu     sync.Mutex
 	leader csmodel.NodeID
 	term   csmodel.Term
-	seen   time.Time // last answer of a leader with a configuration
+	ready  csmodel.NodeID // the leader that has said that it can take requests
 }
 
 // New starts the entry.
@@ -122,16 +119,28 @@
 
 func (e *Entry) receive(from csmodel.NodeID, kind cslink.Kind, payload []byte) {
 	<-e.opened
-	if _, err := e.calls.Receive(from, kind, payload); err != nil {
+	var err error
+	if kind == csrpc.KindLeader {
+		var a csrpc.LeaderAnswer
+		if a, err = csrpc.Decode[csrpc.LeaderAnswer](payload); err == nil {
+			e.heard(from, a)
+		}
+	} else {
+		_, err = e.calls.Receive(from, kind, payload)
+	}
+	if err != nil {
 		e.log.Warn("malformed message", zap.String("peer", string(from)), zap.Uint8("kind", uint8(kind)), zap.Error(err))
 	}
 }
 
-// Ready tells whether the entry can serve client accounts.
+// Ready tells whether the entry can serve client accounts: it is connected to a leader that can take requests. The platform
+// checks once per second and needs two misses, so the change of a leader rarely counts.
 func (e *Entry) Ready() bool {
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	return !e.seen.IsZero() && e.options.Clock.Now().Sub(e.seen) < staleLeader
+	leader := e.leader
+	ready := leader != "" && e.ready == leader
+	e.mu.Unlock()
+	return ready && e.calls.Connected(leader)
 }
 
 // Do passes a request on to the leader. The context holds the deadline of the client account.
--- a/internal/node/csentry/watch.go
+++ b/internal/node/csentry/watch.go
@@ -13,12 +13,13 @@
 )
 
 const (
-	// askInterval is how often the entry asks its leader whether it still leads.
-	askInterval = 400 * time.Millisecond
+	// askInterval is how often the entry asks its leader whether it still leads. Stores announce a change of the leader, so
+	// this only makes up for a lost announcement.
+	askInterval = 2 * time.Second
 	askTimeout  = 800 * time.Millisecond
-	// searchInterval is how often the entry asks all stores while it knows no leader that it is connected to. Requests are
-	// refused in the meantime; with the interval of a known leader that went on for 0.4 s after the election.
-	searchInterval = 100 * time.Millisecond
+	// searchInterval is how often the entry asks while it knows no leader that can take requests. An election needs
+	// the processor time of the stores: 150 entries send each of three seeds 1,000 questions per second.
+	searchInterval = 150 * time.Millisecond
 	// searchTimeout bounds such a question, so that a frozen store does not delay the next one to the others.
 	searchTimeout = 200 * time.Millisecond
 )
@@ -28,7 +29,7 @@
 	for {
 		e.ask(ctx)
 		interval := searchInterval
-		if leader := e.current(); leader != "" && e.calls.Connected(leader) {
+		if e.Ready() {
 			interval = askInterval
 		}
 		timer := e.options.Clock.NewTimer(interval)
@@ -77,18 +78,33 @@
 		e.log.Warn("malformed answer", zap.String("peer", string(n)), zap.Error(err))
 		return
 	}
-	if a.Leader == n && a.Ready {
-		e.mu.Lock()
-		e.seen = e.options.Clock.Now()
-		e.mu.Unlock()
-	}
-	if a.Leader == "" {
-		e.forget(n)
+	e.heard(n, a)
+}
+
+// heard takes in what a store says of the leader.
+func (e *Entry) heard(from csmodel.NodeID, a csrpc.LeaderAnswer) {
+	switch a.Leader {
+	case "":
+		e.forget(from)
 		return
+	case from:
+		e.setReady(from, a.Term, a.Ready)
 	}
 	e.learn(a.Leader, a.Term)
 }
 
+// setReady records whether a leader can take requests.
+func (e *Entry) setReady(leader csmodel.NodeID, term csmodel.Term, ready bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if term >= e.term {
+		e.ready = ""
+		if ready {
+			e.ready = leader
+		}
+	}
+}
+
 // learn takes over a leader of the same term or a later one.
 func (e *Entry) learn(leader csmodel.NodeID, term csmodel.Term) {
 	e.mu.Lock()
@@ -124,9 +140,12 @@
 	return e.leader
 }
 
-// moved follows a hint of a store that does not lead.
+// moved follows a hint of a store that does not take requests. One that names itself has been elected and is not ready yet.
 func (e *Entry) moved(from, to csmodel.NodeID) {
-	if to == "" || to == from {
+	switch to {
+	case from:
+		return
+	case "":
 		e.forget(from)
 		return
 	}
--- a/internal/node/csrpc/messages.go
+++ b/internal/node/csrpc/messages.go
@@ -74,7 +74,7 @@
 	Leader csmodel.NodeID `cbor:"2,keyasint,omitempty"`
 }
 
-// LeaderAnswer tells who leads.
+// LeaderAnswer tells who leads. Stores also send it unasked to the entries that are connected to them.
 type LeaderAnswer struct {
 	Leader csmodel.NodeID `cbor:"1,keyasint,omitempty"`
 	Term   csmodel.Term   `cbor:"2,keyasint,omitempty"`
@@ -122,9 +122,12 @@
 // StoreIP returns the address of a store, and false for other names.
 func StoreIP(n csmodel.NodeID) (string, bool) { return strings.CutPrefix(string(n), storePrefix) }
 
+// IsEntry tells whether a name is one of an entry.
+func IsEntry(n csmodel.NodeID) bool { return strings.HasPrefix(string(n), entryPrefix) }
+
 // Known tells whether a name is one of an entry or a store.
 func Known(n csmodel.NodeID) bool {
-	return strings.HasPrefix(string(n), entryPrefix) || strings.HasPrefix(string(n), storePrefix)
+	return IsEntry(n) || strings.HasPrefix(string(n), storePrefix)
 }
 
 // LinkKey authenticates links where the deployment has no secret of its own.
--- a/internal/node/csrpc/rpc.go
+++ b/internal/node/csrpc/rpc.go
@@ -29,6 +29,7 @@
 const (
 	KindCall   cslink.Kind = 0x10
 	KindAnswer cslink.Kind = 0x11
+	KindLeader cslink.Kind = 0x14 // a store tells an entry who leads; a LeaderAnswer
 )
 
 // Sender queues a message for a peer.
--- a/internal/node/csstore/store.go
+++ b/internal/node/csstore/store.go
@@ -43,6 +43,8 @@
 	linkHeartbeat = 300 * time.Millisecond
 	linkSilence   = 1000 * time.Millisecond // an open connection without a byte is replaced
 	kindRaft      = cslink.Kind(1)
+	// announceRetry is the pause before a new leader that is not ready yet checks again.
+	announceRetry = 20 * time.Millisecond
 )
 
 // ErrUnavailable reports that no leader could be reached. Nothing was changed.
@@ -81,11 +83,14 @@
 	relay   *csrelay.Relay
 	leader  *csrun.Leader
 	opened  chan struct{} // closed when group, links and leader are set
+	closing chan struct{} // closed by Close
+
+	announcer announcer
 }
 
 // New opens the folder and starts the store.
 func New(o Options) (*Store, error) {
-	s := &Store{options: o, self: csrpc.StoreNode(o.IP), log: o.Log, opened: make(chan struct{})}
+	s := &Store{options: o, self: csrpc.StoreNode(o.IP), log: o.Log, opened: make(chan struct{}), closing: make(chan struct{})}
 	disk, err := csdisk.OpenOS(filepath.Join(o.Folder, "group"))
 	if err != nil {
 		return nil, trace.Wrap(err, "data folder")
@@ -137,7 +142,7 @@
 		Observe: csgroup.Observe{
 			Applied:  func(csraft.Entry, []byte) { s.leader.Changed() },
 			Restored: func(csmodel.Index) { s.leader.Changed() },
-			Lead:     func(t csmodel.Term) { s.leader.Lead(t) },
+			Lead:     s.lead,
 			Follow:   s.follow,
 			Error:    func(err error) { s.log.Error("group failed", zap.Error(err)) },
 		},
@@ -146,10 +151,16 @@
 	return err
 }
 
+func (s *Store) lead(t csmodel.Term) {
+	s.leader.Lead(t)
+	go s.announceOnceReady(t)
+}
+
 func (s *Store) follow(t csmodel.Term, leader csmodel.NodeID) {
 	s.log.Info("leader changed", zap.Uint64("term", uint64(t)), zap.String("leader", string(leader)))
 	s.leader.Follow()
 	s.relay.Report(leader)
+	s.announceLeader(csrpc.LeaderAnswer{Leader: leader, Term: t})
 }
 
 // takeSigns hands heartbeats that other stores have acknowledged to the leader's actor.
@@ -208,11 +219,13 @@
 
 func (s *Store) linkUp(n csmodel.NodeID, _ csmodel.Incarnation) {
 	s.calls.Up(n)
+	s.announcer.connected(n, true)
 	s.log.Info("link up", zap.String("peer", string(n)))
 }
 
 func (s *Store) linkDown(n csmodel.NodeID) {
 	s.calls.Down(n)
+	s.announcer.connected(n, false)
 	s.relay.Down(n)
 	s.log.Warn("link down", zap.String("peer", string(n)))
 }
@@ -278,6 +291,7 @@
 
 // Close hands over the leadership and stops the store.
 func (s *Store) Close() {
+	close(s.closing)
 	s.relay.Close()
 	if err := s.group.Close(); err != nil {
 		s.log.Warn("group closed", zap.Error(err))
