Join accepted orders to VMs, remember the ranks of stores, log placed steps in one line

Cause: when another pool became busy, each of several hundred accepted moves was a command of its own, and commits of starts took up to 300 ms; each of up to 7,000 calls per second ranked the stores anew; each of 4,400 starts per second wrote a line.

--- a/internal/fleet/csvms/commit_test.go
+++ b/internal/fleet/csvms/commit_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"cowslipstream.example/cowslipstream/csmodel"
@@ -168,3 +170,24 @@
 		t.Error("got the VM still away, want it back by the next list")
 	}
 }
+
+// Pattern: another pool becomes busy, and the platform accepts 200 moves within a moment. Guards against a command for each of
+// them: the group would commit the starts of tasks behind hundreds of commands.
+func TestAcceptedOrdersShareCommands(t *testing.T) {
+	const moves = 200
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, map[csmodel.PoolID]int{"busy": 1, "quiet": moves})
+		before := h.group.index
+		h.fleet.mu.Lock()
+		for i := range moves {
+			id := csmodel.VMID(fmt.Sprintf("quiet-%d", i))
+			h.fleet.recordAccepted(time.Now(), csjob.VMOrder{VM: id, Pool: "busy"}, &openOrder{})
+		}
+		h.fleet.mu.Unlock()
+		time.Sleep(2 * acceptedDelay)
+		synctest.Wait()
+		if got, want := int(h.group.index-before), 5; got == 0 || got > want {
+			t.Errorf("got %d commands for %d accepted orders, want 1 to %d", got, moves, want)
+		}
+	})
+}
--- a/internal/fleet/csvms/fleet.go
+++ b/internal/fleet/csvms/fleet.go
@@ -66,8 +66,10 @@
 	nextDecision   time.Time // earliest time of the next decision
 	loggedAt       time.Time
 	reservations   map[csmodel.VMID]*reservation
-	barrierPending bool      // a barrier command is in flight; see proposeBarrier
-	barrierAt      time.Time // last proposal of a barrier command
+	accepted       csjob.Command // consequences of accepted orders that are not proposed yet
+	acceptedDue    bool          // they will be
+	barrierPending bool          // a barrier command is in flight; see proposeBarrier
+	barrierAt      time.Time     // last proposal of a barrier command
 	openOrders     map[csmodel.VMID]*openOrder
 	arriving       map[csmodel.VMID]time.Time      // expected return of VMs whose move was accepted
 	changedAt      map[csmodel.VMID]time.Time      // accepted orders, until a list arrives that was requested later
@@ -101,6 +103,7 @@
 	f.vms = map[csmodel.VMID]VM{}
 	f.listedAt, f.listEndedAt, f.nextDecision, f.listing = time.Time{}, time.Time{}, time.Time{}, false
 	f.reservations = map[csmodel.VMID]*reservation{}
+	f.accepted, f.acceptedDue = csjob.Command{}, false
 	f.barrierPending, f.barrierAt = false, time.Time{}
 	f.openOrders = map[csmodel.VMID]*openOrder{}
 	f.arriving = map[csmodel.VMID]time.Time{}
--- a/internal/fleet/csvms/order.go
+++ b/internal/fleet/csvms/order.go
@@ -12,6 +12,8 @@
 )
 
 const (
+	// acceptedDelay collects accepted orders for one command. A move takes 1.5 s.
+	acceptedDelay = 20 * time.Millisecond
 	// handoverMargin is added to Options.HandoverDelay: an order of the earlier holder may have been in flight when its lease ended.
 	handoverMargin = 300 * time.Millisecond
 	// maxClockSkew is the largest difference between the clocks of two stores that stamp orders: the platform steps them by
@@ -166,7 +168,29 @@
 		command.VMs = []csjob.VMOrder{o}
 	}
 	f.vms[o.VM] = v
-	f.propose(command)
+	f.proposeSoon(command)
+}
+
+// proposeSoon commits the consequences of an accepted order together with those of others. When another pool becomes busy, the
+// platform accepts hundreds of orders within half a second, and single commands would delay the starts of tasks.
+func (f *Fleet) proposeSoon(c csjob.Command) {
+	f.accepted.VMs = append(f.accepted.VMs, c.VMs...)
+	f.accepted.Targets = append(f.accepted.Targets, c.Targets...)
+	if f.acceptedDue {
+		return
+	}
+	f.acceptedDue = true
+	epoch := f.epoch
+	f.options.Clock.AfterFunc(acceptedDelay, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if epoch != f.epoch {
+			return
+		}
+		command := f.accepted
+		f.accepted, f.acceptedDue = csjob.Command{}, false
+		f.propose(command)
+	})
 }
 
 // propose commits a command in the background. If the command is lost, the decision is made again. The proposal is cancelled at
--- a/internal/jobs/csrun/schedule.go
+++ b/internal/jobs/csrun/schedule.go
@@ -1,6 +1,7 @@
 package csrun
 
 import (
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -239,8 +240,30 @@
 		}
 		r.addPending(p.Task, p.Slot.Incarnation)
 		out = append(out, csjob.Start{Task: p.Task, Attempt: attempt, Incarnation: p.Slot.Incarnation})
-		r.log.Info("start", zap.String("job", string(p.Task.Job)), zap.Stringer("task", p.Task), zap.Int("attempt", int(attempt)),
-			zap.String("target", string(p.Slot.Incarnation.Target)))
 	}
+	r.logStarts(out)
 	return out
 }
+
+// logStarts writes one line for all tasks of a step that a round has placed.
+func (r *runner) logStarts(starts []csjob.Start) {
+	for len(starts) > 0 {
+		n := 1
+		for n < len(starts) && stepOf(starts[n].Task) == stepOf(starts[0].Task) {
+			n++
+		}
+		placed := make([]byte, 0, n*len("31/1@")+n*len(starts[0].Incarnation.Target))
+		for _, s := range starts[:n] {
+			if len(placed) > 0 {
+				placed = append(placed, ' ')
+			}
+			placed = strconv.AppendInt(placed, int64(s.Task.Index), 10)
+			placed = strconv.AppendInt(append(placed, '/'), int64(s.Attempt), 10)
+			placed = append(append(placed, '@'), s.Incarnation.Target...)
+		}
+		k := starts[0].Task
+		r.log.Info("start", zap.String("job", string(k.Job)), zap.Int("occurrence", k.Occurrence), zap.Int("step", k.Step),
+			zap.ByteString("placed", placed))
+		starts = starts[n:]
+	}
+}
--- a/internal/node/csrelay/caller.go
+++ b/internal/node/csrelay/caller.go
@@ -39,15 +39,16 @@
 type caller struct {
 	o Options
 
-	mu      sync.Mutex
-	last    uint64 // identifier of a call
-	waiting map[uint64]waiter
-	peers   map[csmodel.NodeID]*peer
-	detours map[csjob.TargetID]detour
-	counted counted
-	checked time.Time // last search for lost stores
-	changed bool      // stores that the others have not been told of
-	toldAt  time.Time // when they were told last
+	mu       sync.Mutex
+	last     uint64 // identifier of a call
+	waiting  map[uint64]waiter
+	peers    map[csmodel.NodeID]*peer
+	detours  map[csjob.TargetID]detour
+	rankings rankings
+	counted  counted
+	checked  time.Time // last search for lost stores
+	changed  bool      // stores that the others have not been told of
+	toldAt   time.Time // when they were told last
 }
 
 func newCaller(o Options) *caller {
@@ -286,9 +287,12 @@
 	if p == nil {
 		p = &peer{}
 		c.peers[from] = p
-		c.changed = true
+		c.changed, c.rankings = true, rankings{}
 		c.o.Log.Info("store can relay", zap.String("peer", string(from)), zap.String("zone", string(m.Zone)))
 	}
+	if p.zone != m.Zone {
+		c.rankings = rankings{}
+	}
 	p.zone, p.stamp, p.heardAt = m.Zone, m.Stamp, c.o.Clock.Now()
 	for _, r := range m.Results {
 		c.deliver(r)
@@ -307,6 +311,7 @@
 		return
 	}
 	p.restTo = now.Add(restFor)
+	c.rankings = rankings{}
 	c.o.Log.Info("store refuses orders", zap.String("peer", string(n)), zap.String("reason", outcomeNames[why]), zap.Int("calls", p.calls),
 		zap.Duration("report", now.Sub(p.heardAt)))
 }
@@ -320,7 +325,7 @@
 		return
 	}
 	delete(c.peers, n)
-	c.changed = true
+	c.changed, c.rankings = true, rankings{}
 	for id, w := range c.waiting {
 		if w.via == n {
 			close(w.answer)
--- a/internal/node/csrelay/route.go
+++ b/internal/node/csrelay/route.go
@@ -66,7 +66,42 @@
 func (c *caller) best(t csjob.Target) csmodel.NodeID {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return rank(c.members(c.o.Clock.Now()), t)[0]
+	return c.ranked(c.o.Clock.Now(), t)[0]
+}
+
+// rankings remembers the order of the stores for each target while the same stores take part. The zero value is empty.
+type rankings struct {
+	until  time.Time // when a store that rests takes part again; zero if none rests
+	ranked map[rankedTarget][]csmodel.NodeID
+}
+
+type rankedTarget struct {
+	target csjob.TargetID
+	zone   csmodel.AvailabilityZone
+}
+
+// maxRankings bounds the targets that are remembered. A deployment of 1,100 targets has 5,000 incarnations in a minute of busy
+// turns.
+const maxRankings = 8192
+
+// ranked returns the stores that can call a target, best first. The caller holds the lock and must not modify the result.
+func (c *caller) ranked(now time.Time, t csjob.Target) []csmodel.NodeID {
+	r := &c.rankings
+	if r.ranked == nil || len(r.ranked) >= maxRankings || (!r.until.IsZero() && !now.Before(r.until)) {
+		*r = rankings{ranked: map[rankedTarget][]csmodel.NodeID{}}
+		for _, p := range c.peers {
+			if now.Before(p.restTo) && (r.until.IsZero() || p.restTo.Before(r.until)) {
+				r.until = p.restTo
+			}
+		}
+	}
+	key := rankedTarget{t.Incarnation.Target, t.Zone}
+	ways, known := r.ranked[key]
+	if !known {
+		ways = rank(c.members(now), t)
+		r.ranked[key] = ways
+	}
+	return ways
 }
 
 // tell sends the list of stores to all of them, so that targets send their heartbeats to the stores that call them.
@@ -92,7 +127,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.o.Clock.Now()
-	ways := rank(c.members(now), t)
+	ways := c.ranked(now, t)
 	w := way{}
 	if d, ok := c.detours[t.Incarnation.Target]; ok && now.Before(d.until) {
 		w.skip = d.skip
