Send no orders for runs whose end is reported

Cause: the first poll of a new leader lists the ends that the earlier one has not recorded.

Change: a run whose end was reported gets no order. TestNewLeaderSendsNoOrdersForEndedRuns failed before (two starts).

--- a/internal/jobs/csrun/due_orders.go
+++ b/internal/jobs/csrun/due_orders.go
@@ -7,11 +7,11 @@
 )
 
 // dueOrders returns the runs to stop and to start now, each sorted by age, oldest first. They are separate because stops are
-// sent first: stops have a time limit, while starts keep arriving.
+// sent first: stops have a time limit, while starts keep arriving. A run whose end was reported needs no order.
 func (t *target) dueOrders(now time.Time) (stops, starts []*run) {
 	for _, u := range t.list {
 		switch {
-		case u.orderInFlight || now.Before(u.nextOrderAt):
+		case u.orderInFlight || u.ended || now.Before(u.nextOrderAt):
 		case u.stop && !u.stopped:
 			stops = append(stops, u)
 		case !u.stop && !u.started:
--- a/internal/jobs/csrun/initial_polls_test.go
+++ b/internal/jobs/csrun/initial_polls_test.go
@@ -52,3 +52,24 @@
 		t.Errorf("got all targets polled after %v, want at most %v", got, want)
 	}
 }
+
+// Pattern: the leader changes while thousands of runs have ended that the earlier leader has not recorded. Guards against a start
+// and a stop for each of them: the first poll of the new leader has listed their ends.
+func TestNewLeaderSendsNoOrdersForEndedRuns(t *testing.T) {
+	r, w := newTestRunner(2)
+	w.unpolled = true
+	open, ended := runKey{csjob.TaskKey{Job: "a"}, 1}, runKey{csjob.TaskKey{Job: "a", Index: 1}, 1}
+	for _, key := range []runKey{open, ended} {
+		u := &run{key: key, job: &csjob.Job{}}
+		w.runs[key], w.list = u, append(w.list, u)
+	}
+	r.recordEnds(w, []RunEnd{{Number: 1, Task: ended.task, Attempt: ended.attempt, Outcome: csjob.OutcomeStopped}}, r.now(), false)
+	stops, starts := w.dueOrders(r.now())
+	if len(stops) != 0 || len(starts) != 1 || starts[0].key != open {
+		t.Errorf("got %d stops and %d starts, want one start, of the run that has not ended", len(stops), len(starts))
+	}
+	w.runs[open].started = true
+	if !w.ordersDone() {
+		t.Error("got orders due for a run that has ended, want none")
+	}
+}
--- a/internal/jobs/csrun/orders.go
+++ b/internal/jobs/csrun/orders.go
@@ -46,7 +46,7 @@
 // ordersDone reports whether no run needs an order. New runs, answers and evictions change the result.
 func (t *target) ordersDone() bool {
 	for _, u := range t.list {
-		if (u.stop && !u.stopped) || (!u.stop && !u.started) {
+		if !u.ended && ((u.stop && !u.stopped) || (!u.stop && !u.started)) {
 			return false
 		}
 	}
