--- a/internal/fleet/csvms/wave_test.go
+++ b/internal/fleet/csvms/wave_test.go
@@ -73,3 +73,18 @@
 		t.Errorf("got %d sums of runs in one decision about %d VMs, want at most %d", got, size, want)
 	}
 }
+
+// Pattern: 1,100 VMs on a store with little processor time. Guards against decisions about VMs that leave no time for starts, and
+// against a long pause after a decision that was interrupted.
+func TestDecisionsTakeABoundedShareOfTheTime(t *testing.T) {
+	for _, c := range []struct{ took, want time.Duration }{
+		{0, decisionInterval},
+		{time.Millisecond, decisionInterval},
+		{10 * time.Millisecond, 200 * time.Millisecond},
+		{time.Second, maxDecisionInterval},
+	} {
+		if got := decisionPause(c.took); got != c.want {
+			t.Errorf("got a pause of %v after a decision of %v, want %v", got, c.took, c.want)
+		}
+	}
+}
