Review case 3: a round with too many starts stops all pools for good

The leader puts all decisions of a round into one command without a bound, and the group refuses commands above 1 MiB and 64 KiB. The refused starts are decided again and refused again; nothing starts in any pool and no end is recorded. A leader killed meanwhile was followed by one that did the same.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+folder="$(cd "$(dirname "$0")" && pwd)"
+exec "$folder/../run.sh" pending "$folder"
--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -21,6 +21,9 @@
 		entries: 2, pools: []string{"amber", "birch", "spare"}, standby: "spare",
 		machines: map[string]int{"amber": 3, "birch": 3, "spare": 2}, play: playSchedules,
 	},
+	"many-tasks": {
+		entries: 2, pools: []string{"amber", "birch"}, machines: map[string]int{"amber": 8, "birch": 3}, play: playManyTasks,
+	},
 	"pending": {
 		entries: 2, pools: []string{"amber", "birch", "spare"}, standby: "spare",
 		machines: map[string]int{"amber": 8, "birch": 4, "spare": 4}, play: playPending,
@@ -180,3 +183,20 @@
 		w.breakRule("MIXED: %s gives %d jobs as pending, %d that were accepted over %s ago have not begun", p.name, answer.Pending, waiting, pendingAge)
 	}
 }
+
+// playManyTasks lets jobs of many small tasks wait for the end of a job that fills the machines of their pool, and sends ordinary
+// jobs to another pool.
+func playManyTasks(w *world, trouble bool) error {
+	go w.submit(w.newJob(queuePath("amber"), false, phase{Count: 8, Cpu: machineCPU, MemMb: 256, EstimateMs: 10000}))
+	time.Sleep(time.Second)
+	if trouble {
+		every(13, 6*time.Second, func(int) {
+			w.submit(w.newJob(queuePath("amber"), true, phase{Count: 5000, Cpu: 2, MemMb: 8, EstimateMs: 500}))
+		})
+	}
+	every(30, 20*time.Second, func(int) {
+		w.submit(w.newJob(queuePath("birch"), false, phase{Count: 4, Cpu: 1000, MemMb: 256, EstimateMs: 500}))
+	})
+	w.checkLost("birch")
+	return nil
+}
