--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -42,10 +42,10 @@
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
 		os.Exit(exitFailed)
 	}
-	os.Exit(run1(s, os.Args[2], os.Args[3], os.Getenv("TROUBLE") != "0"))
+	os.Exit(playCase(s, os.Args[2], os.Args[3], os.Getenv("TROUBLE") != "0"))
 }
 
-func run1(s scenario, program, record string, trouble bool) int {
+func playCase(s scenario, program, record string, trouble bool) int {
 	w, err := newWorld(program, record, s.entries, s.pools, s.standby)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -79,17 +79,17 @@
 
 // world holds the processes and the stand-ins.
 type world struct {
-	network string // first two numbers of all addresses
-	folder  string
-	program string
-	cloud   string // address of the VM interface
-	standby string // pool whose machines are off; empty for none
-	pools   []string
-	stores  []*process
-	entries []*process
-	client  *http.Client
-	began0  time.Time
-	record  *os.File
+	network   string // first two numbers of all addresses
+	folder    string
+	program   string
+	cloud     string // address of the VM interface
+	standby   string // pool whose machines are off; empty for none
+	pools     []string
+	stores    []*process
+	entries   []*process
+	client    *http.Client
+	startedAt time.Time
+	record    *os.File
 
 	mu       sync.Mutex
 	machines []*machine
@@ -101,7 +101,7 @@
 }
 
 func (w *world) logf(format string, args ...any) {
-	_, _ = fmt.Fprintf(w.record, "%8.3f "+format+"\n", append([]any{time.Since(w.began0).Seconds()}, args...)...)
+	_, _ = fmt.Fprintf(w.record, "%8.3f "+format+"\n", append([]any{time.Since(w.startedAt).Seconds()}, args...)...)
 }
 
 // breakRule records that a rule was broken.
@@ -128,7 +128,7 @@
 		return nil, err
 	}
 	w := &world{
-		folder: folder, program: program, record: f, pools: pools, standby: standby, began0: time.Now(), jobs: map[string]*job{},
+		folder: folder, program: program, record: f, pools: pools, standby: standby, startedAt: time.Now(), jobs: map[string]*job{},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
 	if w.network, err = freeNetwork(); err != nil {
