--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -33,8 +33,8 @@
 }
 
 func main() {
-	if len(os.Args) != 4 {
-		fmt.Fprintln(os.Stderr, "usage: standin CASE PROGRAM RECORD")
+	if len(os.Args) != 5 {
+		fmt.Fprintln(os.Stderr, "usage: standin CASE PROGRAM RECORD TROUBLE")
 		os.Exit(exitFailed)
 	}
 	s, known := scenarios[os.Args[1]]
@@ -42,7 +42,7 @@
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
 		os.Exit(exitFailed)
 	}
-	os.Exit(playCase(s, os.Args[2], os.Args[3], os.Getenv("TROUBLE") != "0"))
+	os.Exit(playCase(s, os.Args[2], os.Args[3], os.Args[4] != "0"))
 }
 
 func playCase(s scenario, program, record string, trouble bool) int {
