--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -190,7 +190,7 @@
 	go w.submit(w.newJob(queuePath("amber"), false, phase{Count: 8, Cpu: machineCPU, MemMb: 256, EstimateMs: 10000}))
 	time.Sleep(time.Second)
 	if trouble {
-		every(13, 6*time.Second, func(int) {
+		every(13, 4*time.Second, func(int) {
 			w.submit(w.newJob(queuePath("amber"), true, phase{Count: 5000, Cpu: 2, MemMb: 8, EstimateMs: 500}))
 		})
 	}
