Count a job as pending until a target has begun it

Callers saw 0 pending jobs for a queue whose accepted jobs had waited for over 5 s: the table made a job running when its first start was committed, before any target was told, and starts that reached no target counted as begun for good (review/5, rule MIXED).

A job is running now with the first proof that a target has begun it: the leader commits the jobs whose starts were acknowledged or listed, once a job and with the other decisions of a round, and the end that a target reports counts too. Lost commands are proposed again; a new leader learns from its first polls.

Before, TestPendingCountsUnconfirmedStarts and TestJobIsPendingUntilTargetConfirmsStart failed (got 0 pending jobs, want 1).

--- a/internal/jobs/csjob/command.go
+++ b/internal/jobs/csjob/command.go
@@ -30,6 +30,8 @@
 	// later leader, which may already have decided differently, so the table refuses it in any other term. Zero, for commands
 	// that don't depend on a leader's state, is valid in every term.
 	Term csmodel.Term `cbor:"9,keyasint,omitempty"`
+	// Begun lists jobs of which a target has confirmed that it started a task.
+	Begun []ID `cbor:"10,keyasint,omitempty"`
 }
 
 // JobRef identifies a job and the queue through which a request for it arrived.
--- a/internal/jobs/csjob/job.go
+++ b/internal/jobs/csjob/job.go
@@ -205,7 +205,7 @@
 
 // States of a job.
 const (
-	Queued State = iota
+	Queued  State = iota // no target has confirmed the start of a task
 	Running
 	Completed
 	Failed
--- a/internal/jobs/csjob/read.go
+++ b/internal/jobs/csjob/read.go
@@ -59,7 +59,7 @@
 	return out
 }
 
-// Pending returns the number of jobs of a queue that have not started.
+// Pending returns the number of jobs of a queue of which no target has confirmed the start of a task.
 func (t *Table) Pending(k QueueKey) int {
 	n := 0
 	for _, j := range t.active {
--- a/internal/jobs/csjob/table.go
+++ b/internal/jobs/csjob/table.go
@@ -125,8 +125,14 @@
 		v = t.cancel(*c.Cancel, at)
 	}
 	for _, o := range c.Ends {
+		if o.Outcome != OutcomeNotStarted {
+			t.begin(o.Task.Job)
+		}
 		t.endRun(o, at)
 	}
+	for _, id := range c.Begun {
+		t.begin(id)
+	}
 	for _, o := range c.Targets {
 		t.changeTarget(o, at)
 	}
@@ -283,7 +289,11 @@
 	task.Runs = append(task.Runs, Run{Attempt: s.Attempt, Incarnation: s.Incarnation, StartedAt: at})
 	j.OpenRuns++
 	t.addOpenRuns(s.Incarnation, s.Task, 1)
-	if j.State == Queued {
+}
+
+// begin records that a target has started a task of a job.
+func (t *Table) begin(id ID) {
+	if j := t.state.Jobs[id]; j != nil && j.State == Queued {
 		j.State = Running
 	}
 }
--- a/internal/jobs/csrun/orders.go
+++ b/internal/jobs/csrun/orders.go
@@ -197,7 +197,7 @@
 	u.orderTries = 0
 	switch m.kind {
 	case orderStart:
-		u.started = true
+		r.confirmStart(u)
 		u.ackedAt = now
 		r.options.Metrics.startTime.Observe(now.Sub(u.since).Seconds())
 	case orderStop:
--- a/internal/jobs/csrun/polls.go
+++ b/internal/jobs/csrun/polls.go
@@ -281,7 +281,8 @@
 			}
 			continue
 		}
-		u.started, u.onIncarnation = true, true
+		r.confirmStart(u)
+		u.onIncarnation = true
 		u.percent, u.load, u.missedPolls = p.Percent, p.Load, 0
 		u.becameReady = u.becameReady || p.Percent == readyPercent
 	}
--- a/internal/jobs/csrun/runner.go
+++ b/internal/jobs/csrun/runner.go
@@ -55,6 +55,7 @@
 	proposedEnds         []csjob.End
 	endNumbers           map[csjob.Incarnation]int64 // highest number of the ends to propose, by incarnation
 	targetEvents         []csjob.TargetEvent
+	begun                csmodel.Set[csjob.ID] // jobs of which a target confirmed a start that the table may not have recorded
 	commitWaiters        []chan error
 	inDoubt              inDoubtCommands
 	stats                leaderStats
@@ -117,6 +118,7 @@
 	r.pendingByIncarnation = map[csjob.Incarnation][]csjob.TaskKey{}
 	r.pendingByJob = map[csjob.ID]int{}
 	r.pools = map[csmodel.PoolID]*poolPlan{}
+	r.begun = csmodel.NewSet[csjob.ID]()
 	r.log.Info("leading", zap.Uint64("term", uint64(t)))
 	r.catchUp(r.ctx, t)
 }
@@ -187,8 +189,10 @@
 	r.stats.beginRound(now)
 	defer func() { r.roundEnded(now, r.now()) }()
 	var starts []csjob.Start
+	var begun []csjob.ID
 	r.options.State.View(func(t *csjob.Table) {
 		r.sync(t, now)
+		begun = r.takeBegun(t)
 		if now.Sub(r.lostCheckedAt) >= lostCheckInterval {
 			r.lostCheckedAt = now
 			r.endLostTargets(now, t)
@@ -219,7 +223,7 @@
 		r.endPhase(phaseEvict)
 		r.sendOrders(now, t)
 	})
-	r.propose(starts)
+	r.propose(starts, begun)
 	r.endPhase(phaseOrders)
 	r.sendPolls(now)
 	r.endPhase(phasePolls)
@@ -255,10 +259,30 @@
 	return t.Busy(l) || len(r.pendingByIncarnation[l]) > 0
 }
 
+// takeBegun returns the jobs with a confirmed start that the table does not show as running yet, and forgets them.
+func (r *runner) takeBegun(t *csjob.Table) []csjob.ID {
+	var out []csjob.ID
+	for _, id := range csmodel.SortedKeys(r.begun) {
+		if j := t.Job(id); j != nil && j.State == csjob.Queued {
+			out = append(out, id)
+		}
+	}
+	clear(r.begun)
+	return out
+}
+
+// confirmStart records that the target has started a run.
+func (r *runner) confirmStart(u *run) {
+	if !u.started {
+		u.started = true
+		r.begun.Add(u.key.task.Job)
+	}
+}
+
 // propose proposes the decisions of the round as one command.
-func (r *runner) propose(starts []csjob.Start) {
-	c := csjob.Command{Ends: r.proposedEnds, Targets: r.targetEvents, Starts: starts, Term: r.term}
-	if len(c.Ends) == 0 && len(c.Targets) == 0 && len(c.Starts) == 0 && !r.inDoubt.needsResolving() {
+func (r *runner) propose(starts []csjob.Start, begun []csjob.ID) {
+	c := csjob.Command{Ends: r.proposedEnds, Targets: r.targetEvents, Starts: starts, Begun: begun, Term: r.term}
+	if len(c.Ends) == 0 && len(c.Targets) == 0 && len(c.Starts) == 0 && len(c.Begun) == 0 && !r.inDoubt.needsResolving() {
 		return
 	}
 	r.inDoubt.resolving = true
@@ -294,6 +318,9 @@
 			}
 		}
 		r.reproposeNotStartedEnds(m.command.Ends)
+		for _, id := range m.command.Begun {
+			r.begun.Add(id)
+		}
 		return
 	}
 	for incarnation, n := range m.endNumbers {
