Reserve a target only for tasks that fit there once its batch runs have ended

The target with the smallest shortfall was reserved without a check that the task could ever fit.

A slot now knows what is free without its batch runs, and is reserved only if that holds the task. This also covers tasks that fit no target beside its long-running tasks, GPUs, which the shortfall ignores, and the one reservation for a feasible batch job, which a hopeless one took from the next.

--- a/internal/jobs/csplan/plan.go
+++ b/internal/jobs/csplan/plan.go
@@ -33,8 +33,10 @@
 	Incarnation csjob.Incarnation
 	Zone        csmodel.AvailabilityZone
 	Free        csjob.Resources
-	Rack        string
-	Labels      []string
+	// Drained is what is free once all batch runs have ended. Long-running tasks don't end.
+	Drained csjob.Resources
+	Rack    string
+	Labels  []string
 	// Preferred is false if the target should get a task only when no other target can take it.
 	Preferred bool
 	// EvictingSoon is set if the target will be removed soon.
@@ -254,7 +256,8 @@
 // being started.
 //
 // It reserves a slot for each long-running step that doesn't fit, and for the most urgent other step that doesn't fit if that
-// one is feasible. Otherwise smaller tasks would take the resources as they become free.
+// one is feasible. Otherwise smaller tasks would take the resources as they become free. A slot is reserved only for a task that
+// fits once the batch runs there have ended.
 func Place(work []Work, slots []*Slot, starting func(csjob.TaskKey) bool) []Placement {
 	for _, s := range slots {
 		s.reserved = false
@@ -270,8 +273,8 @@
 		}
 		failed++
 		if class := work[i].urgency.class; class == longRunning || (class == feasible && mayReserve) {
-			mayReserve = mayReserve && class == longRunning
-			reserveSlot(&work[i], slots)
+			reserved := reserveSlot(&work[i], slots)
+			mayReserve = mayReserve && (class == longRunning || !reserved)
 		}
 		if failed > maxFailedSteps {
 			break
@@ -320,13 +323,13 @@
 	return true
 }
 
-// reserveSlot reserves the eligible slot with the smallest shortfall for a task of the step. The choice doesn't change while
-// the slot drains.
-func reserveSlot(w *Work, slots []*Slot) {
+// reserveSlot reserves the slot with the smallest shortfall for a task of the step, among the eligible slots that can hold the
+// task once their batch runs have ended. It reports false if there is none. The choice doesn't change while the slot drains.
+func reserveSlot(w *Work, slots []*Slot) bool {
 	need := w.Step.Needs()
 	var best *Slot
 	for _, s := range slots {
-		if !eligible(w, s) {
+		if !eligible(w, s) || !s.Drained.Fits(need) {
 			continue
 		}
 		if best == nil || shortfall(s, need) < shortfall(best, need) {
@@ -336,6 +339,7 @@
 	if best != nil {
 		best.reserved = true
 	}
+	return best != nil
 }
 
 // shortfall returns the CPU or memory that a slot lacks as a fraction of the need, whichever is larger.
@@ -362,6 +366,9 @@
 // Allocate subtracts the resources of a run of a step from the slot.
 func (s *Slot) Allocate(step *csjob.Step, k StepKey) {
 	s.Free = s.Free.Sub(step.Needs())
+	if step.LongRunning {
+		s.Drained = s.Drained.Sub(step.Needs())
+	}
 	if step.MaxPerTarget == 0 {
 		return
 	}
@@ -375,6 +382,9 @@
 func releaseAll(placed []Placement, w *Work) {
 	for _, p := range placed {
 		p.Slot.Free = p.Slot.Free.Add(w.Step.Needs())
+		if w.Step.LongRunning {
+			p.Slot.Drained = p.Slot.Drained.Add(w.Step.Needs())
+		}
 		if w.Step.MaxPerTarget > 0 {
 			p.Slot.Spread[w.Key]--
 		}
--- a/internal/jobs/csplan/plan_test.go
+++ b/internal/jobs/csplan/plan_test.go
@@ -27,7 +27,8 @@
 func slot(id string, cpu csmodel.MilliCPU, memory csjob.MiB, labels ...string) *Slot {
 	return &Slot{
 		Incarnation: csjob.Incarnation{Target: csjob.TargetID(id)}, Free: csjob.Resources{CPU: cpu, Memory: memory}, Preferred: true, Labels: labels,
-		Spread: map[StepKey]int{},
+		Drained: csjob.Resources{CPU: 32000, Memory: 1 << 20},
+		Spread:  map[StepKey]int{},
 	}
 }
 
--- a/internal/jobs/csrun/usage.go
+++ b/internal/jobs/csrun/usage.go
@@ -37,7 +37,8 @@
 	r.summedTargets++
 	a.valid = true
 	a.slot = csplan.Slot{
-		Incarnation: w.incarnation, Zone: w.record.Zone, Free: w.record.Resources, Labels: w.record.Labels, Rack: w.record.Rack, Spread: a.slot.Spread,
+		Incarnation: w.incarnation, Zone: w.record.Zone, Free: w.record.Resources, Drained: w.record.Resources,
+		Labels: w.record.Labels, Rack: w.record.Rack, Spread: a.slot.Spread,
 	}
 	clear(a.slot.Spread)
 	for _, u := range w.list {
