Let only occurrences that have begun take memory

The tasks of all occurrences were created with the job, and the number of occurrences has no bound.

An occurrence takes memory from its first start until it is done; finished ones are kept as ranges of numbers, and those that have not begun share read-only tasks. A round offers at most 256 occurrences of a job for their first start, and those that have begun hold at most 20,000 tasks. Schedules whose due times overflow are refused.

Tests that looked at Job.Tasks look at Job.Begun, with the same checks; TestReplicasAgree draws repeating jobs too.

--- a/internal/jobs/csjob/changes.go
+++ b/internal/jobs/csjob/changes.go
@@ -93,10 +93,11 @@
 	if !j.Submission.Steps[key.Step].Gang {
 		return
 	}
-	for i := range j.Tasks[key.Occurrence][key.Step] {
+	o := j.begun(key.Occurrence)
+	for i := range o.Tasks[key.Step] {
 		member := key
 		member.Index = i
-		t.recordTaskChange(member, j.Task(member))
+		t.recordTaskChange(member, &o.Tasks[key.Step][i])
 	}
 }
 
--- a/internal/jobs/csjob/job.go
+++ b/internal/jobs/csjob/job.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -92,6 +93,15 @@
 // Occurrences returns how many times the steps run.
 func (s Submission) Occurrences() int { return max(1, s.Repeats) }
 
+// Tasks returns the number of tasks of one occurrence.
+func (s Submission) Tasks() int {
+	n := 0
+	for i := range s.Steps {
+		n += s.Steps[i].Tasks
+	}
+	return n
+}
+
 // Due returns the earliest start time of occurrence k, counted from 0. It is the zero time for a job that doesn't repeat.
 func (s Submission) Due(k int) time.Time {
 	if s.Repeats == 0 {
@@ -112,15 +122,20 @@
 	return s.ValidateSteps()
 }
 
-// ValidateSteps returns an ErrInvalid that says why the steps can't be run, or nil.
+// ValidateSteps returns an ErrInvalid that says why the steps can't be run at their due times, or nil.
 func (s Submission) ValidateSteps() error {
-	if len(s.Steps) == 0 {
+	switch {
+	case len(s.Steps) == 0:
 		return fmt.Errorf("%w: the job has no steps", ErrInvalid)
+	case s.Repeats < 0 || s.Interval < 0:
+		return fmt.Errorf("%w: the job repeats %d times at intervals of %s, want no negative values", ErrInvalid, s.Repeats, s.Interval)
+	case s.Repeats > 0 && s.Interval > math.MaxInt64/time.Duration(s.Repeats):
+		return fmt.Errorf("%w: %d repetitions at intervals of %s exceed %s", ErrInvalid, s.Repeats, s.Interval, time.Duration(math.MaxInt64))
 	}
 	total := 0
 	for i, step := range s.Steps {
 		total += step.Tasks
-		if step.Tasks < 1 || total > maxTasks || step.Resources.CPU < 0 || step.Resources.Memory < 0 || step.Resources.GPUs < 0 {
+		if step.Tasks < 1 || step.Tasks > maxTasks || total > maxTasks || step.Resources.CPU < 0 || step.Resources.Memory < 0 || step.Resources.GPUs < 0 {
 			return fmt.Errorf("%w: step %d has an invalid number of tasks or negative resources", ErrInvalid, i)
 		}
 		for _, dependency := range step.After {
@@ -205,7 +220,7 @@
 
 // States of a job.
 const (
-	Queued  State = iota // no target has confirmed the start of a task
+	Queued State = iota // no target has confirmed the start of a task
 	Running
 	Completed
 	Failed
@@ -221,14 +236,27 @@
 	Accepted    time.Time     `cbor:"2,keyasint"`
 	Ended       time.Time     `cbor:"3,keyasint,omitzero"`
 	State       State         `cbor:"4,keyasint,omitempty"`
-	Tasks       [][][]Task    `cbor:"5,keyasint"`           // by occurrence, step and index
-	Remaining   [][]int       `cbor:"6,keyasint"`           // number of tasks that are not done, by occurrence and step
+	OldTasks    [][][]Task    `cbor:"5,keyasint,omitempty"` // of snapshots of earlier versions, by occurrence, step and index
+	OldCounts   [][]int       `cbor:"6,keyasint,omitempty"` // of snapshots of earlier versions: remaining tasks, by occurrence and step
 	OpenRuns    int           `cbor:"7,keyasint,omitempty"` // number of open runs
 	AcceptIndex csmodel.Index `cbor:"8,keyasint"`           // log index of the submission; defines the order of acceptance
+	// Begun holds the occurrences of which a task has been started and that are not finished, in ascending order of their
+	// numbers. All others take no memory, so that a job with many occurrences is no larger than its progress.
+	Begun    []*Occurrence `cbor:"9,keyasint,omitempty"`
+	Finished Spans         `cbor:"10,keyasint,omitempty"` // occurrences that are done and have no open runs
 
-	queue *Queue // latest settings of its queue, shared by the jobs of the queue
+	queue *Queue      // latest settings of its queue, shared by the jobs of the queue
+	fresh *Occurrence // progress of each occurrence that has not begun; nil once the job is released
 }
 
+// NewJob returns a job that was accepted at the given time and log index.
+func NewJob(s Submission, at time.Time, index csmodel.Index) *Job {
+	return &Job{Submission: s, Accepted: at, AcceptIndex: index, fresh: s.freshOccurrence()}
+}
+
+// Released reports whether the job has ended and has no open runs. Its tasks are gone then.
+func (j *Job) Released() bool { return j.State.Final() && j.OpenRuns == 0 }
+
 // RequestedAt returns when the client account first sent the job. Earlier requests may have been refused.
 func (j *Job) RequestedAt() time.Time { return j.Accepted.Add(-j.Submission.Waited) }
 
@@ -238,45 +266,32 @@
 }
 
 // Ready reports whether a step has tasks that are not done, and all steps that it depends on are done.
-func (j *Job) Ready(occurrence, step int) bool {
+func (j *Job) Ready(o *Occurrence, step int) bool {
 	for _, dependency := range j.Submission.Steps[step].After {
-		if j.Remaining[occurrence][dependency] > 0 {
+		if o.Remaining[dependency] > 0 {
 			return false
 		}
 	}
-	return j.Remaining[occurrence][step] > 0
+	return o.Remaining[step] > 0
 }
 
-// Task returns a task of the job, or nil if it doesn't exist or the job has been released.
+// Task returns a task of the job, or nil if it doesn't exist, its occurrence is done or the job has been released. The caller
+// must not modify it.
 func (j *Job) Task(k TaskKey) *Task {
-	if k.Occurrence >= len(j.Tasks) || k.Step >= len(j.Tasks[k.Occurrence]) || k.Index >= len(j.Tasks[k.Occurrence][k.Step]) {
-		return nil
+	if o := j.Occurrence(k.Occurrence); o != nil {
+		return o.task(k.Step, k.Index)
 	}
-	return &j.Tasks[k.Occurrence][k.Step][k.Index]
+	return nil
 }
 
 // GangRunning reports whether every member of the gang that task k belongs to is done or has an open run with attempt number a.
 func (j *Job) GangRunning(k TaskKey, a Attempt) bool {
-	for i := range j.Tasks[k.Occurrence][k.Step] {
-		member := &j.Tasks[k.Occurrence][k.Step][i]
+	o := j.Occurrence(k.Occurrence)
+	for i := range o.Tasks[k.Step] {
+		member := &o.Tasks[k.Step][i]
 		if !member.Done && !slices.ContainsFunc(member.Runs, func(r Run) bool { return r.Attempt == a }) {
 			return false
 		}
 	}
 	return true
 }
-
-func newJob(s Submission, at time.Time, order csmodel.Index) *Job {
-	j := &Job{Submission: s, Accepted: at, AcceptIndex: order}
-	for range s.Occurrences() {
-		var tasks [][]Task
-		var remaining []int
-		for _, step := range s.Steps {
-			tasks = append(tasks, make([]Task, step.Tasks))
-			remaining = append(remaining, step.Tasks)
-		}
-		j.Tasks = append(j.Tasks, tasks)
-		j.Remaining = append(j.Remaining, remaining)
-	}
-	return j
-}
--- a/internal/jobs/csjob/snapshot.go
+++ b/internal/jobs/csjob/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"reflect"
 	"slices"
 	"time"
 
@@ -55,9 +56,11 @@
 	}
 	for _, j := range s.Jobs {
 		j.queue = t.queues[queueName(j.Submission.Queue)]
-		if j.State.Final() && j.OpenRuns == 0 {
+		if j.Released() {
 			continue
 		}
+		j.fresh = j.Submission.freshOccurrence()
+		j.migrate()
 		t.addActive(j)
 		j.eachRun(func(k TaskKey, r Run) { t.addOpenRuns(r.Incarnation, k, 1) })
 	}
@@ -65,15 +68,29 @@
 	slices.SortFunc(t.longRunning, compareAcceptance)
 }
 
+// migrate converts the progress in a snapshot of an earlier version, which held the tasks of all occurrences.
+func (j *Job) migrate() {
+	for number, tasks := range j.OldTasks {
+		o := &Occurrence{Number: number, Tasks: tasks, Remaining: j.OldCounts[number]}
+		switch {
+		case o.done() && !o.busy():
+			j.Finished.Add(number)
+		case !reflect.DeepEqual(tasks, j.fresh.Tasks):
+			j.Begun = append(j.Begun, o)
+		}
+	}
+	j.OldTasks, j.OldCounts = nil, nil
+}
+
 func compareAcceptance(a, b *Job) int { return cmp.Compare(a.AcceptIndex, b.AcceptIndex) }
 
 // eachRun calls f for each open run of the job.
 func (j *Job) eachRun(f func(TaskKey, Run)) {
-	for o, steps := range j.Tasks {
-		for s, tasks := range steps {
+	for _, o := range j.Begun {
+		for s, tasks := range o.Tasks {
 			for i := range tasks {
 				for _, r := range tasks[i].Runs {
-					f(TaskKey{Job: j.Submission.ID, Occurrence: o, Step: s, Index: i}, r)
+					f(TaskKey{Job: j.Submission.ID, Occurrence: o.Number, Step: s, Index: i}, r)
 				}
 			}
 		}
--- a/internal/jobs/csjob/table.go
+++ b/internal/jobs/csjob/table.go
@@ -202,7 +202,7 @@
 	if s.Validate() != nil {
 		return Refused
 	}
-	j := newJob(s, at, index)
+	j := NewJob(s, at, index)
 	j.queue = t.setQueue(*q)
 	t.state.Jobs[s.ID] = j
 	t.addActive(j)
@@ -230,10 +230,10 @@
 
 // releaseEnded frees the tasks and the specification of an ended job without open runs, and removes it from the active jobs.
 func (t *Table) releaseEnded(j *Job) {
-	if !j.State.Final() || j.OpenRuns > 0 {
+	if !j.Released() {
 		return
 	}
-	j.Tasks, j.Remaining = nil, nil
+	j.Begun, j.Finished, j.fresh = nil, nil, nil
 	j.Submission.Spec = ""
 	t.active, t.longRunning = removeJob(t.active, j), removeJob(t.longRunning, j)
 }
@@ -264,7 +264,7 @@
 		retention = DefaultRetention
 	}
 	for id, j := range t.state.Jobs {
-		if j.State.Final() && j.OpenRuns == 0 && at.Sub(j.Ended) > retention {
+		if j.Released() && at.Sub(j.Ended) > retention {
 			delete(t.state.Jobs, id)
 		}
 	}
@@ -285,6 +285,7 @@
 	if len(task.Runs) > 0 && !j.Submission.Steps[s.Task.Step].Speculative {
 		return
 	}
+	task = j.begin(s.Task.Occurrence).task(s.Task.Step, s.Task.Index)
 	task.Attempts = s.Attempt
 	task.Runs = append(task.Runs, Run{Attempt: s.Attempt, Incarnation: s.Incarnation, StartedAt: at})
 	j.OpenRuns++
@@ -320,13 +321,17 @@
 	if j == nil {
 		return
 	}
-	task := j.Task(e.Task)
+	o := j.begun(e.Task.Occurrence)
+	if o == nil {
+		return // never started, or finished
+	}
+	task := o.task(e.Task.Step, e.Task.Index)
 	if task == nil {
 		return
 	}
 	i := slices.IndexFunc(task.Runs, func(r Run) bool { return r.Attempt == e.Attempt })
 	if i < 0 {
-		t.confirmEnd(j, task, e, at)
+		t.confirmEnd(j, o, task, e, at)
 		return
 	}
 	// A restarted target may run a task that was sent to its earlier incarnation, so the incarnation on record is used rather
@@ -342,14 +347,15 @@
 	if e.Outcome == OutcomeNotStarted {
 		j.addUnconfirmed(e.Task, task, e.Attempt)
 	}
-	t.applyOutcome(j, task, e, at)
+	t.applyOutcome(j, o, task, e, at)
+	j.releaseOccurrence(o.Number)
 	t.releaseEnded(j)
 }
 
 // confirmEnd applies the late report of an unconfirmed end: the run was given up with its target, or was taken to have never
 // started although a delayed start reached the target's next incarnation. The target keeps the report until it is
 // acknowledged, and the acknowledgement is final: a task that was reported as done must not start again.
-func (t *Table) confirmEnd(j *Job, task *Task, e End, at time.Time) {
+func (t *Table) confirmEnd(j *Job, o *Occurrence, task *Task, e End, at time.Time) {
 	i := slices.Index(task.Unconfirmed, e.Attempt)
 	if i < 0 {
 		return
@@ -358,26 +364,27 @@
 	if e.Checkpoint != "" && e.Attempt == task.Attempts {
 		task.Checkpoint = e.Checkpoint
 	}
-	t.applyOutcome(j, task, e, at)
+	t.applyOutcome(j, o, task, e, at)
+	j.releaseOccurrence(o.Number)
 	t.releaseEnded(j)
 }
 
 // applyOutcome updates the task and its job after the end of a run. The failures of a gang are counted on its first task.
-func (t *Table) applyOutcome(j *Job, task *Task, e End, at time.Time) {
+func (t *Table) applyOutcome(j *Job, o *Occurrence, task *Task, e End, at time.Time) {
 	step := j.Submission.Steps[e.Task.Step]
 	if j.State.Final() || step.LongRunning {
 		return
 	}
 	switch e.Outcome {
 	case OutcomeDone:
-		t.completeTask(j, task, e.Task, step)
-		if j.allTasksDone() {
+		t.completeTask(o, task, e.Task, step)
+		if o.done() && j.allDone() {
 			t.finishJob(j, Completed, at)
 		}
 	case OutcomeFailed:
 		counted := task
 		if step.Gang {
-			counted = &j.Tasks[e.Task.Occurrence][e.Task.Step][0]
+			counted = &o.Tasks[e.Task.Step][0]
 		}
 		counted.Failures++
 		if q := t.queueOf(j); !task.Done && counted.Failures >= max(1, q.Attempts) {
@@ -388,14 +395,14 @@
 }
 
 // completeTask marks a task as done, or all tasks of its step if it is a gang.
-func (t *Table) completeTask(j *Job, task *Task, key TaskKey, step Step) {
-	remaining := &j.Remaining[key.Occurrence][key.Step]
+func (t *Table) completeTask(o *Occurrence, task *Task, key TaskKey, step Step) {
+	remaining := &o.Remaining[key.Step]
 	if step.Gang {
-		for i := range j.Tasks[key.Occurrence][key.Step] {
-			j.Tasks[key.Occurrence][key.Step][i].Done = true
+		for i := range o.Tasks[key.Step] {
+			o.Tasks[key.Step][i].Done = true
 			member := key
 			member.Index = i
-			t.recordTaskChange(member, &j.Tasks[key.Occurrence][key.Step][i])
+			t.recordTaskChange(member, &o.Tasks[key.Step][i])
 		}
 		*remaining = 0
 		return
@@ -406,15 +413,3 @@
 		*remaining--
 	}
 }
-
-// allTasksDone reports whether all tasks of all occurrences are done.
-func (j *Job) allTasksDone() bool {
-	for _, steps := range j.Remaining {
-		for _, n := range steps {
-			if n > 0 {
-				return false
-			}
-		}
-	}
-	return true
-}
--- a/internal/jobs/csjob/table_test.go
+++ b/internal/jobs/csjob/table_test.go
@@ -143,13 +143,13 @@
 	h.submit("a", steps(2, 1)...)
 	j := h.table.Job("a")
 	for i := range 2 {
-		if j.Ready(0, 1) {
+		if j.Ready(j.Occurrence(0), 1) {
 			t.Fatalf("second step is ready with %d of 2 tasks done", i)
 		}
 		h.start(task("a", 0, i), 1, incarnation(1))
 		h.end(task("a", 0, i), 1, csjob.OutcomeDone)
 	}
-	if !j.Ready(0, 1) {
+	if !j.Ready(j.Occurrence(0), 1) {
 		t.Fatal("second step is not ready after the first")
 	}
 	h.start(task("a", 1, 0), 1, incarnation(1))
@@ -298,15 +298,17 @@
 func (h *harness) applyRandom(r *rapid.T) {
 	id := csjob.ID(fmt.Sprint("j", rapid.IntRange(0, 5).Draw(r, "job")))
 	k := task(id, rapid.IntRange(0, 1).Draw(r, "step"), rapid.IntRange(0, 2).Draw(r, "index"))
+	k.Occurrence = rapid.IntRange(0, 3).Draw(r, "occurrence")
 	l := incarnation(rapid.IntRange(0, 3).Draw(r, "target"))
 	var attempt csjob.Attempt
-	if j := h.table.Job(id); j != nil && j.Tasks != nil && j.Task(k) != nil {
+	if j := h.table.Job(id); j != nil && j.Task(k) != nil {
 		attempt = j.Task(k).Attempts
 	}
 	c := csjob.Command{}
 	switch rapid.IntRange(0, 6).Draw(r, "command") {
 	case 0:
-		c.Submit = &csjob.Submission{ID: id, Queue: queueKey, Steps: steps(3, 2), Spec: "spec"}
+		repeats := rapid.IntRange(0, 4).Draw(r, "repeats")
+		c.Submit = &csjob.Submission{ID: id, Queue: queueKey, Steps: steps(3, 2), Spec: "spec", Repeats: repeats, Interval: time.Second}
 	case 1:
 		c.Cancel = &csjob.JobRef{Queue: queueKey, ID: id}
 	case 2, 3:
@@ -357,8 +359,8 @@
 func (h *harness) checkCounts(r *rapid.T) {
 	for _, j := range h.table.Active() {
 		open := 0
-		for o, all := range j.Tasks {
-			for s, tasks := range all {
+		for _, o := range j.Begun {
+			for s, tasks := range o.Tasks {
 				remaining := 0
 				for i := range tasks {
 					open += len(tasks[i].Runs)
@@ -366,8 +368,8 @@
 						remaining++
 					}
 				}
-				if remaining != j.Remaining[o][s] {
-					r.Fatalf("step %d of %s: got %d remaining tasks, want %d", s, j.Submission.ID, j.Remaining[o][s], remaining)
+				if remaining != o.Remaining[s] {
+					r.Fatalf("step %d of %s: got %d remaining tasks, want %d", s, j.Submission.ID, o.Remaining[s], remaining)
 				}
 			}
 		}
--- a/internal/jobs/csjob/target.go
+++ b/internal/jobs/csjob/target.go
@@ -37,10 +37,11 @@
 		if j == nil {
 			continue
 		}
-		task := j.Task(key)
-		if task == nil {
+		o := j.begun(key.Occurrence)
+		if o == nil {
 			continue
 		}
+		task := o.task(key.Step, key.Index)
 		for _, r := range slices.Clone(task.Runs) {
 			if r.Incarnation == l {
 				t.endRun(End{Task: key, Attempt: r.Attempt, Incarnation: l, Outcome: OutcomeLost}, at)
--- a/internal/jobs/csplan/gang_test.go
+++ b/internal/jobs/csplan/gang_test.go
@@ -28,7 +28,7 @@
 			gang.Gang = true
 			j := job("gang", now, gang)
 			for n := range c.open {
-				j.Tasks[0][0][n].Runs = []csjob.Run{{Attempt: 1}}
+				j.Begun[0].Tasks[0][n].Runs = []csjob.Run{{Attempt: 1}}
 			}
 			work := Waiting(now, &RunTimeEstimator{}, testQueue, []*csjob.Job{j})
 			placed := Place(work, []*Slot{slot("a", 4000, 4000)}, func(k csjob.TaskKey) bool { return k.Index < c.starting })
--- a/internal/jobs/csplan/overload_test.go
+++ b/internal/jobs/csplan/overload_test.go
@@ -73,12 +73,12 @@
 			run.slot.Free = run.slot.Free.Add(run.job.Submission.Steps[0].Needs())
 			task := run.job.Task(run.key)
 			task.Runs, task.Done = nil, true
-			run.job.Remaining[0][0]--
+			run.job.Begun[0].Remaining[0]--
 		}
 		runs = stillOpen
 		unfinished := active[:0]
 		for _, j := range active {
-			if j.Remaining[0][0] > 0 {
+			if j.Begun[0].Remaining[0] > 0 {
 				unfinished = append(unfinished, j)
 				continue
 			}
--- a/internal/jobs/csplan/plan.go
+++ b/internal/jobs/csplan/plan.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"time"
 
@@ -62,7 +63,11 @@
 // RemainingCriticalPath returns the length of the remaining critical path of an occurrence: the predicted time until it is done if no task had
 // to wait for resources.
 func RemainingCriticalPath(e Estimator, j *csjob.Job, occurrence int) time.Duration {
-	_, remaining := criticalPaths(e, j, j.Remaining[occurrence])
+	o := j.Occurrence(occurrence)
+	if o == nil {
+		return 0
+	}
+	_, remaining := criticalPaths(e, j, o.Remaining)
 	return remaining
 }
 
@@ -148,16 +153,16 @@
 }
 
 // urgencyOf returns the urgency of a step of an occurrence.
-func urgencyOf(now time.Time, e Estimator, q *csjob.Queue, j *csjob.Job, occurrence int, step *csjob.Step) urgency {
+func urgencyOf(now time.Time, e Estimator, q *csjob.Queue, j *csjob.Job, number int, o *csjob.Occurrence, step *csjob.Step) urgency {
 	u := urgency{priority: q.Priority, acceptance: j.AcceptIndex}
 	if step.LongRunning {
 		return u
 	}
-	total, remaining := criticalPaths(e, j, j.Remaining[occurrence])
-	deadline, expiry := deadlines(q, j, occurrence, total)
+	total, remaining := criticalPaths(e, j, o.Remaining)
+	deadline, expiry := deadlines(q, j, number, total)
 	u.latestStart = deadline.Add(-remaining - resultDelay)
 	minSlack := minStartSlack
-	if started(j, occurrence) {
+	if started(o) {
 		minSlack = -startedTolerance
 	}
 	switch {
@@ -172,9 +177,9 @@
 }
 
 // started reports whether any task of an occurrence has been started.
-func started(j *csjob.Job, occurrence int) bool {
-	for s, tasks := range j.Tasks[occurrence] {
-		if j.Remaining[occurrence][s] < len(tasks) {
+func started(o *csjob.Occurrence) bool {
+	for s, tasks := range o.Tasks {
+		if o.Remaining[s] < len(tasks) {
 			return true
 		}
 		for i := range tasks {
@@ -191,9 +196,26 @@
 	Job     *csjob.Job
 	Key     StepKey
 	Step    *csjob.Step
+	tasks   []csjob.Task
 	urgency urgency
 }
 
+// Idle returns the indexes of the tasks without a run that are not done.
+func (w *Work) Idle() iter.Seq[int] {
+	return func(yield func(int) bool) {
+		for i := range w.tasks {
+			if w.tasks[i].Idle() && !yield(i) {
+				return
+			}
+		}
+	}
+}
+
+// task returns the key of a task of the step.
+func (w *Work) task(index int) csjob.TaskKey {
+	return csjob.TaskKey{Job: w.Key.Job, Occurrence: w.Key.Occurrence, Step: w.Key.Step, Index: index}
+}
+
 // Late reports whether the work is not expected to meet its objective.
 func (w *Work) Late() bool { return w.urgency.class >= late }
 
@@ -209,21 +231,50 @@
 	return out
 }
 
-// AppendWaiting appends the steps of a job that may run now and have a task without a run. The job must not have ended.
+const (
+	// maxOffered is the maximum number of occurrences of a job that a round offers for their first start. They are alike, so
+	// that a later one doesn't fit where these don't.
+	maxOffered = 256
+	// maxBegunTasks bounds the tasks of the occurrences of a job that have begun and are not done, and so their memory. Later
+	// occurrences wait. One occurrence may always begin.
+	maxBegunTasks = 20_000
+)
+
+// AppendWaiting appends the steps of a job that may run now and have a task without a run. The job must not have ended. Of the
+// occurrences that have not begun, it appends the first ones only.
 func AppendWaiting(out []Work, now time.Time, e Estimator, q *csjob.Queue, j *csjob.Job) []Work {
-	for occurrence := range j.Remaining {
-		if j.Submission.Repeats > 0 && j.Submission.Due(occurrence).After(now) {
+	for _, o := range j.Begun {
+		out = appendReady(out, now, e, q, j, o.Number, o)
+	}
+	if j.Submission.Occurrences() == 1 && len(j.Begun) == 1 {
+		return out
+	}
+	offered := min(maxOffered, max(1, maxBegunTasks/j.Submission.Tasks())-len(j.Begun))
+	if offered <= 0 {
+		return out
+	}
+	for number := range j.NotBegun() {
+		if j.Submission.Repeats > 0 && j.Submission.Due(number).After(now) {
 			break // occurrences are in order of their due times
 		}
-		for s := range j.Submission.Steps {
-			if !j.Ready(occurrence, s) || !anyIdle(j.Tasks[occurrence][s]) {
-				continue
-			}
-			step := &j.Submission.Steps[s]
-			out = append(out, Work{
-				Job: j, Key: StepKey{j.Submission.ID, occurrence, s}, Step: step, urgency: urgencyOf(now, e, q, j, occurrence, step),
-			})
+		out = appendReady(out, now, e, q, j, number, j.Occurrence(number))
+		if offered--; offered == 0 {
+			break
+		}
+	}
+	return out
+}
+
+// appendReady appends the steps of an occurrence that are ready and have a task without a run.
+func appendReady(out []Work, now time.Time, e Estimator, q *csjob.Queue, j *csjob.Job, number int, o *csjob.Occurrence) []Work {
+	for s := range j.Submission.Steps {
+		if !j.Ready(o, s) || !anyIdle(o.Tasks[s]) {
+			continue
 		}
+		step := &j.Submission.Steps[s]
+		out = append(out, Work{
+			Job: j, Key: StepKey{j.Submission.ID, number, s}, Step: step, tasks: o.Tasks[s], urgency: urgencyOf(now, e, q, j, number, o, step),
+		})
 	}
 	return out
 }
@@ -290,9 +341,9 @@
 	}
 	need := w.Step.Needs()
 	rack := ""
-	for i := range w.Step.Tasks {
-		key := csjob.TaskKey{Job: w.Key.Job, Occurrence: w.Key.Occurrence, Step: w.Key.Step, Index: i}
-		if !w.Job.Task(key).Idle() || starting(key) {
+	for i := range w.Idle() {
+		key := w.task(i)
+		if starting(key) {
 			continue
 		}
 		s := bestSlot(w, slots, need, rack)
@@ -314,9 +365,8 @@
 
 // allIdle reports whether no task of the step is done, running or being started.
 func (w *Work) allIdle(starting func(csjob.TaskKey) bool) bool {
-	for i := range w.Step.Tasks {
-		key := csjob.TaskKey{Job: w.Key.Job, Occurrence: w.Key.Occurrence, Step: w.Key.Step, Index: i}
-		if !w.Job.Task(key).Idle() || starting(key) {
+	for i := range w.tasks {
+		if !w.tasks[i].Idle() || starting(w.task(i)) {
 			return false
 		}
 	}
--- a/internal/jobs/csplan/plan_test.go
+++ b/internal/jobs/csplan/plan_test.go
@@ -14,13 +14,8 @@
 
 // job returns an accepted job with one occurrence.
 func job(id string, at time.Time, steps ...csjob.Step) *csjob.Job {
-	j := &csjob.Job{
-		Submission: csjob.Submission{ID: csjob.ID(id), Steps: steps}, Accepted: at, Tasks: [][][]csjob.Task{{}}, Remaining: [][]int{{}},
-	}
-	for _, s := range steps {
-		j.Tasks[0] = append(j.Tasks[0], make([]csjob.Task, s.Tasks))
-		j.Remaining[0] = append(j.Remaining[0], s.Tasks)
-	}
+	j := csjob.NewJob(csjob.Submission{ID: csjob.ID(id), Steps: steps}, at, 0)
+	j.Begun = []*csjob.Occurrence{j.Submission.NewOccurrence(0)}
 	return j
 }
 
@@ -169,7 +164,7 @@
 				t.Errorf("got %s, want %s", got, want)
 			}
 			if stepsDone < 3 {
-				j.Remaining[0][stepsDone] = 0
+				j.Begun[0].Remaining[stepsDone] = 0
 			}
 		})
 	}
--- a/internal/jobs/csplan/reconnect_test.go
+++ b/internal/jobs/csplan/reconnect_test.go
@@ -84,12 +84,12 @@
 		run.slot.Free = run.slot.Free.Add(run.job.Submission.Steps[run.key.Step].Needs())
 		task := run.job.Task(run.key)
 		task.Runs, task.Done = nil, true
-		run.job.Remaining[0][run.key.Step]--
+		run.job.Begun[0].Remaining[run.key.Step]--
 	}
 	sim.runs = stillOpen
 	unfinished := sim.active[:0]
 	for _, j := range sim.active {
-		if j.Remaining[0][0] > 0 || (len(j.Remaining[0]) > 1 && j.Remaining[0][1] > 0) {
+		if j.Begun[0].Remaining[0] > 0 || (len(j.Begun[0].Remaining) > 1 && j.Begun[0].Remaining[1] > 0) {
 			unfinished = append(unfinished, j)
 			continue
 		}
--- a/internal/jobs/csrun/evict.go
+++ b/internal/jobs/csrun/evict.go
@@ -74,7 +74,7 @@
 // evictBatchRun stops a batch run that would block its VM for long.
 func (r *runner) evictBatchRun(now time.Time, t *csjob.Table, w *target, u *run) {
 	j := t.Job(u.key.task.Job)
-	if j == nil || j.Tasks == nil || !u.started || !r.evictable(now, t, j, u) {
+	if j == nil || j.Released() || !u.started || !r.evictable(now, t, j, u) {
 		return
 	}
 	u.stop = true
--- a/internal/jobs/csrun/orders.go
+++ b/internal/jobs/csrun/orders.go
@@ -80,7 +80,7 @@
 
 func (r *runner) sendStart(now time.Time, t *csjob.Table, w *target, u *run) {
 	j := t.Job(u.key.task.Job)
-	if j == nil || j.Tasks == nil {
+	if j == nil || j.Released() {
 		return
 	}
 	o := StartOrder{
--- a/internal/jobs/csrun/polls.go
+++ b/internal/jobs/csrun/polls.go
@@ -254,7 +254,7 @@
 			return
 		}
 		r.options.State.View(func(t *csjob.Table) {
-			if j := t.Job(e.Task.Job); j != nil && j.Tasks != nil {
+			if j := t.Job(e.Task.Job); j != nil && !j.Released() {
 				r.learned.Observe(j.Submission.Queue, j.Submission.Steps[e.Task.Step], now.Sub(u.since))
 			}
 		})
--- a/internal/jobs/csrun/schedule.go
+++ b/internal/jobs/csrun/schedule.go
@@ -134,11 +134,10 @@
 	for i := range work {
 		w := &work[i]
 		pending := r.pendingByJob[w.Key.Job] > 0
-		tasks := w.Job.Tasks[w.Key.Occurrence][w.Key.Step]
-		for n := range tasks {
+		for n := range w.Idle() {
 			key := csjob.TaskKey{Job: w.Key.Job, Occurrence: w.Key.Occurrence, Step: w.Key.Step, Index: n}
 			switch {
-			case !tasks[n].Idle() || (pending && r.isPending(key)):
+			case pending && r.isPending(key):
 			case w.Step.LongRunning:
 				d.LongRunning += w.Step.Needs().CPU
 			case w.Late():
@@ -174,7 +173,7 @@
 	var l Load
 	for _, u := range w.list {
 		j := u.job
-		if j.Tasks == nil {
+		if j.Released() {
 			continue
 		}
 		step := &j.Submission.Steps[u.key.task.Step]
@@ -234,7 +233,7 @@
 		j := t.Job(p.Task.Job)
 		attempt := j.Task(p.Task).Attempts + 1
 		if j.Submission.Steps[p.Task.Step].Gang {
-			for _, k := range j.Tasks[p.Task.Occurrence][p.Task.Step] {
+			for _, k := range j.Occurrence(p.Task.Occurrence).Tasks[p.Task.Step] {
 				attempt = max(attempt, k.Attempts+1)
 			}
 		}
--- a/internal/jobs/csrun/usage.go
+++ b/internal/jobs/csrun/usage.go
@@ -42,12 +42,12 @@
 	}
 	clear(a.slot.Spread)
 	for _, u := range w.list {
-		if u.job.Tasks != nil {
+		if !u.job.Released() {
 			a.slot.Allocate(&u.job.Submission.Steps[u.key.task.Step], stepOf(u.key.task))
 		}
 	}
 	for _, key := range r.pendingByIncarnation[w.incarnation] {
-		if j := t.Job(key.Job); j != nil && j.Tasks != nil && !w.hasRun(key) {
+		if j := t.Job(key.Job); j != nil && !j.Released() && !w.hasRun(key) {
 			a.slot.Allocate(&j.Submission.Steps[key.Step], stepOf(key))
 		}
 	}
@@ -59,7 +59,7 @@
 	a := &w.usage
 	a.hasLongRunning, a.longRunning, a.timely, a.validUntil = false, 0, 0, time.Time{}
 	for _, u := range w.list {
-		if u.job.Tasks == nil {
+		if u.job.Released() {
 			continue
 		}
 		step := &u.job.Submission.Steps[u.key.task.Step]
