Split the decisions of a round into commands of limited size

The ends that a target has listed stay together, so that an acknowledgement covers recorded ends only. A large change of one target is a command of its own.

--- a/internal/jobs/csrun/heartbeats.go
+++ b/internal/jobs/csrun/heartbeats.go
@@ -67,10 +67,7 @@
 func (r *runner) addTargetEvent(e csjob.TargetEvent, done chan error, what string) {
 	r.log.Info(what, zap.String("target", string(e.Target.Incarnation.Target)), zap.Int64("born", e.Target.Incarnation.StartedAtMs),
 		zap.String("pool", string(e.Target.Pool)), zap.String("address", e.Target.Address), zap.Bool("leaving", e.Target.Draining))
-	r.targetEvents = append(r.targetEvents, e)
-	if done != nil {
-		r.commitWaiters = append(r.commitWaiters, done)
-	}
+	r.targetChanges = append(r.targetChanges, targetChange{e, done})
 	r.leader.requestRound()
 }
 
--- a/internal/jobs/csrun/runner.go
+++ b/internal/jobs/csrun/runner.go
@@ -54,9 +54,8 @@
 	initialPolls         []*target // targets that wait for their first poll, the most urgent first
 	proposedEnds         []csjob.End
 	endNumbers           map[csjob.Incarnation]int64 // highest number of the ends to propose, by incarnation
-	targetEvents         []csjob.TargetEvent
+	targetChanges        []targetChange
 	begun                csmodel.Set[csjob.ID] // jobs of which a target confirmed a start that the table may not have recorded
-	commitWaiters        []chan error
 	inDoubt              inDoubtCommands
 	stats                leaderStats
 
@@ -153,7 +152,11 @@
 	}
 	r.log.Info("resigned", zap.Uint64("term", uint64(r.term)), zap.String("reason", why))
 	r.cancel()
-	r.answerAll(r.commitWaiters, ErrNotLeading)
+	for _, c := range r.targetChanges {
+		if c.done != nil {
+			c.done <- ErrNotLeading
+		}
+	}
 	r.termState = termState{}
 	r.leader.demand.Store(&demandSnapshot{})
 	if r.options.Fleet != nil {
@@ -279,29 +282,37 @@
 	}
 }
 
-// propose proposes the decisions of the round as one command.
+// propose proposes the decisions of the round, one command after the other.
 func (r *runner) propose(starts []csjob.Start, begun []csjob.ID) {
-	c := csjob.Command{Ends: r.proposedEnds, Targets: r.targetEvents, Starts: starts, Begun: begun, Term: r.term}
-	if len(c.Ends) == 0 && len(c.Targets) == 0 && len(c.Starts) == 0 && len(c.Begun) == 0 && !r.inDoubt.needsResolving() {
+	d := decisions{ends: r.proposedEnds, endNumbers: r.endNumbers, targets: r.targetChanges, starts: starts, begun: begun}
+	if d.empty() && !r.inDoubt.needsResolving() {
 		return
 	}
 	r.inDoubt.resolving = true
-	m := &commitResult{term: r.term, command: c, endNumbers: r.endNumbers, waiters: r.commitWaiters, proposedAt: r.now()}
-	r.proposedEnds, r.targetEvents, r.commitWaiters = nil, nil, nil
+	r.proposedEnds, r.targetChanges = nil, nil
 	r.endNumbers = map[csjob.Incarnation]int64{}
-	ctx := r.ctx
+	ctx, term, batches := r.ctx, r.term, d.batches()
 	go func() {
-		limited, cancel := context.WithTimeout(ctx, proposeTimeout)
-		defer cancel()
-		v, err := r.options.State.Propose(limited, m.command)
-		if err == nil && v == csjob.Refused {
-			err = ErrNotLeading // the ends are not recorded, so they must not be acknowledged to targets
+		for _, b := range batches {
+			b.command.Term = term
+			r.send(r.commit(ctx, b))
 		}
-		m.err = err
-		r.send(m)
 	}()
 }
 
+// commit proposes a batch and returns the outcome. It doesn't touch the runner's state.
+func (r *runner) commit(ctx context.Context, b *batch) *commitResult {
+	m := &commitResult{term: b.command.Term, command: b.command, endNumbers: b.endNumbers, waiters: b.waiters, proposedAt: r.now()}
+	limited, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	v, err := r.options.State.Propose(limited, b.command)
+	if err == nil && v == csjob.Refused {
+		err = ErrNotLeading // the ends are not recorded, so they must not be acknowledged to targets
+	}
+	m.err = err
+	return m
+}
+
 func (r *runner) handleCommitResult(m *commitResult) {
 	r.answerAll(m.waiters, m.err)
 	if !r.active || m.term != r.term {
