Commit large documents in parts

Waves of many machines have the same limit.

A command above 512 KiB is committed in parts, which the table joins with the last one. Parts of a proposer that gave up are dropped after 30 s, four commands may be incomplete. Lists of any length that were accepted can be read back; the decoder stopped at 131,072. A wave that the table refuses is no longer acknowledged.

Before, shown with parts of any size, TestLargeConfigurationIsCommitted failed (entry of 1,273,801 bytes for 4,000 routes, want at most 1,114,112). Measured: it passes up to 16,000 routes, with all tests of csjob, csrun and the node packages.

--- a/internal/jobs/csjob/command.go
+++ b/internal/jobs/csjob/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -11,8 +12,9 @@
 
 // Errors of this package, to be tested with errors.Is.
 var (
-	ErrInvalid = errors.New("csjob: invalid")     // a submission, configuration or task name is invalid
-	ErrCodec   = errors.New("csjob: undecodable") // a snapshot can't be decoded
+	ErrInvalid  = errors.New("csjob: invalid")     // a submission, configuration or task name is invalid
+	ErrCodec    = errors.New("csjob: undecodable") // a snapshot can't be decoded
+	ErrTooLarge = errors.New("csjob: too large")   // a command exceeds MaxCommand
 )
 
 // Command is one entry of the replicated log. Its fields are applied in the order of their declaration; a field that is not
@@ -32,6 +34,8 @@
 	Term csmodel.Term `cbor:"9,keyasint,omitempty"`
 	// Begun lists jobs of which a target has confirmed that it started a task.
 	Begun []ID `cbor:"10,keyasint,omitempty"`
+	// Part is set alone. The command that it is a part of is applied with the last missing part.
+	Part *Part `cbor:"11,keyasint,omitempty"`
 }
 
 // JobRef identifies a job and the queue through which a request for it arrived.
@@ -142,6 +146,7 @@
 	StaleVersion            // a newer configuration is current
 	VersionConflict         // the current configuration has the same version but other content
 	Refused                 // invalid, undecodable or from another term
+	Incomplete              // a part was stored and others are missing
 )
 
 var encMode = func() cbor.EncMode {
@@ -155,8 +160,17 @@
 // Encode returns the command in CBOR, as stored in the log. It returns an error if the command can't be encoded.
 func (c Command) Encode() ([]byte, error) { return encMode.Marshal(c) }
 
+// decMode accepts lists of any length: what was accepted must be readable after a restart.
+var decMode = func() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxArrayElements: math.MaxInt32, MaxMapPairs: math.MaxInt32}.DecMode()
+	if err != nil {
+		panic(err) // can't happen: the options are constant
+	}
+	return m
+}()
+
 func decodeCommand(b []byte) (Command, error) {
 	var c Command
-	err := cbor.Unmarshal(b, &c)
+	err := decMode.Unmarshal(b, &c)
 	return c, err
 }
--- a/internal/jobs/csjob/snapshot.go
+++ b/internal/jobs/csjob/snapshot.go
@@ -7,8 +7,6 @@
 	"slices"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"cowslipstream.example/cowslipstream/csmodel"
 )
 
@@ -21,7 +19,7 @@
 // Restore implements csraft.Machine. It replaces the table by a snapshot, and returns ErrCodec if the snapshot can't be decoded.
 func (t *Table) Restore(b []byte) error {
 	var s state
-	if err := cbor.Unmarshal(b, &s); err != nil {
+	if err := decMode.Unmarshal(b, &s); err != nil {
 		return fmt.Errorf("%w: %w", ErrCodec, err)
 	}
 	*t = Table{Retention: t.Retention, changes: t.changes + 1, log: changeLog{droppedUpTo: t.changes + 1}}
@@ -43,6 +41,9 @@
 	if s.LastOrders == nil {
 		s.LastOrders = map[csmodel.VMID]LastVMOrder{}
 	}
+	if s.Uploads == nil {
+		s.Uploads = map[string]*upload{}
+	}
 	for _, w := range s.Waves {
 		if w.Begun == nil {
 			w.Begun = map[csmodel.VMID]time.Time{}
--- a/internal/jobs/csjob/table.go
+++ b/internal/jobs/csjob/table.go
@@ -39,10 +39,11 @@
 	Jobs       map[ID]*Job                   `cbor:"3,keyasint"`
 	Targets    map[TargetID]Target           `cbor:"4,keyasint"`
 	Waves      map[csmodel.WaveID]*WaveState `cbor:"5,keyasint"`
-	VMOrders   map[csmodel.VMID]VMOrder      `cbor:"6,keyasint"`           // orders in progress
-	LastMoves  map[csmodel.VMID]time.Time    `cbor:"7,keyasint"`           // time of the last move to another pool
-	Applied    uint64                        `cbor:"8,keyasint"`           // number of applied log entries
-	LastOrders map[csmodel.VMID]LastVMOrder  `cbor:"9,keyasint,omitempty"` // last order for each VM
+	VMOrders   map[csmodel.VMID]VMOrder      `cbor:"6,keyasint"`            // orders in progress
+	LastMoves  map[csmodel.VMID]time.Time    `cbor:"7,keyasint"`            // time of the last move to another pool
+	Applied    uint64                        `cbor:"8,keyasint"`            // number of applied log entries
+	LastOrders map[csmodel.VMID]LastVMOrder  `cbor:"9,keyasint,omitempty"`  // last order for each VM
+	Uploads    map[string]*upload            `cbor:"10,keyasint,omitempty"` // commands with missing parts, by digest
 }
 
 // WaveState is a wave with its progress.
@@ -82,6 +83,7 @@
 	s.VMOrders = map[csmodel.VMID]VMOrder{}
 	s.LastMoves = map[csmodel.VMID]time.Time{}
 	s.LastOrders = map[csmodel.VMID]LastVMOrder{}
+	s.Uploads = map[string]*upload{}
 	t.openRuns = map[Incarnation]map[TaskKey]int{}
 	t.queues = map[string]*Queue{}
 }
@@ -91,18 +93,32 @@
 	t.initialize()
 	t.changes++
 	t.state.Applied++
-	c, err := decodeCommand(e.Data)
-	if err != nil || (c.Term != 0 && c.Term != e.Term) {
-		return encodeVerdict(Refused)
-	}
 	at := e.At.UTC().Truncate(time.Millisecond)
-	v := t.apply(c, at, e.Index)
+	v := t.applyEncoded(e.Data, e.Term, at, e.Index)
 	if t.state.Applied%pruneInterval == 0 {
 		t.pruneEnded(at)
 	}
 	return encodeVerdict(v)
 }
 
+func (t *Table) applyEncoded(data []byte, term csmodel.Term, at time.Time, index csmodel.Index) Verdict {
+	c, err := decodeCommand(data)
+	switch {
+	case err != nil || (c.Term != 0 && c.Term != term):
+		return Refused
+	case c.Part == nil:
+		return t.apply(c, at, index)
+	}
+	whole, v := t.addPart(*c.Part, at)
+	if v != Accepted {
+		return v
+	}
+	if c, err = decodeCommand(whole); err != nil || (c.Term != 0 && c.Term != term) {
+		return Refused
+	}
+	return t.apply(c, at, index)
+}
+
 func encodeVerdict(v Verdict) []byte { return []byte{byte(v)} }
 
 // ParseVerdict decodes the result of Apply. It returns Refused for anything else.
--- a/internal/node/csstore/calls.go
+++ b/internal/node/csstore/calls.go
@@ -251,7 +251,10 @@
 
 // AddWave commits an order for maintenance.
 func (s *Store) AddWave(ctx context.Context, w csjob.Wave) error {
-	_, err := s.change(ctx, csjob.Command{Wave: &w})
+	v, err := s.change(ctx, csjob.Command{Wave: &w})
+	if err == nil && v != csjob.Accepted {
+		return ErrUnavailable
+	}
 	return err
 }
 
--- a/internal/node/csstore/store.go
+++ b/internal/node/csstore/store.go
@@ -51,6 +51,9 @@
 // ErrUnavailable reports that no leader could be reached. Nothing was changed.
 var ErrUnavailable = errors.New("csstore: no leader reachable")
 
+// errIncomplete reports that parts of a command were dropped before the last one was committed. Nothing was changed.
+var errIncomplete = errors.Join(ErrUnavailable, errors.New("csstore: parts of the command are missing"))
+
 // Options configure a store.
 type Options struct {
 	IP          string // of this machine
@@ -331,15 +334,20 @@
 
 // Propose implements csrun.State.
 func (r replica) Propose(ctx context.Context, c csjob.Command) (csjob.Verdict, error) {
-	b, err := c.Encode()
+	parts, err := c.EncodeParts()
 	if err != nil {
 		return csjob.Refused, err
 	}
-	result, err := r.store.group.Propose(ctx, b)
-	if err != nil {
-		return csjob.Refused, err
+	for _, b := range parts {
+		result, err := r.store.group.Propose(ctx, b)
+		if err != nil {
+			return csjob.Refused, err
+		}
+		if v := csjob.ParseVerdict(result); v != csjob.Incomplete {
+			return v, nil
+		}
 	}
-	return csjob.ParseVerdict(result), nil
+	return csjob.Refused, errIncomplete
 }
 
 // Leading implements csrun.State.
