Let elections take the time that slow disks need

Reproduced with real processes on a busy disk: no leader for 18 s, from term 1 to term 21.

A campaign was replaced by the next one after 150 to 400 ms. An election takes two syncs, so that from 150 ms a sync none could ever finish. Members now record the time of their saves; the time for votes includes it and doubles with each election that a majority had wanted and that did not finish, and followers wait for the leader's syncs. Leases, and the time in which votes are refused, are unchanged. A slow save is a log line and cowslipstream_save_seconds a metric, which tell this from other reasons for a missing leader.

--- a/csgroup/options.go
+++ b/csgroup/options.go
@@ -74,6 +74,8 @@
 	// is known).
 	Lead   func(t csmodel.Term)
 	Follow func(t csmodel.Term, leader csmodel.NodeID)
+	// Saved is called after each save with the time that the disk took.
+	Saved func(took time.Duration)
 	// Error is called after a disk error, a failed snapshot or a panic, and when a damaged folder is set aside.
 	Error func(err error)
 }
--- a/csgroup/runner.go
+++ b/csgroup/runner.go
@@ -209,6 +209,15 @@
 	r.snapshotIfDue()
 }
 
+func (r *runner) recordSync(took time.Duration) {
+	r.group.status.mu.Lock()
+	defer r.group.status.mu.Unlock()
+	r.core.RecordSync(took)
+	if f := r.options.Observe.Saved; f != nil {
+		f(took)
+	}
+}
+
 // takeSnapshot takes a snapshot of the state machine and compacts the log up to it.
 func (r *runner) takeSnapshot() {
 	r.entriesSinceSnapshot, r.bytesSinceSnapshot = 0, 0
@@ -247,7 +256,10 @@
 	switch cmd := cmd.(type) {
 	case csraft.Save:
 		if r.store != nil {
-			return r.store.save(cmd)
+			began := r.now()
+			err := r.store.save(cmd)
+			r.recordSync(r.now().Sub(began))
+			return err
 		}
 	case csraft.Send:
 		r.options.Send(cmd.To, cmd.Message)
--- a/csraft/core.go
+++ b/csraft/core.go
@@ -37,6 +37,10 @@
 	nextJoin      time.Time
 
 	campaign campaign
+	// unfinishedElections is the number of elections of this node since the last leader whose votes did not all arrive in time,
+	// although a majority had granted the pre-vote.
+	unfinishedElections int
+	syncTime            time.Duration // that the disk of this node lately needed to save, at most maxSyncTime
 	// candidates holds the newest term in which each voter has requested votes since the process started.
 	candidates map[csmodel.NodeID]csmodel.Term
 	noLease    bool // no leader can hold a lease that depends on an acknowledgement by this node
@@ -186,8 +190,15 @@
 	c.save(nil)
 }
 
+// electionTimeout returns the time without a leader after which this node campaigns. The messages of a leader wait for its disk, and
+// this node assumes that disk to be as slow as its own.
 func (c *Core) electionTimeout() time.Duration {
-	return c.config.Election + c.randomUpTo(c.config.Jitter)
+	return c.config.Election + 2*c.syncTime + c.randomUpTo(c.config.Jitter+c.syncTime)
+}
+
+// RecordSync records how long the disk of this node took to save. The times of its elections allow for it.
+func (c *Core) RecordSync(took time.Duration) {
+	c.syncTime = min(max(took, c.syncTime-c.syncTime/syncTimeDecay), maxSyncTime)
 }
 
 func (c *Core) randomUpTo(d time.Duration) time.Duration {
--- a/csraft/early_election.go
+++ b/csraft/early_election.go
@@ -42,4 +42,5 @@
 func (c *Core) recordLeaderContact() {
 	c.leaderContact = c.now
 	c.noLease = false
+	c.unfinishedElections = 0
 }
--- a/csraft/election.go
+++ b/csraft/election.go
@@ -10,7 +10,13 @@
 const (
 	minElectionRetry    = 150 * time.Millisecond // between two election attempts of a node
 	electionRetryJitter = 250 * time.Millisecond
-	joinInterval        = time.Second
+	// maxElectionDoublings limits how much longer than the first one an election may take.
+	maxElectionDoublings = 3
+	// maxSyncTime limits how much a disk that has stalled delays elections. After a stall, the recorded time falls by an eighth with
+	// each save.
+	maxSyncTime   = time.Second
+	syncTimeDecay = 8
+	joinInterval  = time.Second
 	// emptyNodeValidity is how long a node's report of an empty log may be used to bootstrap the group.
 	emptyNodeValidity = 3 * time.Second
 	relayValidity     = 3 * time.Second
@@ -45,7 +51,10 @@
 	if c.leader != "" {
 		c.becomeFollower(c.state.Term, "")
 	}
-	c.electionDue = c.now.Add(minElectionRetry + c.randomUpTo(electionRetryJitter))
+	if c.role == Candidate && c.campaign.kind == MessageVote {
+		c.unfinishedElections++
+	}
+	c.electionDue = c.now.Add(c.electionRetry(k.kind))
 	// Votes granted before the lease expires do not count. The retry interval must not delay the first campaign after that.
 	if end := c.leaderContact.Add(c.electionTimeout()); c.inLease() && end.Before(c.electionDue) {
 		c.electionDue = end
@@ -74,6 +83,17 @@
 	}
 }
 
+// electionRetry returns how long a campaign may take before the next one replaces it. An election takes two syncs of disks, so on
+// slow disks a fixed time would replace each election before its votes arrive. The time for votes includes the syncs, and doubles with
+// each election that did not finish, because the disks of the others may be slower.
+func (c *Core) electionRetry(kind MessageKind) time.Duration {
+	if kind != MessageVote {
+		return minElectionRetry + c.randomUpTo(electionRetryJitter)
+	}
+	retry := minElectionRetry + 2*c.syncTime + c.randomUpTo(electionRetryJitter+c.syncTime)
+	return retry << min(c.unfinishedElections, maxElectionDoublings)
+}
+
 // countVotes starts the election after a successful pre-vote, or becomes leader after a successful election. It reports whether
 // enough votes were granted.
 func (c *Core) countVotes() bool {
--- a/csraft/leader.go
+++ b/csraft/leader.go
@@ -56,7 +56,7 @@
 
 func (c *Core) becomeLeader() {
 	k := c.campaign
-	c.campaign = campaign{}
+	c.campaign, c.unfinishedElections = campaign{}, 0
 	c.role = Leader
 	c.leader = c.config.Self
 	c.lead = leadership{
--- a/internal/node/csstore/store.go
+++ b/internal/node/csstore/store.go
@@ -14,6 +14,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"cowslipstream.example/cowslipstream/csdisk"
 	"cowslipstream.example/cowslipstream/csgroup"
@@ -90,11 +91,21 @@
 	closing chan struct{} // closed by Close
 
 	announcer announcer
+	saves     prometheus.Histogram
+	slowSaves rate.Sometimes
 }
 
 // New opens the folder and starts the store.
 func New(o Options) (*Store, error) {
-	s := &Store{options: o, self: csrpc.StoreNode(o.IP), log: o.Log, opened: make(chan struct{}), closing: make(chan struct{})}
+	s := &Store{
+		options: o, self: csrpc.StoreNode(o.IP), log: o.Log, opened: make(chan struct{}), closing: make(chan struct{}),
+		saves: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "cowslipstream_save_seconds", Help: "Time that the disk takes to save a part of the log.",
+			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 14),
+		}),
+		slowSaves: rate.Sometimes{First: 1, Interval: time.Second},
+	}
+	o.Registry.MustRegister(s.saves)
 	disk, err := csdisk.OpenOS(filepath.Join(o.Folder, "group"))
 	if err != nil {
 		return nil, trace.Wrap(err, "data folder")
@@ -150,6 +161,7 @@
 			Restored: func(csmodel.Index) { s.leader.Changed() },
 			Lead:     s.lead,
 			Follow:   s.follow,
+			Saved:    s.saved,
 			Error:    func(err error) { s.log.Error("group failed", zap.Error(err)) },
 		},
 	})
@@ -169,6 +181,17 @@
 	s.announceLeader(csrpc.LeaderAnswer{Leader: leader, Term: t})
 }
 
+// slowSave is the time from which a save is logged.
+const slowSave = 75 * time.Millisecond
+
+// saved records how long the disk took. Slow disks delay each commit and each election.
+func (s *Store) saved(took time.Duration) {
+	s.saves.Observe(took.Seconds())
+	if took >= slowSave {
+		s.slowSaves.Do(func() { s.log.Warn("slow disk", zap.Duration("save", took)) })
+	}
+}
+
 // takeSigns hands heartbeats that other stores have acknowledged to the leader's actor.
 func (s *Store) takeSigns(signs []csrun.SignOfLife) {
 	<-s.opened
