Let entries learn of all members of the group and of new seeds

An entry knew its seeds and past leaders only. Once these were replaced by other stores, it refused all requests for good. Found by reading while the users' record of requests without a leader was traced; not seen with real processes.

A store that is asked who leads also names the members, and the entry opens links to them. New seeds in the settings file are dialed without a restart; so far they were logged.

--- a/cmd/cowslipstream/roles.go
+++ b/cmd/cowslipstream/roles.go
@@ -121,9 +121,9 @@
 	return s
 }
 
-// watchSettings logs changes of the settings file. Only a start applies them: addresses and folders do not change while
-// a process runs, and seeds are used to find the group once.
-func (p *process) watchSettings(ctx context.Context) {
+// watchSettings logs changes of the settings file and calls seedsChanged with new seeds. Only a start applies other changes:
+// addresses and folders do not change while a process runs.
+func (p *process) watchSettings(ctx context.Context, seedsChanged func([]string)) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	ticker := time.NewTicker(settingsPoll)
@@ -146,6 +146,7 @@
 		if asked || !equalStrings(seen, s.Seeds) {
 			p.log.Info("settings reloaded", zap.Bool("signal", asked), zap.Strings("seeds", s.Seeds))
 			seen = s.Seeds
+			seedsChanged(seen)
 		}
 	}
 }
@@ -174,7 +175,7 @@
 		return err
 	}
 	debug.SetGCPercent(storeGCPercent)
-	go p.watchSettings(c.ctx)
+	go p.watchSettings(c.ctx, func([]string) {}) // a store knows the members of the group from its log
 	s := p.settings
 	client := platform.NewClient()
 	clock := csclock.NewBoot()
@@ -217,7 +218,6 @@
 	if err != nil {
 		return err
 	}
-	go p.watchSettings(c.ctx)
 	s := p.settings
 	entry, err := csentry.New(csentry.Options{
 		IP: s.IP, Seeds: s.Seeds, Listener: p.link, PeerAddress: s.PeerAddress, Clock: csclock.NewBoot(),
@@ -228,6 +228,7 @@
 		p.close("failed start")
 		return trace.Wrap(err)
 	}
+	go p.watchSettings(c.ctx, entry.AddSeeds)
 	draining := func() bool { return c.ctx.Err() != nil }
 	p.serve(s.Ready, platform.ReadyHandler(entry, draining))
 	front := p.serve(s.Callers, closing(platform.FrontHandler(entry), draining))
--- a/internal/node/csentry/watch.go
+++ b/internal/node/csentry/watch.go
@@ -83,6 +83,9 @@
 
 // heard takes in what a store says of the leader.
 func (e *Entry) heard(from csmodel.NodeID, a csrpc.LeaderAnswer) {
+	for _, n := range a.Stores {
+		e.meet(n)
+	}
 	switch a.Leader {
 	case "":
 		e.forget(from)
@@ -117,12 +120,24 @@
 		return
 	}
 	e.log.Info("leader changed", zap.String("leader", string(leader)), zap.Uint64("term", uint64(term)))
-	ip, ok := csrpc.StoreIP(leader)
+	e.meet(leader)
+}
+
+// meet opens a link to a store. It does nothing if the store is known.
+func (e *Entry) meet(store csmodel.NodeID) {
+	ip, ok := csrpc.StoreIP(store)
 	if !ok {
 		return
 	}
-	if err := e.links.AddPeer(cslink.Peer{Node: leader, Address: e.options.PeerAddress(ip)}); err != nil {
-		e.log.Warn("leader not added", zap.String("peer", string(leader)), zap.Error(err))
+	if err := e.links.AddPeer(cslink.Peer{Node: store, Address: e.options.PeerAddress(ip)}); err != nil {
+		e.log.Warn("store not added", zap.String("peer", string(store)), zap.Error(err))
+	}
+}
+
+// AddSeeds makes the entry also ask the stores at the given IP addresses who leads.
+func (e *Entry) AddSeeds(ips []string) {
+	for _, ip := range ips {
+		e.meet(csrpc.StoreNode(ip))
 	}
 }
 
--- a/internal/node/csentry/watch_test.go
+++ b/internal/node/csentry/watch_test.go
@@ -18,6 +18,7 @@
 // group is a few stores that know no leader until one is named.
 type group struct {
 	leader    atomic.Value // csmodel.NodeID
+	members   []csmodel.NodeID
 	addresses map[string]string
 	links     map[csmodel.NodeID]*cslink.Links
 	asked     atomic.Int64 // questions who leads
@@ -66,7 +67,7 @@
 	switch {
 	case m == csrpc.MethodLeader:
 		g.asked.Add(1)
-		return csrpc.Encode(csrpc.LeaderAnswer{Leader: leader, Term: 2, Ready: leader == self})
+		return csrpc.Encode(csrpc.LeaderAnswer{Leader: leader, Term: 2, Ready: leader == self, Stores: g.members})
 	case leader == self:
 		return csrpc.Encode(csrpc.JobAnswer{Result: csrpc.ResultDone})
 	default:
@@ -75,6 +76,12 @@
 }
 
 func startEntry(t *testing.T, g *group) *Entry {
+	t.Helper()
+	return startEntryOf(t, g, len(g.addresses))
+}
+
+// startEntryOf starts an entry and waits until it is connected to a number of stores.
+func startEntryOf(t *testing.T, g *group, connected int) *Entry {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -88,7 +95,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(e.Close)
-	for len(e.calls.Peers()) < len(g.addresses) {
+	for len(e.calls.Peers()) < connected {
 		time.Sleep(time.Millisecond)
 	}
 	return e
--- a/internal/node/csrpc/messages.go
+++ b/internal/node/csrpc/messages.go
@@ -79,6 +79,8 @@
 	Leader csmodel.NodeID `cbor:"1,keyasint,omitempty"`
 	Term   csmodel.Term   `cbor:"2,keyasint,omitempty"`
 	Ready  bool           `cbor:"3,keyasint,omitempty"` // a configuration is in force
+	// Stores lists the members of the group, so that an entry still finds a leader once its seeds are gone.
+	Stores []csmodel.NodeID `cbor:"4,keyasint,omitempty"`
 }
 
 var encoding = func() cbor.EncMode {
--- a/internal/node/csstore/calls.go
+++ b/internal/node/csstore/calls.go
@@ -50,6 +50,9 @@
 func (s *Store) leaderAnswer() csrpc.LeaderAnswer {
 	status := s.group.Status()
 	a := csrpc.LeaderAnswer{Leader: status.Leader, Term: status.Term}
+	for _, m := range status.Members {
+		a.Stores = append(a.Stores, m.Member.Node)
+	}
 	replica{s}.View(func(t *csjob.Table) { a.Ready = t.Config() != nil })
 	a.Ready = a.Ready && status.Leading
 	return a
