Send the next starts to a target with its answer, and place no more than it can take

An answer is followed by the next orders at once, and a target with 64 unconfirmed starts gets no more tasks, gangs aside. The simulations of csplan, which have no calls, count starts as confirmed at once.

Before, TestManySmallTasksMeetTheirObjective failed (16 open runs after 1.6 s).

--- a/internal/jobs/csplan/overload_test.go
+++ b/internal/jobs/csplan/overload_test.go
@@ -92,6 +92,7 @@
 			s.reserved = false
 		}
 		for _, p := range plan(at, slots, active...) {
+			p.Slot.Starting = 0 // targets confirm starts at once
 			j := active[0]
 			for _, candidate := range active {
 				if candidate.Submission.ID == p.Task.Job {
--- a/internal/jobs/csplan/plan.go
+++ b/internal/jobs/csplan/plan.go
@@ -38,6 +38,8 @@
 	Drained csjob.Resources
 	Rack    string
 	Labels  []string
+	// Starting is the number of tasks placed there whose starts the target has not confirmed.
+	Starting int
 	// Preferred is false if the target should get a task only when no other target can take it.
 	Preferred bool
 	// EvictingSoon is set if the target will be removed soon.
@@ -299,6 +301,10 @@
 	Slot *Slot
 }
 
+// MaxStarting is the number of unconfirmed starts from which a target gets no more tasks. Starts are sent a few at a time, and a task
+// that waits for its turn on one target could run on another. Gangs are exempt, because all their tasks must be placed together.
+const MaxStarting = 64
+
 // maxFailedSteps is how many more steps may fail to fit after the first one before Place stops, so that a long backlog costs
 // little time.
 const maxFailedSteps = 40
@@ -404,6 +410,8 @@
 	switch {
 	case s.reserved:
 		return false
+	case s.Starting >= MaxStarting && !w.Step.Gang:
+		return false
 	case w.Step.Label != "" && !slices.Contains(s.Labels, w.Step.Label):
 		return false
 	case w.Step.MaxPerTarget > 0 && s.Spread[w.Key] >= w.Step.MaxPerTarget:
@@ -416,6 +424,7 @@
 // Allocate subtracts the resources of a run of a step from the slot.
 func (s *Slot) Allocate(step *csjob.Step, k StepKey) {
 	s.Free = s.Free.Sub(step.Needs())
+	s.Starting++
 	if step.LongRunning {
 		s.Drained = s.Drained.Sub(step.Needs())
 	}
@@ -432,6 +441,7 @@
 func releaseAll(placed []Placement, w *Work) {
 	for _, p := range placed {
 		p.Slot.Free = p.Slot.Free.Add(w.Step.Needs())
+		p.Slot.Starting--
 		if w.Step.LongRunning {
 			p.Slot.Drained = p.Slot.Drained.Add(w.Step.Needs())
 		}
--- a/internal/jobs/csplan/reconnect_test.go
+++ b/internal/jobs/csplan/reconnect_test.go
@@ -109,6 +109,7 @@
 		byID[j.Submission.ID] = j
 	}
 	for _, p := range plan(at, sim.slots, sim.active...) {
+		p.Slot.Starting = 0 // targets confirm starts at once
 		j := byID[p.Task.Job]
 		runTime := time.Duration(float64(sim.medianRunTime[p.Task.Job]) * sim.logNormal(reconnectDeviation))
 		longest := sim.longestRuns[p.Task.Job]
--- a/internal/jobs/csrun/orders.go
+++ b/internal/jobs/csrun/orders.go
@@ -43,6 +43,14 @@
 	}
 }
 
+// sendNextOrders sends further orders to a target that has carried out one, without waiting for the next round.
+func (r *runner) sendNextOrders(w *target, now time.Time) {
+	if len(w.list) <= maxCallsPerTarget || w.closed || w.unpolled || w.ordersDone() || !r.options.State.Leading() {
+		return
+	}
+	r.options.State.View(func(t *csjob.Table) { r.sendOrdersTo(now, t, w) })
+}
+
 // ordersDone reports whether no run needs an order. New runs, answers and evictions change the result.
 func (t *target) ordersDone() bool {
 	for _, u := range t.list {
@@ -83,9 +91,13 @@
 	if j == nil || j.Released() {
 		return
 	}
+	task := j.Task(u.key.task)
+	if task == nil {
+		return // its occurrence is done
+	}
 	o := StartOrder{
 		Task: u.key.task, Attempt: u.key.attempt, Spec: j.Submission.Spec, LeaseEnd: w.grantLease(now, r.options.Timing.Lease),
-		Fence: w.fence, Checkpoint: j.Task(u.key.task).Checkpoint,
+		Fence: w.fence, Checkpoint: task.Checkpoint,
 	}
 	record := w.record
 	r.sendOrder(w, u, orderStart, func(ctx context.Context) (Reply, error) { return r.options.Workers.Start(ctx, record, o) })
@@ -153,6 +165,7 @@
 	if m.reply.Refusal == NotRefused {
 		u.onIncarnation = u.onIncarnation || (known && m.kind == orderStart)
 		r.orderAcknowledged(u, m, now)
+		r.sendNextOrders(w, now)
 		return
 	}
 	r.orderRefused(w, u, m, now)
--- a/internal/jobs/csrun/schedule.go
+++ b/internal/jobs/csrun/schedule.go
@@ -123,11 +123,27 @@
 		if !w.usable(now, r.options.Timing.HeartbeatInterval) || w.quarantine.quarantined(now) || silent.Has(w.record.Zone) {
 			continue
 		}
+		s.Starting = w.unconfirmedStarts(len(r.pendingByIncarnation[w.incarnation]))
 		s.Preferred, s.EvictingSoon = w.failures == 0 && !w.quarantine.suspect(), w.evictingSoonRound == r.markRound
 		p.slots = append(p.slots, s)
 	}
 }
 
+// unconfirmedStarts returns the number of starts that the target has not confirmed, with those that are not committed yet. It counts
+// only if there may be too many.
+func (t *target) unconfirmedStarts(pending int) int {
+	if len(t.list)+pending < csplan.MaxStarting {
+		return pending
+	}
+	n := pending
+	for _, u := range t.list {
+		if !u.started && !u.stop && !u.ended {
+			n++
+		}
+	}
+	return n
+}
+
 // waitingDemand returns the CPU demand of the tasks that remain unplaced.
 func (r *runner) waitingDemand(work []csplan.Work) PoolDemand {
 	var d PoolDemand
