Pass over steps that no target of their pool can hold

A step that exceeds the largest slot without its batch runs, or needs a label that no slot has, is passed over and does not count.

Before, shown without the check, TestOverdueJobsStartBehindHopelessOnes failed in all three cases (0 of 4 tasks placed).

--- a/internal/jobs/csplan/hopeless_test.go
+++ b/internal/jobs/csplan/hopeless_test.go
@@ -60,3 +60,31 @@
 		t.Errorf("got %d small tasks placed on the slot that has to be reserved for the large one, want none", len(placed))
 	}
 }
+
+// Pattern: three in a hundred jobs fit no target, and the others are overdue after a rush. Guards against overdue jobs that are never
+// looked at, because the hopeless ones before them never leave the list (rule LOST).
+func TestOverdueJobsStartBehindHopelessOnes(t *testing.T) {
+	now := time.Now()
+	labelled := step(1, 10, 1)
+	labelled.Label = "absent"
+	cases := []struct {
+		name string
+		step func(i int) csjob.Step
+	}{
+		{"more memory than a target has", func(int) csjob.Step { return step(1, 10, 1<<21) }},
+		{"more CPU than a target has, each a little more", func(i int) csjob.Step { return step(1, csmodel.MilliCPU(33_000+i), 1) }},
+		{"a label that no target has", func(int) csjob.Step { return labelled }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var jobs []*csjob.Job
+			for i := range 500 {
+				jobs = append(jobs, job(fmt.Sprintf("hopeless-%04d", i), now.Add(-time.Hour), c.step(i)))
+			}
+			jobs = append(jobs, job("overdue", now.Add(-time.Minute), step(4, 1000, 1)))
+			if got := len(plan(now, []*Slot{slot("a", 32_000, 1<<20)}, jobs...)); got != 4 {
+				t.Errorf("got %d tasks of the overdue job placed, want 4", got)
+			}
+		})
+	}
+}
--- a/internal/jobs/csplan/plan.go
+++ b/internal/jobs/csplan/plan.go
@@ -306,7 +306,7 @@
 const MaxStarting = 64
 
 // maxFailedSteps is how many more steps may fail to fit after the first one before Place stops, so that a long backlog costs
-// little time.
+// little time. Steps that fit no slot even when its batch runs have ended don't count: they may stay forever.
 const maxFailedSteps = 40
 
 // Place assigns waiting tasks to slots and subtracts their resources from the slots. starting reports whether a task is already
@@ -322,7 +322,11 @@
 	var out []Placement
 	failed := 0
 	mayReserve := true
+	pool := capacityOf(slots)
 	for i := range work {
+		if !pool.holds(work[i].Step) {
+			continue // nothing that ends makes room for it, so it must not count as failed
+		}
 		placed, complete := placeStep(&work[i], slots, starting)
 		out = append(out, placed...)
 		if complete {
@@ -340,6 +344,42 @@
 	return out
 }
 
+// capacity is an upper bound of what any slot of a pool can hold once its batch runs have ended.
+type capacity struct {
+	slots   []*Slot
+	largest csjob.Resources // by component
+	labels  map[string]bool // whether a slot has the label; filled as needed
+}
+
+func capacityOf(slots []*Slot) *capacity {
+	c := &capacity{slots: slots}
+	for _, s := range slots {
+		c.largest.CPU = max(c.largest.CPU, s.Drained.CPU)
+		c.largest.Memory = max(c.largest.Memory, s.Drained.Memory)
+		c.largest.GPUs = max(c.largest.GPUs, s.Drained.GPUs)
+	}
+	return c
+}
+
+// holds reports false for a step that fits no slot of the pool. Its cost doesn't depend on the number of slots.
+func (c *capacity) holds(step *csjob.Step) bool {
+	if !c.largest.Fits(step.Needs()) {
+		return false
+	}
+	if step.Label == "" {
+		return true
+	}
+	known, found := c.labels[step.Label]
+	if !found {
+		known = slices.ContainsFunc(c.slots, func(s *Slot) bool { return slices.Contains(s.Labels, step.Label) })
+		if c.labels == nil {
+			c.labels = map[string]bool{}
+		}
+		c.labels[step.Label] = known
+	}
+	return known
+}
+
 // placeStep places the waiting tasks of a step, those of a gang all or none. complete is false if a task did not fit.
 func placeStep(w *Work, slots []*Slot, starting func(csjob.TaskKey) bool) (out []Placement, complete bool) {
 	if w.Step.Gang && !w.allIdle(starting) {
