Accept the links of a process that starts after its clock was set back

A process named the time of its start as its incarnation on links, and peers refuse one that is lower than one seen before. Found by reading while the users' record was traced.

All processes name the same incarnation; links tell lives apart by random numbers. It is above the earlier ones, so that processes of the version before accept it.

--- a/internal/node/csentry/entry.go
+++ b/internal/node/csentry/entry.go
@@ -84,7 +84,7 @@
 		peers = append(peers, cslink.Peer{Node: csrpc.StoreNode(ip), Address: o.PeerAddress(ip)})
 	}
 	links, err := cslink.New(cslink.Options{
-		Self: csrpc.EntryNode(o.IP), Incarnation: csmodel.Incarnation(o.Clock.Now().UnixMicro()), Secret: csrpc.LinkKey,
+		Self: csrpc.EntryNode(o.IP), Incarnation: csrpc.LinkIncarnation, Secret: csrpc.LinkKey,
 		Listener: o.Listener, Peers: peers, Handle: e.receive, Log: o.Log,
 		Dials:     []cslink.Channel{cslink.Control}, // all calls of entries use it
 		Up:        func(n csmodel.NodeID, _ csmodel.Incarnation) { e.up(n) },
--- a/internal/node/csrpc/messages.go
+++ b/internal/node/csrpc/messages.go
@@ -132,5 +132,10 @@
 	return IsEntry(n) || strings.HasPrefix(string(n), storePrefix)
 }
 
+// LinkIncarnation is the incarnation of all processes on their links, which tell lives apart by random numbers. One that came from the
+// clock would be refused after the time of day was set back, until it has passed the start of the earlier life. It is above the
+// incarnations of earlier versions, which came from the clock, so that their processes accept it.
+const LinkIncarnation csmodel.Incarnation = 1 << 62
+
 // LinkKey authenticates links where the deployment has no secret of its own.
 const LinkKey = "cowslipstream: links without a configured key"
--- a/internal/node/csstore/store.go
+++ b/internal/node/csstore/store.go
@@ -220,7 +220,7 @@
 		peers = append(peers, cslink.Peer{Node: csrpc.StoreNode(ip), Address: s.options.PeerAddress(ip)})
 	}
 	links, err := cslink.New(cslink.Options{
-		Self: s.self, Incarnation: csmodel.Incarnation(s.options.Clock.Now().UnixMicro()), Secret: csrpc.LinkKey,
+		Self: s.self, Incarnation: csrpc.LinkIncarnation, Secret: csrpc.LinkKey,
 		Listener: s.options.Listener, Peers: peers, Admit: csrpc.Known, Handle: s.receive,
 		Up: s.linkUp, Down: s.linkDown, Log: s.log, Heartbeat: linkHeartbeat, Silence: linkSilence,
 	})
