Number calls between processes from a random number

An answer to an earlier process at an address could end a call of the process that followed it there, because both numbered their calls from 1 (seen by the review by reading).

Before, TestAnswerToEarlierProcess failed (got the answer of the earlier call). Measured: it passes, with all tests of csrpc.

--- a/internal/node/csrpc/rpc.go
+++ b/internal/node/csrpc/rpc.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 
 	"github.com/fxamacker/cbor/v2"
@@ -71,7 +72,8 @@
 // New returns a caller. A nil handler answers no calls.
 func New(s Sender, h Handler) *Caller {
 	return &Caller{
-		sender: s, handler: h, slots: make(chan struct{}, maxCalls),
+		// An answer to an earlier process at this address must not match a call of this one.
+		sender: s, handler: h, slots: make(chan struct{}, maxCalls), last: rand.Uint64(),
 		waiting: map[uint64]waiter{}, up: csmodel.NewSet[csmodel.NodeID](),
 	}
 }
--- a/internal/node/csrpc/rpc_test.go
+++ b/internal/node/csrpc/rpc_test.go
@@ -109,3 +109,30 @@
 		t.Error("the call still waits")
 	}
 }
+
+// recorder keeps the messages of a caller.
+type recorder struct{ payloads [][]byte }
+
+func (r *recorder) Send(_ csmodel.NodeID, _ cslink.Channel, _ cslink.Kind, payload []byte, _ string) error {
+	r.payloads = append(r.payloads, payload)
+	return nil
+}
+
+// Guards against an answer to an earlier process that ends a call of the process that has followed it at its address.
+func TestAnswerToEarlierProcess(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	sent := &recorder{}
+	earlier := csrpc.New(sent, nil)
+	earlier.Up("server")
+	_, _ = earlier.Call(ctx, "server", csrpc.MethodJob, []byte("x"))
+	answer := sent.payloads[0] // an answer has the number and the form of its call
+	c := csrpc.New(&recorder{}, nil)
+	c.Up("server")
+	ctx, cancel = context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	time.AfterFunc(20*time.Millisecond, func() { _, _ = c.Receive("server", csrpc.KindAnswer, answer) })
+	if got, err := c.Call(ctx, "server", csrpc.MethodJob, []byte("y")); !errors.Is(err, csrpc.ErrNoAnswer) {
+		t.Errorf("got answer %q and error %v, want %v", got, err, csrpc.ErrNoAnswer)
+	}
+}
