--- a/csgroup/slowdisk_test.go
+++ b/csgroup/slowdisk_test.go
@@ -112,8 +112,8 @@
 		observed  = 30 * time.Second
 		interval  = 10 * time.Millisecond
 	)
-	for _, delay := range []time.Duration{5, 50, 100, 150, 200, 300, 400} {
-		delay *= time.Millisecond
+	for _, ms := range []int{5, 50, 100, 150, 200, 300, 400} {
+		delay := time.Duration(ms) * time.Millisecond
 		t.Run(fmt.Sprint(delay), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := startSlowGroups(t, delay)
--- a/internal/node/csstore/calls.go
+++ b/internal/node/csstore/calls.go
@@ -51,7 +51,7 @@
 	status := s.group.Status()
 	a := csrpc.LeaderAnswer{Leader: status.Leader, Term: status.Term}
 	for _, m := range status.Members {
-		a.Stores = append(a.Stores, m.Member.Node)
+		a.Stores = append(a.Stores, m.Node)
 	}
 	replica{s}.View(func(t *csjob.Table) { a.Ready = t.Config() != nil })
 	a.Ready = a.Ready && status.Leading
