Entries: open links to further members only while no leader is found

An entry keeps the names of the members and opens links to them after eight searches in a row without a link to a leader.

--- a/internal/node/csentry/entry.go
+++ b/internal/node/csentry/entry.go
@@ -64,6 +64,9 @@
 	leader csmodel.NodeID
 	term   csmodel.Term
 	ready  csmodel.NodeID // the leader that has said that it can take requests
+	// members are the stores of the group, as one of them told last.
+	members    []csmodel.NodeID
+	leaderless int // searches in a row that began without a link to a leader
 }
 
 // New starts the entry.
--- a/internal/node/csentry/watch.go
+++ b/internal/node/csentry/watch.go
@@ -22,6 +22,9 @@
 	searchInterval = 150 * time.Millisecond
 	// searchTimeout bounds such a question, so that a frozen store does not delay the next one to the others.
 	searchTimeout = 200 * time.Millisecond
+	// lonelySearches is the number of searches in a row without a link to a leader, longer than most elections, after which the entry also asks the
+	// members that it has no link to.
+	lonelySearches = 8
 )
 
 // watch asks who leads.
@@ -54,6 +57,7 @@
 
 // ask asks the leader, or all stores where none is known.
 func (e *Entry) ask(ctx context.Context) {
+	e.meetMembers()
 	to, timeout := e.calls.Peers(), searchTimeout
 	if leader := e.current(); leader != "" && e.calls.Connected(leader) {
 		to, timeout = []csmodel.NodeID{leader}, askTimeout
@@ -83,9 +87,7 @@
 
 // heard takes in what a store says of the leader.
 func (e *Entry) heard(from csmodel.NodeID, a csrpc.LeaderAnswer) {
-	for _, n := range a.Stores {
-		e.meet(n)
-	}
+	e.remember(a.Stores)
 	switch a.Leader {
 	case "":
 		e.forget(from)
@@ -123,6 +125,36 @@
 	e.meet(leader)
 }
 
+// remember keeps the members of the group. An empty list says nothing.
+func (e *Entry) remember(members []csmodel.NodeID) {
+	if len(members) == 0 {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.members = members
+}
+
+// meetMembers opens links to the members of the group while the entry finds no leader with the links that it has. It needs no others
+// otherwise, and each link costs heartbeats.
+func (e *Entry) meetMembers() {
+	leader := e.current()
+	connected := leader != "" && e.calls.Connected(leader)
+	e.mu.Lock()
+	e.leaderless++
+	if connected {
+		e.leaderless = 0
+	}
+	var members []csmodel.NodeID
+	if e.leaderless >= lonelySearches {
+		members = e.members
+	}
+	e.mu.Unlock()
+	for _, n := range members {
+		e.meet(n)
+	}
+}
+
 // meet opens a link to a store. It does nothing if the store is known.
 func (e *Entry) meet(store csmodel.NodeID) {
 	ip, ok := csrpc.StoreIP(store)
