Take the signal for changed settings from the start of a process

The signal ends a process that has not asked for it; watching began after the entry was created since new seeds are passed on to it.

Measured: all tests of cmd pass; the soak sends the signal.

--- a/cmd/cowslipstream/roles.go
+++ b/cmd/cowslipstream/roles.go
@@ -77,6 +77,7 @@
 	ring     *cslog.Ring
 	registry *prometheus.Registry
 	link     net.Listener
+	hup      chan os.Signal // the platform says that the settings file has changed
 }
 
 func (a *app) newProcess(level string) (*process, error) {
@@ -84,7 +85,8 @@
 	if err != nil {
 		return nil, &usageError{cause: err}
 	}
-	p := &process{settings: settings, ring: cslog.NewRing(a.stdout, logLines), registry: prometheus.NewRegistry()}
+	p := &process{settings: settings, ring: cslog.NewRing(a.stdout, logLines), registry: prometheus.NewRegistry(), hup: make(chan os.Signal, 1)}
+	signal.Notify(p.hup, syscall.SIGHUP) // before anything that takes time: the signal ends a process that does not take it
 	p.log, err = cslog.New(level, p.ring)
 	if err != nil {
 		return nil, &usageError{cause: err}
@@ -124,8 +126,6 @@
 // watchSettings logs changes of the settings file and calls seedsChanged with new seeds. Only a start applies other changes:
 // addresses and folders do not change while a process runs.
 func (p *process) watchSettings(ctx context.Context, seedsChanged func([]string)) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
 	ticker := time.NewTicker(settingsPoll)
 	defer ticker.Stop()
 	seen := p.settings.Seeds
@@ -134,7 +134,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-p.hup:
 			asked = true
 		case <-ticker.C:
 		}
