--- /dev/null
+++ b/internal/jobs/csjob/runs.go
@@ -0,0 +1,150 @@
+package csjob
+
+import (
+	"slices"
+	"time"
+)
+
+// startRun opens a run. A start has no effect if its job or task has ended, its attempt has been used, its incarnation is not
+// the current one of a known target, or an open run of the task excludes another one.
+func (t *Table) startRun(s Start, at time.Time) {
+	j := t.state.Jobs[s.Task.Job]
+	if j == nil || j.State.Final() {
+		return
+	}
+	task := j.Task(s.Task)
+	target, known := t.state.Targets[s.Incarnation.Target]
+	if task == nil || task.Done || s.Attempt <= task.Attempts || !known || target.Incarnation != s.Incarnation {
+		return
+	}
+	if len(task.Runs) > 0 && !j.Submission.Steps[s.Task.Step].Speculative {
+		return
+	}
+	task = j.begin(s.Task.Occurrence).task(s.Task.Step, s.Task.Index)
+	task.Attempts = s.Attempt
+	task.Runs = append(task.Runs, Run{Attempt: s.Attempt, Incarnation: s.Incarnation, StartedAt: at})
+	j.OpenRuns++
+	t.addOpenRuns(s.Incarnation, s.Task, 1)
+}
+
+// begin records that a target has started a task of a job.
+func (t *Table) begin(id ID) {
+	if j := t.state.Jobs[id]; j != nil && j.State == Queued {
+		j.State = Running
+	}
+}
+
+// addOpenRuns adds n to the number of open runs of a task on an incarnation of a target, and logs the change.
+func (t *Table) addOpenRuns(l Incarnation, k TaskKey, n int) {
+	t.recordRunChange(l, k)
+	counts := t.openRuns[l]
+	if counts == nil {
+		counts = map[TaskKey]int{}
+		t.openRuns[l] = counts
+	}
+	if counts[k] += n; counts[k] <= 0 {
+		delete(counts, k)
+	}
+	if len(counts) == 0 {
+		delete(t.openRuns, l)
+	}
+}
+
+// endRun records the end of a run. The end of an unknown run has no effect.
+func (t *Table) endRun(e End, at time.Time) {
+	j := t.state.Jobs[e.Task.Job]
+	if j == nil {
+		return
+	}
+	o := j.begun(e.Task.Occurrence)
+	if o == nil {
+		return // never started, or finished
+	}
+	task := o.task(e.Task.Step, e.Task.Index)
+	if task == nil {
+		return
+	}
+	i := slices.IndexFunc(task.Runs, func(r Run) bool { return r.Attempt == e.Attempt })
+	if i < 0 {
+		t.confirmEnd(j, o, task, e, at)
+		return
+	}
+	// A restarted target may run a task that was sent to its earlier incarnation, so the incarnation on record is used rather
+	// than the reported one.
+	incarnation := task.Runs[i].Incarnation
+	task.Runs = slices.Delete(task.Runs, i, i+1)
+	j.OpenRuns--
+	t.addOpenRuns(incarnation, e.Task, -1)
+	t.recordGangChange(j, e.Task)
+	if e.Checkpoint != "" && e.Attempt == task.Attempts {
+		task.Checkpoint = e.Checkpoint
+	}
+	if e.Outcome == OutcomeNotStarted {
+		j.addUnconfirmed(e.Task, task, e.Attempt)
+	}
+	t.applyOutcome(j, o, task, e, at)
+	j.releaseOccurrence(o.Number)
+	t.releaseEnded(j)
+}
+
+// confirmEnd applies the late report of an unconfirmed end: the run was given up with its target, or was taken to have never
+// started although a delayed start reached the target's next incarnation. The target keeps the report until it is
+// acknowledged, and the acknowledgement is final: a task that was reported as done must not start again.
+func (t *Table) confirmEnd(j *Job, o *Occurrence, task *Task, e End, at time.Time) {
+	i := slices.Index(task.Unconfirmed, e.Attempt)
+	if i < 0 {
+		return
+	}
+	task.Unconfirmed = slices.Delete(task.Unconfirmed, i, i+1)
+	if e.Checkpoint != "" && e.Attempt == task.Attempts {
+		task.Checkpoint = e.Checkpoint
+	}
+	t.applyOutcome(j, o, task, e, at)
+	j.releaseOccurrence(o.Number)
+	t.releaseEnded(j)
+}
+
+// applyOutcome updates the task and its job after the end of a run. The failures of a gang are counted on its first task.
+func (t *Table) applyOutcome(j *Job, o *Occurrence, task *Task, e End, at time.Time) {
+	step := j.Submission.Steps[e.Task.Step]
+	if j.State.Final() || step.LongRunning {
+		return
+	}
+	switch e.Outcome {
+	case OutcomeDone:
+		t.completeTask(o, task, e.Task, step)
+		if o.done() && j.allDone() {
+			t.finishJob(j, Completed, at)
+		}
+	case OutcomeFailed:
+		counted := task
+		if step.Gang {
+			counted = &o.Tasks[e.Task.Step][0]
+		}
+		counted.Failures++
+		if q := t.queueOf(j); !task.Done && counted.Failures >= max(1, q.Attempts) {
+			t.finishJob(j, Failed, at)
+		}
+	case OutcomeStopped, OutcomeLost, OutcomeGangMemberEnded, OutcomeGangTimeout, OutcomeNotStarted:
+	}
+}
+
+// completeTask marks a task as done, or all tasks of its step if it is a gang.
+func (t *Table) completeTask(o *Occurrence, task *Task, key TaskKey, step Step) {
+	remaining := &o.Remaining[key.Step]
+	if step.Gang {
+		for i := range o.Tasks[key.Step] {
+			o.Tasks[key.Step][i].Done = true
+			member := key
+			member.Index = i
+			t.recordTaskChange(member, &o.Tasks[key.Step][i])
+		}
+		*remaining = 0
+		return
+	}
+	if !task.Done {
+		task.Done = true
+		t.recordTaskChange(key, task)
+		*remaining--
+	}
+}
--- /dev/null
+++ b/internal/jobs/csplan/place.go
@@ -0,0 +1,256 @@
+package csplan
+
+import (
+	"cmp"
+	"slices"
+
+	"cowslipstream.example/cowslipstream/csmodel"
+	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
+)
+
+// Slot is a target with its free resources, as a candidate for placement.
+type Slot struct {
+	Incarnation csjob.Incarnation
+	Zone        csmodel.AvailabilityZone
+	Free        csjob.Resources
+	// Drained is what is free once all batch runs have ended. Long-running tasks don't end.
+	Drained csjob.Resources
+	Rack    string
+	Labels  []string
+	// Starting is the number of tasks placed there whose starts the target has not confirmed.
+	Starting int
+	// Preferred is false if the target should get a task only when no other target can take it.
+	Preferred bool
+	// EvictingSoon is set if the target will be removed soon.
+	EvictingSoon bool
+	reserved     bool // kept free for a more urgent task that doesn't fit yet
+	// Spread counts the open runs of each step that limits its tasks per target.
+	Spread map[StepKey]int
+}
+
+// Placement assigns a task to a slot.
+type Placement struct {
+	Task csjob.TaskKey
+	Slot *Slot
+}
+
+// MaxStarting is the number of unconfirmed starts from which a target gets no more tasks. Starts are sent a few at a time, and a task
+// that waits for its turn on one target could run on another. Gangs are exempt, because all their tasks must be placed together.
+const MaxStarting = 64
+
+// maxFailedSteps is how many more steps may fail to fit after the first one before Place stops, so that a long backlog costs
+// little time. Steps that fit no slot even when its batch runs have ended don't count: they may stay forever.
+const maxFailedSteps = 40
+
+// Place assigns waiting tasks to slots and subtracts their resources from the slots. starting reports whether a task is already
+// being started.
+//
+// It reserves a slot for each long-running step that doesn't fit, and for the most urgent other step that doesn't fit if that
+// one is feasible. Otherwise smaller tasks would take the resources as they become free. A slot is reserved only for a task that
+// fits once the batch runs there have ended.
+func Place(work []Work, slots []*Slot, starting func(csjob.TaskKey) bool) []Placement {
+	for _, s := range slots {
+		s.reserved = false
+	}
+	var out []Placement
+	failed := 0
+	mayReserve := true
+	pool := capacityOf(slots)
+	for i := range work {
+		if !pool.holds(work[i].Step) {
+			continue // nothing that ends makes room for it, so it must not count as failed
+		}
+		placed, complete := placeStep(&work[i], slots, starting)
+		out = append(out, placed...)
+		if complete {
+			continue
+		}
+		failed++
+		if class := work[i].urgency.class; class == longRunning || (class == feasible && mayReserve) {
+			reserved := reserveSlot(&work[i], slots)
+			mayReserve = mayReserve && (class == longRunning || !reserved)
+		}
+		if failed > maxFailedSteps {
+			break
+		}
+	}
+	return out
+}
+
+// capacity is an upper bound of what any slot of a pool can hold once its batch runs have ended.
+type capacity struct {
+	slots   []*Slot
+	largest csjob.Resources // by component
+	labels  map[string]bool // whether a slot has the label; filled as needed
+}
+
+func capacityOf(slots []*Slot) *capacity {
+	c := &capacity{slots: slots}
+	for _, s := range slots {
+		c.largest.CPU = max(c.largest.CPU, s.Drained.CPU)
+		c.largest.Memory = max(c.largest.Memory, s.Drained.Memory)
+		c.largest.GPUs = max(c.largest.GPUs, s.Drained.GPUs)
+	}
+	return c
+}
+
+// holds reports false for a step that fits no slot of the pool. Its cost doesn't depend on the number of slots.
+func (c *capacity) holds(step *csjob.Step) bool {
+	if !c.largest.Fits(step.Needs()) {
+		return false
+	}
+	if step.Label == "" {
+		return true
+	}
+	known, found := c.labels[step.Label]
+	if !found {
+		known = slices.ContainsFunc(c.slots, func(s *Slot) bool { return slices.Contains(s.Labels, step.Label) })
+		if c.labels == nil {
+			c.labels = map[string]bool{}
+		}
+		c.labels[step.Label] = known
+	}
+	return known
+}
+
+// placeStep places the waiting tasks of a step, those of a gang all or none. complete is false if a task did not fit.
+func placeStep(w *Work, slots []*Slot, starting func(csjob.TaskKey) bool) (out []Placement, complete bool) {
+	if w.Step.Gang && !w.allIdle(starting) {
+		return nil, true // its open runs must end first, because the members share an attempt number
+	}
+	need := w.Step.Needs()
+	rack := ""
+	for i := range w.Idle() {
+		key := w.task(i)
+		if starting(key) {
+			continue
+		}
+		s := bestSlot(w, slots, need, rack)
+		if s == nil {
+			if w.Step.Gang {
+				releaseAll(out, w)
+				return nil, false
+			}
+			return out, false
+		}
+		if w.Step.RackLocal {
+			rack = s.Rack
+		}
+		s.Allocate(w.Step, w.Key)
+		out = append(out, Placement{Task: key, Slot: s})
+	}
+	return out, true
+}
+
+// allIdle reports whether no task of the step is done, running or being started.
+func (w *Work) allIdle(starting func(csjob.TaskKey) bool) bool {
+	for i := range w.tasks {
+		if !w.tasks[i].Idle() || starting(w.task(i)) {
+			return false
+		}
+	}
+	return true
+}
+
+// reserveSlot reserves the slot with the smallest shortfall for a task of the step, among the eligible slots that can hold the
+// task once their batch runs have ended. It reports false if there is none. The choice doesn't change while the slot drains.
+func reserveSlot(w *Work, slots []*Slot) bool {
+	need := w.Step.Needs()
+	var best *Slot
+	for _, s := range slots {
+		if !eligible(w, s) || !s.Drained.Fits(need) {
+			continue
+		}
+		if best == nil || shortfall(s, need) < shortfall(best, need) {
+			best = s
+		}
+	}
+	if best != nil {
+		best.reserved = true
+	}
+	return best != nil
+}
+
+// shortfall returns the CPU or memory that a slot lacks as a fraction of the need, whichever is larger.
+func shortfall(s *Slot, need csjob.Resources) float64 {
+	cpu := float64(need.CPU-s.Free.CPU) / float64(max(need.CPU, 1))
+	memory := float64(need.Memory-s.Free.Memory) / float64(max(need.Memory, 1))
+	return max(cpu, memory)
+}
+
+// eligible reports whether a slot may take a task of the step, regardless of its free resources.
+func eligible(w *Work, s *Slot) bool {
+	switch {
+	case s.reserved:
+		return false
+	case s.Starting >= MaxStarting && !w.Step.Gang:
+		return false
+	case w.Step.Label != "" && !slices.Contains(s.Labels, w.Step.Label):
+		return false
+	case w.Step.MaxPerTarget > 0 && s.Spread[w.Key] >= w.Step.MaxPerTarget:
+		return false
+	default:
+		return true
+	}
+}
+
+// Allocate subtracts the resources of a run of a step from the slot.
+func (s *Slot) Allocate(step *csjob.Step, k StepKey) {
+	s.Free = s.Free.Sub(step.Needs())
+	s.Starting++
+	if step.LongRunning {
+		s.Drained = s.Drained.Sub(step.Needs())
+	}
+	if step.MaxPerTarget == 0 {
+		return
+	}
+	if s.Spread == nil {
+		s.Spread = map[StepKey]int{}
+	}
+	s.Spread[k]++
+}
+
+// releaseAll returns the resources of the placed members of an incomplete gang to their slots.
+func releaseAll(placed []Placement, w *Work) {
+	for _, p := range placed {
+		p.Slot.Free = p.Slot.Free.Add(w.Step.Needs())
+		p.Slot.Starting--
+		if w.Step.LongRunning {
+			p.Slot.Drained = p.Slot.Drained.Add(w.Step.Needs())
+		}
+		if w.Step.MaxPerTarget > 0 {
+			p.Slot.Spread[w.Key]--
+		}
+	}
+}
+
+// bestSlot returns the best slot for one more task of a step, or nil if none fits. It prefers, in this order, cool slots, slots
+// in the rack of the data or of the other tasks, for long-running tasks slots that are not removed soon, and slots with the least
+// free CPU. The last keeps resources free for large tasks. rack is the rack of the tasks already placed, or empty.
+func bestSlot(w *Work, slots []*Slot, need csjob.Resources, rack string) *Slot {
+	wantedRack := cmp.Or(rack, w.Step.DataRack)
+	var best *Slot
+	var bestInRack, bestCool bool
+	for _, s := range slots {
+		if !s.Free.Fits(need) || !eligible(w, s) {
+			continue
+		}
+		inRack := wantedRack == "" || s.Rack == wantedRack
+		better := best == nil
+		switch {
+		case better:
+		case s.Preferred != bestCool:
+			better = s.Preferred
+		case inRack != bestInRack:
+			better = inRack
+		case w.Step.LongRunning && s.EvictingSoon != best.EvictingSoon:
+			better = best.EvictingSoon
+		default:
+			better = s.Free.CPU < best.Free.CPU
+		}
+		if better {
+			best, bestInRack, bestCool = s, inRack, s.Preferred
+		}
+	}
+	return best
+}
