--- a/review/standin-2/executor.go
+++ b/review/standin-2/executor.go
@@ -18,6 +18,7 @@
 	executorCPU    = 16000
 	executorMemory = 65536
 	executorPort   = 8466
+	endsPerAnswer  = 500
 )
 
 // taskRun is one run of a task on an executor.
@@ -93,6 +94,9 @@
 	return !e.gone
 }
 
+// labels returns the kind and the rack, of which each holds four executors.
+func (e *executor) labels() []string { return []string{"a", fmt.Sprintf("r1-%d", e.index/4+1)} }
+
 func (e *executor) clock() time.Duration { return time.Since(e.started) }
 
 // crash ends the life. What runs there ends with it, and nobody is told.
@@ -173,9 +177,9 @@
 	if lists {
 		running, finished := [][]any{}, [][]any{}
 		for _, r := range e.running {
-			running = append(running, []any{r.task, r.attempt, e.world.saved(r), 100, 0})
+			running = append(running, []any{r.task, r.attempt, e.world.saved(r), e.world.percent(r), e.world.load(r)})
 		}
-		for _, r := range e.ended {
+		for _, r := range e.ended[:min(len(e.ended), endsPerAnswer)] {
 			finished = append(finished, []any{r.number, r.task, r.attempt, r.how, e.world.saved(r)})
 		}
 		body["born"], body["Running"], body["Finished"] = e.born, running, finished
@@ -246,7 +250,7 @@
 	e.running[o.Task] = r
 	e.world.began(r)
 	if e.failsAll {
-		time.AfterFunc(100*time.Millisecond, func() { e.finish(r, "failed") })
+		e.list(r, "failed")
 	}
 	return http.StatusOK, ""
 }
@@ -277,19 +281,21 @@
 // finish ends a run and lists its end.
 func (e *executor) finish(r *taskRun, how string) {
 	e.mu.Lock()
-	if e.gone || e.running[r.task] != r {
-		e.mu.Unlock()
-		return
+	defer e.mu.Unlock()
+	if !e.gone && e.running[r.task] == r {
+		e.list(r, how)
 	}
+}
+
+// list ends a run and lists its end. The caller holds the lock.
+func (e *executor) list(r *taskRun, how string) {
 	delete(e.running, r.task)
 	e.highest[r.task] = max(e.highest[r.task], r.attempt)
 	e.next++
 	r.number = e.next
-	r.how = how
 	e.ended = append(e.ended, r)
 	close(e.wake)
 	e.wake = make(chan struct{})
-	e.mu.Unlock()
 	e.world.ended(r, how)
 }
 
@@ -331,7 +337,7 @@
 	e.sequence++
 	body := map[string]any{
 		"Service": service, "Address": e.address, "Zone": e.zone, "Version": "v1", "Slots": 8, "State": "ready", "ColdMs": 0,
-		"Capacity": map[string]any{"Cpu": executorCPU, "MemMb": executorMemory, "Gpus": 0}, "Labels": []string{"a", "r1-1"},
+		"Capacity": map[string]any{"Cpu": executorCPU, "MemMb": executorMemory, "Gpus": 0}, "Labels": e.labels(),
 		"ClockMs": e.clock().Milliseconds(), "Seq": e.sequence, "born": e.born,
 	}
 	first, beatTo := e.sequence == 1, e.beatTo
--- a/review/standin-2/proxy.go
+++ b/review/standin-2/proxy.go
@@ -98,12 +98,19 @@
 	}
 }
 
-// heal lets new connections work. The silent ones are closed.
+// heal lets new connections work. Connections to a store that were open during the cut stay silent, so that the end of the cut resets
+// none of its connections; those that never reached it are closed.
 func (p *proxy) heal() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.off = false
-	p.closePairs()
+	for _, s := range p.pairs {
+		s.mu.Lock()
+		if s.silent && len(s.ends) == 1 {
+			_ = s.ends[0].Close()
+		}
+		s.mu.Unlock()
+	}
 }
 
 func (p *proxy) closePairs() {
--- a/review/standin-2/runs.go
+++ b/review/standin-2/runs.go
@@ -100,8 +100,7 @@
 	}
 	w.mu.Unlock()
 	if breaks {
-		// The members on other executors notice a moment later; those that fail by themselves until then have failed.
-		time.AfterFunc(200*time.Millisecond, func() { w.endGang(g, r.attempt, r, "broken") })
+		go w.endGang(g, r.attempt, r, "broken")
 	}
 }
 
@@ -132,6 +131,35 @@
 	return fmt.Sprintf("%08x%s", work.Truncate(time.Second).Milliseconds(), job[:8])
 }
 
+// percent returns the progress of a run. A task that lasts is at work from its start.
+func (w *world) percent(r *taskRun) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	g := w.gangs[gangKey(stepOf(r))]
+	switch {
+	case g == nil || (g.step.Gang && g.since.IsZero()):
+		return 0
+	case g.step.LongRunning:
+		return 100
+	}
+	return min(99, int(100*time.Since(r.from).Milliseconds()/max(1, g.step.EstimateMs)))
+}
+
+// load returns the processor time in use, in thousandths of a core.
+func (w *world) load(r *taskRun) int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if g := w.gangs[gangKey(stepOf(r))]; g != nil {
+		return g.step.Cpu
+	}
+	return 0
+}
+
+func stepOf(r *taskRun) (job string, step int) {
+	job, _, step, _ = taskName(r.task)
+	return job, step
+}
+
 // workOf returns the work that a checkpoint stands for.
 func workOf(checkpoint string) time.Duration {
 	var ms int64
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -245,19 +245,32 @@
 	return append([]*executor{}, w.executors...)
 }
 
-// cloudHandler lists the machines. There is one pool, so no order makes sense; one that comes is refused.
+// latest returns the last life on each machine.
+func (w *world) latest() []*executor {
+	out := []*executor{}
+	for _, e := range w.all() {
+		for len(out) <= e.index {
+			out = append(out, e)
+		}
+		out[e.index] = e
+	}
+	return out
+}
+
+// cloudHandler lists the machines, those without an executor as down. There is one pool, so no order makes sense; one that comes is refused.
 func (w *world) cloudHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /cowslipstream/machines", func(out http.ResponseWriter, _ *http.Request) {
 		machines := []map[string]any{}
-		for _, e := range w.all() {
-			if !e.alive() {
-				continue
+		for _, e := range w.latest() {
+			m := map[string]any{
+				"Machine": fmt.Sprintf("m-%04d", e.index+1), "Pool": service, "State": "down", "Zone": e.zone, "Labels": e.labels(),
+				"Capacity": map[string]any{"Cpu": executorCPU, "MemMb": executorMemory, "Gpus": 0},
+			}
+			if e.alive() {
+				m["State"], m["Id"] = "up", e.id
 			}
-			machines = append(machines, map[string]any{
-				"Machine": "m-" + e.id, "Pool": service, "State": "up", "Zone": e.zone, "Labels": []string{"a", "r1-1"},
-				"Capacity": map[string]any{"Cpu": executorCPU, "MemMb": executorMemory, "Gpus": 0}, "Id": e.id,
-			})
+			machines = append(machines, m)
 		}
 		_ = json.NewEncoder(out).Encode(map[string]any{"Machines": machines})
 	})
