--- a/review/standin-2/case9.go
+++ b/review/standin-2/case9.go
@@ -14,7 +14,7 @@
 // lateSubmission: an entry is cut off from the stores while a client hands a job in there. The client gets no clear answer, gives
 // the job up and cancels it at another entry, which knows of no such job. The job must not run when the cut is over.
 func lateSubmission(w *world, trouble bool) int {
-	const cut, cancelLimit = 5 * time.Second, 3 * time.Second
+	const cut, cancelLimit = 5400 * time.Millisecond, 3 * time.Second
 	if err := w.interpose(w.entries[0]); err != nil {
 		w.notef("%v", err)
 		return unable
