End closed targets by the clock

Cause: the heartbeat of a new incarnation closes the earlier one, which gets no more polls. If its runs can't be stopped on the new incarnation, the next heartbeat repeats that. Without one only the check for lost targets is left, and it asked for an unanswered poll from after the end of the lease, also of targets that are not polled. A closed target that is silent now ends by the clock alone: the longest lease that could have begun by the restart is over, and none was extended. The same holds where the stops succeed and the command with the new incarnation is lost.

--- a/internal/jobs/csrun/target.go
+++ b/internal/jobs/csrun/target.go
@@ -212,7 +212,7 @@
 }
 
 // lost reports whether the lease has expired and the target has not answered a poll sent after that. A target without runs
-// needs no such poll.
+// needs no such poll, and a closed one gets none.
 func (t *target) lost(now time.Time) bool {
 	if !t.leaseExpired(now) {
 		t.leaseOverAt = time.Time{}
@@ -221,7 +221,7 @@
 	if t.leaseOverAt.IsZero() {
 		t.leaseOverAt = now
 	}
-	return len(t.runs) == 0 || (!t.polling && !t.unansweredPollAt.Before(t.leaseOverAt))
+	return len(t.runs) == 0 || t.closed || (!t.polling && !t.unansweredPollAt.Before(t.leaseOverAt))
 }
 
 // unresponsive reports whether to give up a target that still sends heartbeats: its lease has expired, and no poll has been
