Ignore heartbeats that name an unknown pool

Cause: heartbeats were checked for their form only. The other program joined as a target, and a target that joins at the address of an older one ends that one. A heartbeat whose pool is not in the configuration now changes nothing; it is acknowledged and logged. A target that has joined keeps its pool when a configuration removes it. Before the first configuration targets join as before.

--- a/internal/jobs/csjob/read.go
+++ b/internal/jobs/csjob/read.go
@@ -26,6 +26,12 @@
 	return nil
 }
 
+// HasPool reports whether the current configuration has a pool.
+func (t *Table) HasPool(id csmodel.PoolID) bool {
+	c := t.state.Config
+	return c != nil && slices.ContainsFunc(c.Pools, func(p Pool) bool { return p.ID == id })
+}
+
 // queueOf returns the latest settings of the queue of a job, which the current configuration may no longer contain.
 func (t *Table) queueOf(j *Job) *Queue {
 	if j.queue == nil {
--- a/internal/jobs/csrun/heartbeats.go
+++ b/internal/jobs/csrun/heartbeats.go
@@ -24,6 +24,13 @@
 	incarnation := b.Target.Incarnation
 	w := r.targets[incarnation.Target]
 	switch {
+	case !r.poolKnown(w, b.Target):
+		// Another writer's, or of a pool that is not configured yet or any more. It is acknowledged, so that no other store is asked.
+		r.unknownPools.Do(func() {
+			r.log.Warn("heartbeat with unknown pool", zap.String("target", string(incarnation.Target)), zap.String("pool", string(b.Target.Pool)),
+				zap.String("address", b.Target.Address))
+		})
+		m.done <- nil
 	case w != nil && incarnation.StartedAtMs < w.incarnation.StartedAtMs, r.addressReused(b.Target):
 		m.done <- nil // a late heartbeat of an earlier incarnation
 	case w == nil && r.options.Fleet != nil && r.options.Fleet.Ended(incarnation):
@@ -39,6 +46,17 @@
 	}
 }
 
+// poolKnown reports whether a heartbeat names a pool of the configuration. A target that has joined keeps its pool after a configuration
+// has removed it, because its runs go on. Before the first configuration there are no runs, and every pool counts as known.
+func (r *runner) poolKnown(w *target, reported csjob.Target) bool {
+	if w != nil && w.incarnation == reported.Incarnation && w.record.Pool == reported.Pool {
+		return true
+	}
+	known := false
+	r.options.State.View(func(t *csjob.Table) { known = t.Config() == nil || t.HasPool(reported.Pool) })
+	return known
+}
+
 func (r *runner) refreshTarget(w *target, m *heartbeatReceived, now time.Time) {
 	b := m.heartbeat
 	if b.Sequence <= w.sequence && w.sequence > 0 {
--- a/internal/jobs/csrun/runner.go
+++ b/internal/jobs/csrun/runner.go
@@ -7,6 +7,7 @@
 
 	"github.com/asynkron/protoactor-go/actor"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"cowslipstream.example/cowslipstream/csmodel"
 	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
@@ -19,6 +20,8 @@
 const (
 	proposeTimeout = 3 * time.Second // longer than the timeouts of the operator and of targets
 	catchUpTimeout = time.Second
+	// unknownPoolLogInterval is the minimum time between two log lines about heartbeats with an unknown pool.
+	unknownPoolLogInterval = 10 * time.Second
 )
 
 // runner is the actor that makes the leader's decisions. All its state is volatile: a new leader rebuilds it from the table
@@ -30,6 +33,8 @@
 	termState
 	learned csplan.RunTimeEstimator
 	offered offeredLoad
+	// unknownPools limits the log lines about heartbeats with an unknown pool.
+	unknownPools rate.Sometimes
 }
 
 // termState is the runner's state for the term in which its node leads.
@@ -67,7 +72,10 @@
 }
 
 func newRunner(l *Leader) *runner {
-	return &runner{leader: l, options: l.options, log: l.options.Log}
+	return &runner{
+		leader: l, options: l.options, log: l.options.Log,
+		unknownPools: rate.Sometimes{First: 1, Interval: unknownPoolLogInterval},
+	}
 }
 
 // Receive implements actor.Actor.
