Ask at an address before a target there counts as replaced

Another program that names a pool of the configuration, and the address of a target, still ended the runs of that target: all its tasks ran twice.

Cause: addresses are reused only after their holder has ended, so the heartbeat of a younger target counted as proof of the end of an older one. It is the word of its sender only. The leader now polls the older target when another one joins at its address. If the address has passed on, the call is refused as one for another target, and the older one ends at once, as before. If it answers, it stays, its heartbeats go on to count, and the first poll of the younger one is refused.

--- a/internal/jobs/csrun/heartbeats.go
+++ b/internal/jobs/csrun/heartbeats.go
@@ -31,13 +31,13 @@
 				zap.String("address", b.Target.Address))
 		})
 		m.done <- nil
-	case w != nil && incarnation.StartedAtMs < w.incarnation.StartedAtMs, r.addressReused(b.Target):
-		m.done <- nil // a late heartbeat of an earlier incarnation
+	case r.outdated(w, b.Target):
+		m.done <- nil
 	case w == nil && r.options.Fleet != nil && r.options.Fleet.Ended(incarnation):
 		m.done <- nil // late heartbeat of a target whose VM was reclaimed
 	case w == nil:
 		r.addTargetEvent(csjob.TargetEvent{Target: b.Target}, m.done, "target joined")
-		r.endPredecessors(b.Target)
+		r.checkPredecessors(b.Target)
 	case w.incarnation != incarnation:
 		r.onRestart(w, b)
 		m.done <- nil
@@ -89,6 +89,19 @@
 	r.leader.requestRound()
 }
 
+// outdated reports whether a heartbeat is a late one of an incarnation that has ended: its target has restarted since, or the target is
+// not known and one that was started later has its address.
+func (r *runner) outdated(w *target, reported csjob.Target) bool {
+	switch {
+	case w == nil:
+		return r.addressReused(reported)
+	case w.incarnation == reported.Incarnation:
+		return false
+	default:
+		return reported.Incarnation.StartedAtMs < w.incarnation.StartedAtMs || r.addressReused(reported)
+	}
+}
+
 // addressReused reports whether a target that was started later has the same address.
 func (r *runner) addressReused(t csjob.Target) bool {
 	return slices.ContainsFunc(r.addresses.at(t.Address), func(id csjob.TargetID) bool {
@@ -96,15 +109,41 @@
 	})
 }
 
-// endPredecessors ends older targets with the same address. An address is reused only after its previous holder has ended.
-func (r *runner) endPredecessors(t csjob.Target) {
+// checkPredecessors asks whether older targets with the same address are still there. An address is reused only after its previous
+// holder has ended, but the heartbeat alone doesn't prove that: it may be another program's.
+func (r *runner) checkPredecessors(t csjob.Target) {
 	for _, id := range r.addresses.at(t.Address) {
 		if id != t.Incarnation.Target {
-			r.addTargetEvent(csjob.TargetEvent{Target: r.targets[id].record, Ended: true}, nil, "target replaced at its address")
+			r.checkAddress(r.targets[id])
 		}
 	}
 }
 
+// checkAddress calls a target to find out whether it still has its address. It doesn't wait for a poll in flight, which may be an
+// earlier holder's and would then end with its timeout.
+func (r *runner) checkAddress(w *target) {
+	r.options.Metrics.polls.Inc()
+	r.stats.callSent()
+	r.stats.polls++
+	ctx, record, timeout := r.ctx, w.record, r.options.Timing.CallTimeout
+	m := &addressChecked{term: r.term, incarnation: w.incarnation, fence: w.fence}
+	go func() {
+		limited, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		m.response, m.err = r.options.Workers.Poll(limited, record, PollRequest{Fence: m.fence})
+		r.send(m)
+	}()
+}
+
+// onAddressChecked ends a target whose address has passed on. Any other answer, or none, is left to its polls and its lease.
+func (r *runner) onAddressChecked(m *addressChecked) {
+	r.stats.callDone(m.err)
+	w := r.answeringTarget(m.term, m.incarnation, m.fence)
+	if w != nil && m.err == nil && m.response.Refusal == RefusedWrongTarget {
+		r.targetRefused(w, m.response.Refusal, r.now())
+	}
+}
+
 // onRestart handles a target that has restarted under its name. Orders for its previous incarnation may still arrive at the new
 // one, so every open run is stopped there before the previous incarnation is considered ended.
 func (r *runner) onRestart(w *target, b Heartbeat) {
--- a/internal/jobs/csrun/leader.go
+++ b/internal/jobs/csrun/leader.go
@@ -200,6 +200,13 @@
 		ends      []RunEnd
 		err       error
 	}
+	addressChecked struct {
+		term        csmodel.Term
+		incarnation csjob.Incarnation
+		fence       csmodel.Fence
+		response    PollResponse
+		err         error
+	}
 	commitResult struct {
 		term       csmodel.Term
 		command    csjob.Command
--- a/internal/jobs/csrun/runner.go
+++ b/internal/jobs/csrun/runner.go
@@ -104,6 +104,8 @@
 		r.handleOrderResult(m)
 	case *restartFenced:
 		r.onRestartFenced(m)
+	case *addressChecked:
+		r.onAddressChecked(m)
 	case *commitResult:
 		r.handleCommitResult(m)
 	}
