Keep the cancellation of an unknown job

Cause: links deliver what was not acknowledged on their next connection, and the cancellation of a job that was not known left no trace. A limit on the age of a submission would not help a client that cancels earlier, and depends on the clocks of two machines. The cancellation of an unknown job is now a command; the table keeps it as long as an ended job, and a submission that arrives later is cancelled from the start.

The random commands of TestReplicasAgree cancel unknown jobs less often, because those never run any more and the test would see fewer runs.

--- a/internal/jobs/csjob/command.go
+++ b/internal/jobs/csjob/command.go
@@ -44,6 +44,9 @@
 	ID    ID       `cbor:"2,keyasint"`
 }
 
+// name returns the key of a job in state.Cancelled.
+func (r JobRef) name() string { return queueName(r.Queue) + " " + string(r.ID) }
+
 // Start records the intent to run a task. It is committed before the target is told to start the run, so that a later leader
 // knows every run that may exist.
 type Start struct {
--- a/internal/jobs/csjob/snapshot.go
+++ b/internal/jobs/csjob/snapshot.go
@@ -44,6 +44,9 @@
 	if s.Uploads == nil {
 		s.Uploads = map[string]*upload{}
 	}
+	if s.Cancelled == nil {
+		s.Cancelled = map[string]time.Time{}
+	}
 	for _, w := range s.Waves {
 		if w.Begun == nil {
 			w.Begun = map[csmodel.VMID]time.Time{}
--- a/internal/jobs/csjob/table.go
+++ b/internal/jobs/csjob/table.go
@@ -44,6 +44,8 @@
 	Applied    uint64                        `cbor:"8,keyasint"`            // number of applied log entries
 	LastOrders map[csmodel.VMID]LastVMOrder  `cbor:"9,keyasint,omitempty"`  // last order for each VM
 	Uploads    map[string]*upload            `cbor:"10,keyasint,omitempty"` // commands with missing parts, by digest
+	// Cancelled holds when jobs were cancelled that were not known, by JobRef.name.
+	Cancelled map[string]time.Time `cbor:"11,keyasint,omitempty"`
 }
 
 // WaveState is a wave with its progress.
@@ -84,6 +86,7 @@
 	s.LastMoves = map[csmodel.VMID]time.Time{}
 	s.LastOrders = map[csmodel.VMID]LastVMOrder{}
 	s.Uploads = map[string]*upload{}
+	s.Cancelled = map[string]time.Time{}
 	t.openRuns = map[Incarnation]map[TaskKey]int{}
 	t.queues = map[string]*Queue{}
 }
@@ -203,7 +206,8 @@
 // queueName returns the key of a queue in state.Queues.
 func queueName(k QueueKey) string { return k.Host + " " + k.Prefix }
 
-// submit adds a job. A repeated submission to the same queue has no effect.
+// submit adds a job. A repeated submission to the same queue has no effect. A job that was cancelled before its submission arrived, for
+// example because the network delayed it, is cancelled from the start.
 func (t *Table) submit(s Submission, at time.Time, index csmodel.Index) Verdict {
 	if j := t.state.Jobs[s.ID]; j != nil {
 		if j.Submission.Queue != s.Queue {
@@ -222,12 +226,17 @@
 	j.queue = t.setQueue(*q)
 	t.state.Jobs[s.ID] = j
 	t.addActive(j)
+	if _, cancelled := t.state.Cancelled[JobRef{Queue: s.Queue, ID: s.ID}.name()]; cancelled {
+		t.finishJob(j, Cancelled, at)
+	}
 	return Accepted
 }
 
+// cancel ends a job. The cancellation of an unknown job is kept, because its submission may still be on its way.
 func (t *Table) cancel(r JobRef, at time.Time) Verdict {
 	j := t.state.Jobs[r.ID]
 	if j == nil || j.Submission.Queue != r.Queue {
+		t.state.Cancelled[r.name()] = at
 		return UnknownJob
 	}
 	if !j.State.Final() {
@@ -273,7 +282,7 @@
 	}
 }
 
-// pruneEnded deletes the ended jobs that are past their retention.
+// pruneEnded deletes the ended jobs and the cancellations of unknown jobs that are past their retention.
 func (t *Table) pruneEnded(at time.Time) {
 	retention := t.Retention
 	if retention == 0 {
@@ -284,4 +293,9 @@
 			delete(t.state.Jobs, id)
 		}
 	}
+	for name, cancelledAt := range t.state.Cancelled {
+		if at.Sub(cancelledAt) > retention {
+			delete(t.state.Cancelled, name)
+		}
+	}
 }
--- a/internal/jobs/csjob/table_test.go
+++ b/internal/jobs/csjob/table_test.go
@@ -311,6 +311,10 @@
 		c.Submit = &csjob.Submission{ID: id, Queue: queueKey, Steps: steps(3, 2), Spec: "spec", Repeats: repeats, Interval: time.Second}
 	case 1:
 		c.Cancel = &csjob.JobRef{Queue: queueKey, ID: id}
+		// A job that is cancelled before its submission never has runs, so most cancellations are of known jobs.
+		if h.table.Job(id) == nil && rapid.IntRange(0, 7).Draw(r, "early cancellation") > 0 {
+			c.Cancel.ID = "unknown"
+		}
 	case 2, 3:
 		c.Targets = []csjob.TargetEvent{{Target: csjob.Target{Incarnation: l, Pool: "p"}}}
 		c.Starts = []csjob.Start{{Task: k, Attempt: attempt + 1, Incarnation: l}}
--- a/internal/node/csstore/calls.go
+++ b/internal/node/csstore/calls.go
@@ -157,6 +157,8 @@
 		return csrpc.JobAnswer{Result: csrpc.ResultInvalid}
 	case j.request.Action == csrpc.ActionSubmit:
 		return csrpc.JobAnswer{}
+	case !mine && j.request.Action == csrpc.ActionCancel && len(j.id) == idLength:
+		return csrpc.JobAnswer{} // recorded, because the submission may still be on its way
 	case !mine:
 		return csrpc.JobAnswer{Result: csrpc.ResultNoJob}
 	case j.request.Action == csrpc.ActionState || job.State.Final():
