Count an attempt of a gang as one failure

Cause: the failures of a gang are counted on its first task, one for each member that ends as failed. The first task now keeps the failed attempts, and each counts once.

--- a/internal/jobs/csjob/job.go
+++ b/internal/jobs/csjob/job.go
@@ -210,6 +210,8 @@
 	// Unconfirmed lists the attempts that ended without a report of their target: the target was given up, or the attempt was
 	// taken to have never started. If a target reports their end later, its outcome still counts.
 	Unconfirmed []Attempt `cbor:"6,keyasint,omitempty"`
+	// FailedAttempts lists the failed attempts of a gang, on its first task: the members of an attempt may fail one by one.
+	FailedAttempts []Attempt `cbor:"7,keyasint,omitempty"`
 }
 
 // Idle reports whether the task is not done and has no open run.
--- a/internal/jobs/csjob/runs.go
+++ b/internal/jobs/csjob/runs.go
@@ -104,7 +104,7 @@
 	t.releaseEnded(j)
 }
 
-// applyOutcome updates the task and its job after the end of a run. The failures of a gang are counted on its first task.
+// applyOutcome updates the task and its job after the end of a run.
 func (t *Table) applyOutcome(j *Job, o *Occurrence, task *Task, e End, at time.Time) {
 	step := j.Submission.Steps[e.Task.Step]
 	if j.State.Final() || step.LongRunning {
@@ -121,7 +121,7 @@
 		if step.Gang {
 			counted = &o.Tasks[e.Task.Step][0]
 		}
-		counted.Failures++
+		counted.addFailure(step, e.Attempt)
 		if q := t.queueOf(j); !task.Done && counted.Failures >= max(1, q.Attempts) {
 			t.finishJob(j, Failed, at)
 		}
@@ -129,6 +129,18 @@
 	}
 }
 
+// addFailure counts a failed run. The failures of a gang are counted on its first task, and an attempt is one failure however many of its
+// members fail.
+func (t *Task) addFailure(step Step, a Attempt) {
+	if step.Gang {
+		if slices.Contains(t.FailedAttempts, a) {
+			return
+		}
+		t.FailedAttempts = append(t.FailedAttempts, a)
+	}
+	t.Failures++
+}
+
 // completeTask marks a task as done, or all tasks of its step if it is a gang.
 func (t *Table) completeTask(o *Occurrence, task *Task, key TaskKey, step Step) {
 	remaining := &o.Remaining[key.Step]
