Count only steps that wait for room against the limit of a round

Cause: a round of placement stopped after 41 steps that did not fit, and what nothing can make room for was told by the largest amounts of all targets and the labels only. A step now counts only if it fits, a gang as a whole, once the batch runs of the targets have ended, with the limit per target. The limit counts by label, closes the targets with the label only, and applies where batch runs use half of the pool or more. What needs no less than a step that did not fit is passed over without a look at the targets.

Measured: TestWorkBehindWaitingStepsIsPlaced fails without the change in the eight cases that want the job placed, and passes with it, as does the one that wants room kept.

--- a/internal/jobs/csjob/job.go
+++ b/internal/jobs/csjob/job.go
@@ -49,6 +49,20 @@
 	return need.CPU <= r.CPU && need.Memory <= r.Memory && need.GPUs <= r.GPUs
 }
 
+// Count returns how many times r covers need, at most limit.
+func (r Resources) Count(need Resources, limit int) int {
+	if need.CPU > 0 {
+		limit = min(limit, int(r.CPU/need.CPU))
+	}
+	if need.Memory > 0 {
+		limit = min(limit, int(r.Memory/need.Memory))
+	}
+	if need.GPUs > 0 {
+		limit = min(limit, r.GPUs/need.GPUs)
+	}
+	return max(0, limit)
+}
+
 // Step is a set of identical tasks of a job.
 type Step struct {
 	Tasks          int           `cbor:"1,keyasint"`
--- a/internal/jobs/csplan/place.go
+++ b/internal/jobs/csplan/place.go
@@ -38,9 +38,9 @@
 // that waits for its turn on one target could run on another. Gangs are exempt, because all their tasks must be placed together.
 const MaxStarting = 64
 
-// maxFailedSteps is how many more steps may fail to fit after the first one before Place stops, so that a long backlog costs
-// little time. Steps that fit no slot even when its batch runs have ended don't count: they may stay forever.
-const maxFailedSteps = 40
+// maxFailedSteps is how many steps may wait for room in the same slots before less urgent work has to leave these slots to them, so that a
+// long backlog of urgent work is not delayed by what fits into the gaps, and costs little time.
+const maxFailedSteps = 41
 
 // Place assigns waiting tasks to slots and subtracts their resources from the slots. starting reports whether a task is already
 // being started.
@@ -48,40 +48,81 @@
 // It reserves a slot for each long-running step that doesn't fit, and for the most urgent other step that doesn't fit if that
 // one is feasible. Otherwise smaller tasks would take the resources as they become free. A slot is reserved only for a task that
 // fits once the batch runs there have ended.
+//
+// Steps that don't fit even then may wait for ever, and don't keep others from being placed. Neither do steps that wait for slots with
+// a label keep others from other slots, nor any steps in a pool that is less than half in use.
 func Place(work []Work, slots []*Slot, starting func(csjob.TaskKey) bool) []Placement {
 	for _, s := range slots {
 		s.reserved = false
 	}
 	var out []Placement
-	failed := 0
+	var full unfit
+	failed := map[string]int{} // by label
 	mayReserve := true
 	pool := capacityOf(slots)
 	for i := range work {
-		if !pool.holds(work[i].Step) {
-			continue // nothing that ends makes room for it, so it must not count as failed
+		w := &work[i]
+		if !pool.holds(w.Step) || !w.placeable(starting) {
+			continue
+		}
+		if !full.covers(w.Step) {
+			placed, complete := placeStep(w, slots, starting)
+			out = append(out, placed...)
+			pool.allocate(w.Step, len(placed))
+			if complete {
+				continue
+			}
+			full.add(w.Step)
 		}
-		placed, complete := placeStep(&work[i], slots, starting)
-		out = append(out, placed...)
-		if complete {
+		if !w.fitsDrained(slots) {
 			continue
 		}
-		failed++
-		if class := work[i].urgency.class; class == longRunning || (class == feasible && mayReserve) {
-			reserved := reserveSlot(&work[i], slots)
+		if class := w.urgency.class; class == longRunning || (class == feasible && mayReserve) {
+			reserved := reserveSlot(w, slots)
 			mayReserve = mayReserve && (class == longRunning || !reserved)
 		}
-		if failed > maxFailedSteps {
-			break
+		label := w.Step.Label
+		failed[label]++
+		switch {
+		case failed[label] < maxFailedSteps || !pool.halfUsed():
+		case label == "":
+			return out
+		default:
+			reserveLabel(slots, label)
 		}
 	}
 	return out
 }
 
+// unfit holds what did not fit in a round. Resources only shrink during a round, so nothing larger fits later on, and most of a long
+// backlog is passed over without a look at the slots. The zero value is empty.
+type unfit struct {
+	steps []*csjob.Step
+}
+
+// add records that a task of a step did not fit. A step with a limit per target is not evidence for others.
+func (u *unfit) add(step *csjob.Step) {
+	if step.MaxPerTarget == 0 {
+		u.steps = append(u.steps, step)
+	}
+}
+
+// covers reports whether a step needs at least as much as one that did not fit. A gang must fit as a whole, and isn't subject to the limit of
+// unconfirmed starts.
+func (u *unfit) covers(step *csjob.Step) bool {
+	needs := step.Needs()
+	return slices.ContainsFunc(u.steps, func(o *csjob.Step) bool {
+		return o.Gang == step.Gang && (!o.Gang || o.Tasks <= step.Tasks) && (o.Label == "" || o.Label == step.Label) && needs.Fits(o.Needs())
+	})
+}
+
 // capacity is an upper bound of what any slot of a pool can hold once its batch runs have ended.
 type capacity struct {
 	slots   []*Slot
 	largest csjob.Resources // by component
 	labels  map[string]bool // whether a slot has the label; filled as needed
+	// drained is the CPU of all slots without that of long-running tasks, and free the part of it that no run uses.
+	drained, free csmodel.MilliCPU
 }
 
 func capacityOf(slots []*Slot) *capacity {
@@ -90,10 +131,24 @@
 		c.largest.CPU = max(c.largest.CPU, s.Drained.CPU)
 		c.largest.Memory = max(c.largest.Memory, s.Drained.Memory)
 		c.largest.GPUs = max(c.largest.GPUs, s.Drained.GPUs)
+		c.drained += s.Drained.CPU
+		c.free += s.Free.CPU
 	}
 	return c
 }
 
+// allocate accounts for placed tasks of a step.
+func (c *capacity) allocate(step *csjob.Step, tasks int) {
+	used := csmodel.MilliCPU(tasks) * step.Needs().CPU
+	c.free -= used
+	if step.LongRunning {
+		c.drained -= used
+	}
+}
+
+// halfUsed reports whether batch runs use at least half of the CPU that long-running tasks leave.
+func (c *capacity) halfUsed() bool { return 2*c.free <= c.drained }
+
 // holds reports false for a step that fits no slot of the pool. Its cost doesn't depend on the number of slots.
 func (c *capacity) holds(step *csjob.Step) bool {
 	if !c.largest.Fits(step.Needs()) {
@@ -115,9 +170,6 @@
 
 // placeStep places the waiting tasks of a step, those of a gang all or none. complete is false if a task did not fit.
 func placeStep(w *Work, slots []*Slot, starting func(csjob.TaskKey) bool) (out []Placement, complete bool) {
-	if w.Step.Gang && !w.allIdle(starting) {
-		return nil, true // its open runs must end first, because the members share an attempt number
-	}
 	need := w.Step.Needs()
 	rack := ""
 	for i := range w.Idle() {
@@ -142,6 +194,20 @@
 	return out, true
 }
 
+// placeable reports whether a task of the step waits to be placed. The open runs of a gang must end first, because its members share an
+// attempt number.
+func (w *Work) placeable(starting func(csjob.TaskKey) bool) bool {
+	if w.Step.Gang {
+		return w.allIdle(starting)
+	}
+	for i := range w.Idle() {
+		if !starting(w.task(i)) {
+			return true
+		}
+	}
+	return false
+}
+
 // allIdle reports whether no task of the step is done, running or being started.
 func (w *Work) allIdle(starting func(csjob.TaskKey) bool) bool {
 	for i := range w.tasks {
@@ -171,6 +237,35 @@
 	return best != nil
 }
 
+// reserveLabel reserves all slots with a label.
+func reserveLabel(slots []*Slot, label string) {
+	for _, s := range slots {
+		s.reserved = s.reserved || slices.Contains(s.Labels, label)
+	}
+}
+
+// fitsDrained reports whether a task of the step, or its whole gang, fits once the batch runs of all slots have ended.
+func (w *Work) fitsDrained(slots []*Slot) bool {
+	need := w.Step.Needs()
+	missing := 1
+	if w.Step.Gang {
+		missing = w.Step.Tasks
+	}
+	for _, s := range slots {
+		if !w.allowed(s) {
+			continue
+		}
+		room := missing
+		if w.Step.MaxPerTarget > 0 {
+			room = min(room, w.Step.MaxPerTarget-s.Spread[w.Key])
+		}
+		if missing -= s.Drained.Count(need, room); missing <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // shortfall returns the CPU or memory that a slot lacks as a fraction of the need, whichever is larger.
 func shortfall(s *Slot, need csjob.Resources) float64 {
 	cpu := float64(need.CPU-s.Free.CPU) / float64(max(need.CPU, 1))
@@ -178,13 +273,14 @@
 	return max(cpu, memory)
 }
 
-// eligible reports whether a slot may take a task of the step, regardless of its free resources.
+// eligible reports whether a slot may take a task of the step in this round, regardless of its free resources.
 func eligible(w *Work, s *Slot) bool {
+	return !s.reserved && (s.Starting < MaxStarting || w.Step.Gang) && w.allowed(s)
+}
+
+// allowed reports whether the label and the tasks of a slot allow another task of the step there.
+func (w *Work) allowed(s *Slot) bool {
 	switch {
-	case s.reserved:
-		return false
-	case s.Starting >= MaxStarting && !w.Step.Gang:
-		return false
 	case w.Step.Label != "" && !slices.Contains(s.Labels, w.Step.Label):
 		return false
 	case w.Step.MaxPerTarget > 0 && s.Spread[w.Key] >= w.Step.MaxPerTarget:
