Keep one checkpoint for a gang

Cause: each start carried the checkpoint of its own task. That of any member is valid for the gang, so it is kept on the first task; a late report counts only while no member has begun a later attempt.

--- a/internal/jobs/csjob/job.go
+++ b/internal/jobs/csjob/job.go
@@ -220,7 +220,7 @@
 	Attempts   Attempt `cbor:"2,keyasint,omitempty"` // the highest attempt so far
 	Failures   int     `cbor:"3,keyasint,omitempty"`
 	Runs       []Run   `cbor:"4,keyasint,omitempty"`
-	Checkpoint string  `cbor:"5,keyasint,omitempty"`
+	Checkpoint string  `cbor:"5,keyasint,omitempty"` // of a gang, on its first task
 	// Unconfirmed lists the attempts that ended without a report of their target: the target was given up, or the attempt was
 	// taken to have never started. If a target reports their end later, its outcome still counts.
 	Unconfirmed []Attempt `cbor:"6,keyasint,omitempty"`
@@ -300,6 +300,14 @@
 	return nil
 }
 
+// Checkpoint returns the checkpoint that a run of task k starts from, or an empty string. The task must exist.
+func (j *Job) Checkpoint(k TaskKey) string {
+	if j.Submission.Steps[k.Step].Gang {
+		k.Index = 0
+	}
+	return j.Task(k).Checkpoint
+}
+
 // GangRunning reports whether every member of the gang that task k belongs to is done or has an open run with attempt number a.
 func (j *Job) GangRunning(k TaskKey, a Attempt) bool {
 	o := j.Occurrence(k.Occurrence)
--- a/internal/jobs/csjob/runs.go
+++ b/internal/jobs/csjob/runs.go
@@ -76,9 +76,7 @@
 	j.OpenRuns--
 	t.addOpenRuns(incarnation, e.Task, -1)
 	t.recordGangChange(j, e.Task)
-	if e.Checkpoint != "" && e.Attempt == task.Attempts {
-		task.Checkpoint = e.Checkpoint
-	}
+	o.recordCheckpoint(j.Submission.Steps[e.Task.Step], e)
 	if e.Outcome == OutcomeNotStarted {
 		j.addUnconfirmed(e.Task, task, e.Attempt)
 	}
@@ -96,14 +94,32 @@
 		return
 	}
 	task.Unconfirmed = slices.Delete(task.Unconfirmed, i, i+1)
-	if e.Checkpoint != "" && e.Attempt == task.Attempts {
-		task.Checkpoint = e.Checkpoint
-	}
+	o.recordCheckpoint(j.Submission.Steps[e.Task.Step], e)
 	t.applyOutcome(j, o, task, e, at)
 	j.releaseOccurrence(o.Number)
 	t.releaseEnded(j)
 }
 
+// recordCheckpoint keeps the checkpoint of a run that belongs to the latest attempt. That of any member of a gang is valid for the whole gang
+// and is kept on its first task, because all members must start from the same one.
+func (o *Occurrence) recordCheckpoint(step Step, e End) {
+	if e.Checkpoint == "" {
+		return
+	}
+	task := o.task(e.Task.Step, e.Task.Index)
+	latest := task.Attempts
+	if step.Gang {
+		members := o.Tasks[e.Task.Step]
+		task = &members[0]
+		for i := range members {
+			latest = max(latest, members[i].Attempts)
+		}
+	}
+	if e.Attempt == latest {
+		task.Checkpoint = e.Checkpoint
+	}
+}
+
 // applyOutcome updates the task and its job after the end of a run.
 func (t *Table) applyOutcome(j *Job, o *Occurrence, task *Task, e End, at time.Time) {
 	step := j.Submission.Steps[e.Task.Step]
--- a/internal/jobs/csrun/orders.go
+++ b/internal/jobs/csrun/orders.go
@@ -91,13 +91,12 @@
 	if j == nil || j.Released() {
 		return
 	}
-	task := j.Task(u.key.task)
-	if task == nil {
+	if j.Task(u.key.task) == nil {
 		return // its occurrence is done
 	}
 	o := StartOrder{
 		Task: u.key.task, Attempt: u.key.attempt, Spec: j.Submission.Spec, LeaseEnd: w.grantLease(now, r.options.Timing.Lease),
-		Fence: w.fence, Checkpoint: task.Checkpoint,
+		Fence: w.fence, Checkpoint: j.Checkpoint(u.key.task),
 	}
 	record := w.record
 	r.sendOrder(w, u, orderStart, func(ctx context.Context) (Reply, error) { return r.options.Workers.Start(ctx, record, o) })
