Withdraw calls without an answer from their link

Cause: links write a message again to the next connection until it is acknowledged, also that of a call whose caller has given up. A call that ends without an answer now withdraws its message, unless the present connection has taken it. That covers all calls between processes: requests of client accounts, heartbeats and announcements that stores pass on, and questions who leads.

--- a/cslink/core_test.go
+++ b/cslink/core_test.go
@@ -229,6 +229,56 @@
 	}
 }
 
+// Guards against a message that is delivered after its sender has withdrawn it, and against others that are lost with it.
+func TestCoreWithdraw(t *testing.T) {
+	tests := []struct {
+		name    string
+		written int    // frames written before the message is withdrawn
+		cut     string // when the socket is lost: before or after the withdrawal, or never
+		want    string
+	}{
+		{"not written", 1, "", "other"}, // the first frame is a heartbeat
+		{"not written, then cut", 1, "after", "other"},
+		{"written, then cut", 2, "after", "other"},
+		{"cut before it is written", 1, "before", "other"},
+		{"cut after it is written", 2, "before", "other"},
+		{"written", 2, "", "call other"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := newPair()
+			a, b := p.ends[0], p.ends[1]
+			p.attach(t, 0, 0)
+			for _, text := range []string{"call", "other"} {
+				if err := a.push(p.now, 1, []byte(text), text); err != nil {
+					t.Fatal(err)
+				}
+			}
+			p.write(0, tt.written)
+			if tt.cut == "before" {
+				p.cut()
+			}
+			a.queue.withdraw("call")
+			if tt.cut == "after" {
+				p.cut()
+			}
+			if tt.cut != "" {
+				p.attach(t, 0, 0)
+			}
+			p.write(0, 10)
+			p.read(t, 0, 10)
+			if got := strings.Join(b.delivered, " "); got != tt.want {
+				t.Errorf("got %q, want %q", got, tt.want)
+			}
+			p.write(1, 10)
+			p.read(t, 1, 10)
+			if a.queue.bytes != 0 || len(a.queue.keys) != 0 {
+				t.Errorf("got %d bytes and %d keys queued, want none", a.queue.bytes, len(a.queue.keys))
+			}
+		})
+	}
+}
+
 // Guards against late detection of silence, a wrong round-trip time and heartbeats that are late or too many.
 func TestCoreHeartbeats(t *testing.T) {
 	p := newPair()
--- a/cslink/link.go
+++ b/cslink/link.go
@@ -90,6 +90,13 @@
 	return nil
 }
 
+// withdraw drops a queued message.
+func (l *link) withdraw(key string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.core.queue.withdraw(key)
+}
+
 // next returns the frame to write, nil where there is none, and false where the socket is no longer current.
 func (l *link) next(s *socket) (frame, bool) {
 	l.mu.Lock()
--- a/cslink/links.go
+++ b/cslink/links.go
@@ -275,6 +275,14 @@
 	return p.links[channel].send(kind, payload, supersede)
 }
 
+// Withdraw drops the queued message with a supersede key, unless it has already been written to the current socket. It is not written to
+// a later one then.
+func (l *Links) Withdraw(to csmodel.NodeID, channel Channel, supersede string) {
+	if p := l.peer(to); p != nil && channel < channels {
+		p.links[channel].withdraw(supersede)
+	}
+}
+
 // Peers returns the state of each peer in ascending order of names.
 func (l *Links) Peers() []PeerStatus {
 	l.known.RLock()
--- a/cslink/queue.go
+++ b/cslink/queue.go
@@ -11,7 +11,7 @@
 	kind     Kind
 	payload  []byte
 	key      string // supersede key
-	stale    bool   // a newer item has the same key
+	stale    bool   // superseded or withdrawn: not to be written again
 }
 
 func (it *item) size() int { return len(it.payload) + len(it.key) + itemOverhead }
@@ -60,6 +60,25 @@
 	return false, nil
 }
 
+// withdraw removes the item with a key, unless it was written to the current socket. Then it is not written to a later one.
+func (q *queue) withdraw(key string) {
+	it := q.keys[key]
+	if it == nil {
+		return
+	}
+	it.stale = true
+	same := func(o *item) bool { return o == it }
+	switch i := slices.IndexFunc(q.sent, same); {
+	case i < 0:
+		q.waiting = slices.DeleteFunc(q.waiting, same)
+	case i >= q.written:
+		q.sent = slices.Delete(q.sent, i, i+1)
+	default:
+		return
+	}
+	q.release(it)
+}
+
 // pending tells whether next would return an item.
 func (q *queue) pending() bool { return q.written < len(q.sent) || len(q.waiting) > 0 }
 
--- a/internal/node/csrpc/rpc.go
+++ b/internal/node/csrpc/rpc.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 
 	"github.com/fxamacker/cbor/v2"
@@ -33,9 +34,11 @@
 	KindLeader cslink.Kind = 0x14 // a store tells an entry who leads; a LeaderAnswer
 )
 
-// Sender queues a message for a peer.
+// Sender queues messages for peers.
 type Sender interface {
 	Send(to csmodel.NodeID, channel cslink.Channel, kind cslink.Kind, payload []byte, supersede string) error
+	// Withdraw drops a queued message by its supersede key.
+	Withdraw(to csmodel.NodeID, channel cslink.Channel, supersede string)
 }
 
 // Handler answers a call of a peer. It runs in its own goroutine.
@@ -112,7 +115,8 @@
 	return csmodel.SortedKeys(c.up)
 }
 
-// Call sends a call and waits for its answer until the context ends or the peer is no longer connected.
+// Call sends a call and waits for its answer until the context ends or the peer is no longer connected. A call without an answer is
+// withdrawn, so that the link doesn't deliver it when its caller has long been told that there is none.
 func (c *Caller) Call(ctx context.Context, to csmodel.NodeID, m Method, payload []byte) ([]byte, error) {
 	answer := make(chan []byte, 1)
 	c.mu.Lock()
@@ -129,18 +133,21 @@
 	if err != nil {
 		return nil, errors.Join(ErrUnsent, err)
 	}
-	if err := c.sender.Send(to, cslink.Control, KindCall, b, ""); err != nil {
+	key := strconv.FormatUint(id, 36)
+	if err := c.sender.Send(to, cslink.Control, KindCall, b, key); err != nil {
 		return nil, errors.Join(ErrUnsent, err)
 	}
 	select {
 	case b, answered := <-answer:
-		if !answered {
-			return nil, ErrNoAnswer
+		if answered {
+			return b, nil
 		}
-		return b, nil
+		err = ErrNoAnswer
 	case <-ctx.Done():
-		return nil, errors.Join(ErrNoAnswer, ctx.Err())
+		err = errors.Join(ErrNoAnswer, ctx.Err())
 	}
+	c.sender.Withdraw(to, cslink.Control, key)
+	return nil, err
 }
 
 func (c *Caller) forget(id uint64) {
--- a/internal/node/csrpc/rpc_test.go
+++ b/internal/node/csrpc/rpc_test.go
@@ -27,6 +27,8 @@
 	return nil
 }
 
+func (w *wire) Withdraw(csmodel.NodeID, cslink.Channel, string) {}
+
 func pair(h csrpc.Handler) (caller *csrpc.Caller, there, back *wire) {
 	there, back = &wire{self: "caller"}, &wire{self: "server"}
 	caller = csrpc.New(there, nil)
@@ -110,14 +112,52 @@
 	}
 }
 
-// recorder keeps the messages of a caller.
-type recorder struct{ payloads [][]byte }
+// recorder keeps the messages of a caller, and the keys of those that are queued.
+type recorder struct {
+	payloads [][]byte
+	queued   csmodel.Set[string]
+}
 
-func (r *recorder) Send(_ csmodel.NodeID, _ cslink.Channel, _ cslink.Kind, payload []byte, _ string) error {
+func (r *recorder) Send(_ csmodel.NodeID, _ cslink.Channel, _ cslink.Kind, payload []byte, key string) error {
 	r.payloads = append(r.payloads, payload)
+	if r.queued == nil {
+		r.queued = csmodel.NewSet[string]()
+	}
+	r.queued.Add(key)
 	return nil
 }
 
+func (r *recorder) Withdraw(_ csmodel.NodeID, _ cslink.Channel, key string) { r.queued.Delete(key) }
+
+// Guards against calls that are carried out when nobody waits for them any more: the link delivers what it has queued on its next connection.
+func TestCallWithoutAnswerIsWithdrawn(t *testing.T) {
+	cases := []struct {
+		name string
+		down bool // the connection is lost before the caller gives up
+	}{
+		{"caller gives up", false},
+		{"connection lost", true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			sent := &recorder{}
+			caller := csrpc.New(sent, nil)
+			caller.Up("server")
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			defer cancel()
+			if c.down {
+				time.AfterFunc(20*time.Millisecond, func() { caller.Down("server") })
+			}
+			if _, err := caller.Call(ctx, "server", csrpc.MethodJob, []byte("x")); !errors.Is(err, csrpc.ErrNoAnswer) {
+				t.Errorf("got error %v, want %v", err, csrpc.ErrNoAnswer)
+			}
+			if len(sent.payloads) != 1 || len(sent.queued) != 0 {
+				t.Errorf("got %d messages sent and %d queued, want 1 and 0", len(sent.payloads), len(sent.queued))
+			}
+		})
+	}
+}
+
 // Guards against an answer to an earlier process that ends a call of the process that has followed it at its address.
 func TestAnswerToEarlierProcess(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
--- a/internal/node/csstore/store.go
+++ b/internal/node/csstore/store.go
@@ -271,6 +271,13 @@
 	return links.Send(to, channel, kind, payload, key)
 }
 
+// Withdraw implements csrpc.Sender.
+func (o sender) Withdraw(to csmodel.NodeID, channel cslink.Channel, key string) {
+	if links := o.store.links.Load(); links != nil {
+		links.Withdraw(to, channel, key)
+	}
+}
+
 func (s *Store) sendRaft(to csmodel.NodeID, m csraft.Message) {
 	payload, err := csraft.EncodeMessage(m)
 	if err != nil {
