Test guards of placement and of confirmed starts that no test noticed

The limit per target of a gang, the limit of a backlog in a used and in a hardly used pool, the check that a reserved target can hold the task, and confirmations of starts that are proposed again after their command was lost.

--- a/internal/jobs/csplan/backlog_test.go
+++ b/internal/jobs/csplan/backlog_test.go
@@ -19,6 +19,8 @@
 	gang := func(s csjob.Step) csjob.Step { s.Gang = true; return s }
 	spread := step(1, 100, 1)
 	spread.MaxPerTarget = 1
+	spreadGang := step(3, 100, 1)
+	spreadGang.MaxPerTarget = 1
 	labelled := step(1, 4000, 1)
 	labelled.Label = "gpu"
 	busy := slot("busy", 0, 1<<20, "gpu")
@@ -38,6 +40,7 @@
 	}{
 		{"long-running, with a task on each target already", lasting(spread), idle(), 4},
 		{"batch, with a task on each target already", spread, idle(), 4},
+		{"the same in a pool that is in use", spread, []*Slot{used("a", 12_000), used("b", 12_000)}, 4},
 		{"CPU of one target and memory of another", step(1, 20_000, 1<<18), []*Slot{empty("a", 32_000, 1<<10), empty("b", 10_000, 1<<20)}, 4},
 		{
 			"long-running, CPU of one target and memory of another", lasting(step(1, 20_000, 1<<18)),
@@ -45,6 +48,7 @@
 		},
 		{"gangs that fit with one task less", gang(step(3, 32_000, 1)), idle(), 4},
 		{"long-running gangs that fit with one task less", lasting(gang(step(3, 32_000, 1))), idle(), 4},
+		{"long-running gangs of one task more than targets", lasting(gang(spreadGang)), idle(), 4},
 		{"a label whose targets are busy", labelled, append(idle(), busy), 4},
 		{"whole targets, of which each runs a small task", step(1, 32_000, 1), []*Slot{used("a", 30_000), used("b", 30_000)}, 4},
 		{"a quarter of a target, of which each is nearly full", step(1, 8000, 1), []*Slot{used("a", 4000), used("b", 4000)}, 0},
@@ -55,6 +59,9 @@
 			for i := range 100 {
 				jobs = append(jobs, job(fmt.Sprintf("waiting-%04d", i), now, c.step))
 				for _, s := range c.slots {
+					if c.step.Gang {
+						continue
+					}
 					s.Spread[StepKey{Job: jobs[i].Submission.ID}] = c.step.MaxPerTarget // other tasks of the step run there
 				}
 			}
@@ -72,6 +79,24 @@
 	}
 }
 
+// Guards against a target that is reserved for a long-running task that it can never hold, while another target could.
+func TestReservedSlotCanHoldTheTask(t *testing.T) {
+	now := time.Now()
+	occupied := slot("occupied", 10_000, 1<<20) // other long-running tasks hold the rest
+	occupied.Drained = occupied.Free
+	lasting := step(1, 20_000, 1)
+	lasting.LongRunning = true
+	placed := plan(now, []*Slot{occupied, slot("busy", 4000, 1<<20)}, job("lasting", now, lasting), job("other", now, step(4, 1000, 1)))
+	if len(placed) != 4 {
+		t.Errorf("got %d tasks placed, want 4", len(placed))
+	}
+	for _, p := range placed {
+		if p.Slot != occupied {
+			t.Errorf("got a task on %s, which has to be reserved", p.Slot.Incarnation.Target)
+		}
+	}
+}
+
 // Guards against a plan that differs from one that looks at the slots for each step: what did not fit before must not fit now.
 func TestStepsArePassedOverOnlyIfTheyDoNotFit(t *testing.T) {
 	now := time.Now()
--- a/internal/jobs/csrun/begun_test.go
+++ b/internal/jobs/csrun/begun_test.go
@@ -43,3 +43,21 @@
 		}
 	})
 }
+
+// Guards against a job that counts as waiting for as long as its tasks run, because the command that says that they have started was lost.
+func TestLostConfirmationIsProposedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := newCluster(t, 2, 1, faults{})
+		time.Sleep(time.Second) // the target joins
+		i.state.set(func() { i.state.commitTime = 100 * time.Millisecond })
+		i.submit("0000000000000001", step(1, 1000, 20*time.Second))
+		i.waitFor("the run", func() bool { return i.runsOn("1") == 1 })
+		i.state.stall() // the start is on record, and its confirmation is being committed
+		time.Sleep(500 * time.Millisecond)
+		i.state.resume(false) // the commands of the leader are dropped
+		time.Sleep(2 * time.Second)
+		if got, want := i.jobState("0000000000000001"), csjob.Running; got != want {
+			t.Errorf("got state %d of the job, want %d", got, want)
+		}
+	})
+}
