Add types for client accounts, their keys and limits

Cause: a configuration can hold client accounts, and the code has no notion of them.

Change: types and indexes only. Nothing sets Config.Accounts or Config.RequireKey yet, so behaviour is unchanged.

Measured: nothing; go build passes.

--- a/csmodel/ids.go
+++ b/csmodel/ids.go
@@ -30,6 +30,9 @@
 // TeamID names a team with a quota.
 type TeamID string
 
+// AccountID names a client account.
+type AccountID string
+
 // TaskID names one piece of deferred work.
 type TaskID string
 
--- a/internal/jobs/csjob/command.go
+++ b/internal/jobs/csjob/command.go
@@ -42,6 +42,8 @@
 type JobRef struct {
 	Queue QueueKey `cbor:"1,keyasint"`
 	ID    ID       `cbor:"2,keyasint"`
+	// Account is the client account that sent the request.
+	Account csmodel.AccountID `cbor:"3,keyasint,omitempty"`
 }
 
 // name returns the key of a job in state.Cancelled.
--- a/internal/jobs/csjob/job.go
+++ b/internal/jobs/csjob/job.go
@@ -102,6 +102,8 @@
 	Interval time.Duration `cbor:"6,keyasint,omitempty"`
 	Repeats  int           `cbor:"7,keyasint,omitempty"` // number of occurrences; zero is one occurrence that is due immediately
 	Waited   time.Duration `cbor:"8,keyasint,omitempty"` // time between the client account's first request and the acceptance
+	// Account is the client account that submitted the job. It is empty for jobs of open queues.
+	Account csmodel.AccountID `cbor:"9,keyasint,omitempty"`
 }
 
 // Occurrences returns how many times the steps run.
--- a/internal/jobs/csjob/queue.go
+++ b/internal/jobs/csjob/queue.go
@@ -26,6 +26,7 @@
 	Timeout        time.Duration  `cbor:"8,keyasint"`            // must be positive
 	UsesPolicy     bool           `cbor:"9,keyasint,omitempty"`  // a policy service selects the targets that may run a step
 	PolicyValidity time.Duration  `cbor:"10,keyasint,omitempty"` // validity of an answer of the policy service
+	Open           bool           `cbor:"11,keyasint,omitempty"` // its requests need no key of a client account
 }
 
 // Pool is a set of targets that run the jobs of one or more queues.
@@ -41,6 +42,9 @@
 	Pools    []Pool  `cbor:"3,keyasint"`
 	MaxBody  int64   `cbor:"4,keyasint,omitempty"` // maximum size of a request body in bytes
 	Document []byte  `cbor:"5,keyasint"`           // the configuration as received from the operator
+	// RequireKey is set if requests need a key of a client account, except for those of open queues.
+	RequireKey bool      `cbor:"6,keyasint,omitempty"`
+	Accounts   []Account `cbor:"7,keyasint,omitempty"`
 }
 
 // Validate returns an ErrInvalid that says why the configuration can't be applied, or nil.
--- a/internal/jobs/csjob/snapshot.go
+++ b/internal/jobs/csjob/snapshot.go
@@ -37,6 +37,7 @@
 	s := &t.state
 	if s.Config != nil {
 		t.routing = newRouting(s.Config)
+		t.indexAccounts()
 	}
 	if s.LastOrders == nil {
 		s.LastOrders = map[csmodel.VMID]LastVMOrder{}
--- a/internal/jobs/csjob/table.go
+++ b/internal/jobs/csjob/table.go
@@ -28,6 +28,8 @@
 	longRunning []*Job                          // the active jobs with long-running steps; in order of acceptance
 	queues      map[string]*Queue               // latest settings by queueName
 	openRuns    map[Incarnation]map[TaskKey]int // number of open runs
+	accounts    map[csmodel.AccountID]*Account  // of the current configuration
+	keys        map[KeyDigest]*Account          // the same accounts by the digests of their keys
 	changes     uint64                          // number of the latest change
 	log         changeLog
 }
@@ -182,6 +184,7 @@
 	}
 	t.state.Config = c
 	t.routing = newRouting(c)
+	t.indexAccounts()
 	for _, q := range c.Queues {
 		if _, used := t.state.Queues[queueName(q.Key)]; used {
 			t.setQueue(q)
--- a/internal/node/csrpc/messages.go
+++ b/internal/node/csrpc/messages.go
@@ -41,6 +41,8 @@
 	Remaining time.Duration `cbor:"6,keyasint,omitempty"`
 	// Waited is the entry's estimate of the time since the client account first sent the request.
 	Waited time.Duration `cbor:"7,keyasint,omitempty"`
+	// Key is the key of the client account, or empty if the request has none.
+	Key string `cbor:"8,keyasint,omitempty"`
 }
 
 // JobResult is what became of a request.
@@ -48,14 +50,15 @@
 
 // Results.
 const (
-	ResultDone     JobResult = iota + 1 // accepted, or the state is known
-	ResultNoQueue                       // no such queue
-	ResultNoJob                         // no such job
-	ResultRefused                       // not run and never will be; the client account may return after Retry
-	ResultInvalid                       // can never be run
-	ResultNoConfig                      // no configuration yet; not run
-	ResultMoved                         // not run; another node leads
-	ResultUnknown                       // may have been run
+	ResultDone         JobResult = iota + 1 // accepted, or the state is known
+	ResultNoQueue                           // no such queue
+	ResultNoJob                             // no such job
+	ResultRefused                           // not run and never will be; the client account may return after Retry
+	ResultInvalid                           // can never be run
+	ResultNoConfig                          // no configuration yet; not run
+	ResultMoved                             // not run; another node leads
+	ResultUnknown                           // may have been run
+	ResultUnauthorized                      // no client account has the key; not run
 )
 
 // JobAnswer answers a JobRequest.
