Stop late runs on VMs whose maintenance is due

Cause: a run that lasts many times as long as predicted counts as about to end once its predicted time has passed, so that it is never stopped. Its VM, reserved for a wave at 20.6 s, began its maintenance at 31.2 s, 2 s after the deadline of the wave.

Change: where a VM has to begin its maintenance now for the wave to meet its deadline, each run of a late job there is stopped. Runs that are on time are left to finish.

TestMaintenanceDueStopsLateRuns fails without the change.

--- a/internal/fleet/csvms/fleet.go
+++ b/internal/fleet/csvms/fleet.go
@@ -82,8 +82,10 @@
 	replayed       bool       // the forecast has learned from the arrivals before this epoch
 	// awaitingMaintenance are the targets whose VMs await their maintenance. Each decision makes a new set.
 	awaitingMaintenance csmodel.Set[csjob.Incarnation]
-	absences            map[csmodel.VMID]*absence       // VMs of open waves that are missing from the lists
-	lastTargets         map[csmodel.VMID]csjob.TargetID // last target listed on each VM
+	// maintenanceDue are the targets whose VMs have to begin their maintenance now. Each decision makes a new set.
+	maintenanceDue csmodel.Set[csjob.Incarnation]
+	absences       map[csmodel.VMID]*absence       // VMs of open waves that are missing from the lists
+	lastTargets    map[csmodel.VMID]csjob.TargetID // last target listed on each VM
 }
 
 // New returns a Fleet that requests a list of the VMs in its first round.
@@ -113,7 +115,7 @@
 	f.idleSince = map[csmodel.VMID]time.Time{}
 	f.replayed = false
 	f.peakVMs = slidingMax{}
-	f.awaitingMaintenance = nil
+	f.awaitingMaintenance, f.maintenanceDue = nil, nil
 	f.absences = map[csmodel.VMID]*absence{}
 	f.lastTargets = map[csmodel.VMID]csjob.TargetID{}
 }
@@ -139,6 +141,13 @@
 	return f.awaitingMaintenance
 }
 
+// MaintenanceDue implements csrun.Fleet.
+func (f *Fleet) MaintenanceDue() csmodel.Set[csjob.Incarnation] {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.maintenanceDue
+}
+
 // Ended implements csrun.Fleet.
 func (f *Fleet) Ended(l csjob.Incarnation) bool {
 	f.mu.Lock()
--- a/internal/fleet/csvms/wave.go
+++ b/internal/fleet/csvms/wave.go
@@ -39,7 +39,7 @@
 // advanceWaves reserves VMs for the open waves and records VMs that were removed.
 func (f *Fleet) advanceWaves(r csrun.Round, view *fleetView) {
 	awaited := csmodel.NewSet[csmodel.VMID]()
-	f.awaitingMaintenance = csmodel.NewSet[csjob.Incarnation]()
+	f.awaitingMaintenance, f.maintenanceDue = csmodel.NewSet[csjob.Incarnation](), csmodel.NewSet[csjob.Incarnation]()
 	for _, w := range r.Table.Waves() {
 		if !w.Completed() {
 			for _, id := range w.Wave.VMs {
@@ -54,7 +54,7 @@
 
 // advanceWave reserves VMs for a wave and records those that were removed or are listed again.
 func (f *Fleet) advanceWave(r csrun.Round, view *fleetView, w *csjob.WaveState) {
-	var waiting []csmodel.VMID
+	var waiting, reserved []csmodel.VMID
 	var updates []csjob.VMOrder
 	down, moving := 0, 0
 	for _, id := range w.Wave.VMs {
@@ -77,8 +77,11 @@
 			state := f.openOrders[id]
 			end.Done, end.Removed = true, state == nil || state.acceptedAt.IsZero()
 			updates = append(updates, end)
-		case begun, res != nil && res.order.Wave == w.Wave.ID:
+		case begun:
 			down++
+		case res != nil && res.order.Wave == w.Wave.ID:
+			down++
+			reserved = append(reserved, id)
 		case f.movingToStandby(r.Table, view, id):
 			moving++
 		case res == nil && exists && f.orderable(r, v):
@@ -91,6 +94,9 @@
 		f.propose(csjob.Command{VMs: updates})
 	}
 	f.addTargetIncarnations(f.awaitingMaintenance, r.Table, waiting)
+	if f.mustBegin(r.Now, w) {
+		f.addTargetIncarnations(f.maintenanceDue, r.Table, reserved)
+	}
 	for _, id := range f.selectWaveVMs(r, view, w, waiting, down, moving) {
 		f.reserve(r, id, csjob.VMOrder{VM: id, Wave: w.Wave.ID})
 	}
@@ -203,6 +209,11 @@
 	return min(w.Wave.MaxConcurrent, int(math.Ceil(need)))
 }
 
+// mustBegin reports whether the VMs of a wave that are not down have to go down now for the wave to meet its deadline.
+func (f *Fleet) mustBegin(now time.Time, w *csjob.WaveState) bool {
+	return w.Accepted.Add(w.Wave.Deadline).Sub(now) <= f.options.MaintenanceTime+maintenanceOverhead
+}
+
 // addTargetIncarnations adds the incarnations of the known targets on VMs.
 func (f *Fleet) addTargetIncarnations(to csmodel.Set[csjob.Incarnation], t *csjob.Table, vms []csmodel.VMID) {
 	for _, id := range vms {
--- a/internal/fleet/csvms/wave_test.go
+++ b/internal/fleet/csvms/wave_test.go
@@ -88,3 +88,20 @@
 		}
 	}
 }
+
+// Guards against a wave that waits for late runs until its deadline has passed, and against late runs that are stopped while there is time
+// for them to end.
+func TestMaintenanceMustBegin(t *testing.T) {
+	now := time.Now()
+	f := Fleet{options: Options{MaintenanceTime: 2 * time.Second}}
+	w := &csjob.WaveState{Wave: csjob.Wave{Deadline: 20 * time.Second}, Accepted: now}
+	downtime := 2*time.Second + maintenanceOverhead
+	for _, c := range []struct {
+		left time.Duration
+		want bool
+	}{{20 * time.Second, false}, {downtime + time.Second, false}, {downtime, true}, {-time.Second, true}} {
+		if got := f.mustBegin(now.Add(20*time.Second-c.left), w); got != c.want {
+			t.Errorf("%s left: got %t, want %t", c.left, got, c.want)
+		}
+	}
+}
--- a/internal/jobs/csrun/evict.go
+++ b/internal/jobs/csrun/evict.go
@@ -30,15 +30,17 @@
 		return
 	}
 	unavailable := r.unavailableTasks(now, t)
+	due := r.options.Fleet.MaintenanceDue()
 	for _, w := range r.targetsOf(held) {
 		w.noOrdersDue = false
+		maintenanceDue := due.Has(w.incarnation)
 		for _, u := range w.list {
 			switch {
 			case u.stop, u.ended:
 			case u.longRunning:
 				r.evictLongRunning(now, t, w, u, unavailable)
 			default:
-				r.evictBatchRun(now, t, w, u)
+				r.evictBatchRun(now, t, w, u, maintenanceDue)
 			}
 		}
 	}
@@ -71,10 +73,14 @@
 	}
 }
 
-// evictBatchRun stops a batch run that would block its VM for long.
-func (r *runner) evictBatchRun(now time.Time, t *csjob.Table, w *target, u *run) {
+// evictBatchRun stops a batch run that would block its VM for long. Where the VM's maintenance is due, it stops each run of a late job:
+// one that lasts many times as long as predicted would make the wave late, and nothing tells when it ends.
+func (r *runner) evictBatchRun(now time.Time, t *csjob.Table, w *target, u *run, maintenanceDue bool) {
 	j := t.Job(u.key.task.Job)
-	if j == nil || j.Released() || !u.started || !r.evictable(now, t, j, u) {
+	if j == nil || j.Released() || !u.started {
+		return
+	}
+	if overdue := maintenanceDue && r.missedObjective(now, t, j, u); !overdue && !r.evictable(now, t, j, u) {
 		return
 	}
 	u.stop = true
--- a/internal/jobs/csrun/evict_test.go
+++ b/internal/jobs/csrun/evict_test.go
@@ -72,6 +72,52 @@
 	}
 }
 
+// Pattern: three tasks in a hundred run many times as long as predicted, and their VMs are due for maintenance. Guards against a wave that
+// misses its deadline because it waits for a run whose predicted end has passed, although its job is late already.
+func TestMaintenanceDueStopsLateRuns(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name    string
+		runTime time.Duration // of the first run; 100 ms are declared
+		heldAt  time.Duration // after the submission; the job is late after 1.2 s
+		due     bool
+		want    csjob.Attempt
+	}{
+		{"late, maintenance due", 2500 * time.Millisecond, 1500 * time.Millisecond, true, 2},
+		{"late, time left for the wave", 2500 * time.Millisecond, 1500 * time.Millisecond, false, 1},
+		{"on time", 900 * time.Millisecond, 200 * time.Millisecond, true, 1},
+	}
+	for n, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				i := newCluster(t, uint64(30+n), 2, faults{})
+				time.Sleep(3 * testHeartbeatInterval)
+				i.simulator.mu.Lock()
+				i.simulator.firstRunTime = c.runTime
+				i.simulator.mu.Unlock()
+				i.submit("00000000000000aa", step(1, 1000, 100*time.Millisecond))
+				time.Sleep(c.heldAt)
+				i.state.View(func(table *csjob.Table) {
+					for _, l := range table.BusyIncarnations() {
+						i.fleet.setHeld(l)
+						if c.due {
+							i.fleet.setMaintenanceDue(l)
+						}
+					}
+				})
+				i.awaitAllJobs(5 * time.Second)
+				i.checkInvariants()
+				i.simulator.mu.Lock()
+				defer i.simulator.mu.Unlock()
+				if got := i.simulator.runs[len(i.simulator.runs)-1].attempt; got != c.want {
+					t.Errorf("got %d attempts, want %d", got, c.want)
+				}
+			})
+		})
+	}
+}
+
 // Pattern: a busy leader reads the answers to polls later than the call timeout. Leases that are extended all the time must
 // not expire: that would end long-running tasks on healthy targets (rules AVAIL and LOST).
 func TestSlowLeaderExtendsLeases(t *testing.T) {
--- a/internal/jobs/csrun/leader.go
+++ b/internal/jobs/csrun/leader.go
@@ -72,6 +72,9 @@
 	// EvictingSoon returns the incarnations whose VMs will be reclaimed soon. Long-running tasks should be placed elsewhere. The
 	// caller must not modify the set.
 	EvictingSoon() csmodel.Set[csjob.Incarnation]
+	// MaintenanceDue returns the incarnations whose VMs have to begin their maintenance now to meet the deadline of a wave. Runs of late
+	// jobs there are stopped. The caller must not modify the set.
+	MaintenanceDue() csmodel.Set[csjob.Incarnation]
 	// Ended reports whether a VM order has ended the incarnation.
 	Ended(csjob.Incarnation) bool
 	// Reset is called when this node loses leadership.
--- a/internal/jobs/csrun/leader_test.go
+++ b/internal/jobs/csrun/leader_test.go
@@ -105,6 +105,7 @@
 	mu           sync.Mutex
 	held         csmodel.Set[csjob.Incarnation]
 	evictingSoon csmodel.Set[csjob.Incarnation]
+	due          csmodel.Set[csjob.Incarnation]
 }
 
 func (f *fleet) Round(csrun.Round) {}
@@ -124,6 +125,19 @@
 	f.evictingSoon = csmodel.NewSet(incarnations...)
 }
 
+func (f *fleet) MaintenanceDue() csmodel.Set[csjob.Incarnation] {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.due)
+}
+
+// setMaintenanceDue sets the incarnations whose VMs have to begin their maintenance now.
+func (f *fleet) setMaintenanceDue(incarnations ...csjob.Incarnation) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.due = csmodel.NewSet(incarnations...)
+}
+
 func (f *fleet) Ended(csjob.Incarnation) bool { return false }
 
 func (f *fleet) Evicting() csmodel.Set[csjob.Incarnation] {
--- a/internal/jobs/csrun/simulation_test.go
+++ b/internal/jobs/csrun/simulation_test.go
@@ -268,7 +268,7 @@
 	return <-p.done, nil
 }
 
-// Round, Evicting, EvictingSoon, Ended and Reset implement Fleet. Round makes the queries of a fleet that moves no VMs.
+// Round, Evicting, EvictingSoon, MaintenanceDue, Ended and Reset implement Fleet. Round makes the queries of a fleet that moves no VMs.
 func (sim *simulation) Round(r Round) {
 	sim.mu.Lock()
 	sim.now = sim.now.Add(sim.roundTime)
@@ -293,6 +293,8 @@
 
 func (sim *simulation) EvictingSoon() csmodel.Set[csjob.Incarnation] { return nil }
 
+func (sim *simulation) MaintenanceDue() csmodel.Set[csjob.Incarnation] { return nil }
+
 func (sim *simulation) Ended(csjob.Incarnation) bool { return false }
 
 func (sim *simulation) Reset() {}
--- a/internal/jobs/csrun/simulator_test.go
+++ b/internal/jobs/csrun/simulator_test.go
@@ -37,9 +37,11 @@
 	jobs        map[csjob.ID]csjob.Submission
 	maxAttempts int // maximum attempts of a task
 	runs        []*observedRun
-	violations  []string
-	hold        func(csjob.Target, csrun.StartOrder) bool // selects the starts to hold; nil selects none
-	held        []heldStart
+	// firstRunTime is the run time of the first run; zero is the declared one, as for all others.
+	firstRunTime time.Duration
+	violations   []string
+	hold         func(csjob.Target, csrun.StartOrder) bool // selects the starts to hold; nil selects none
+	held         []heldStart
 	// lapseVoidsEnds permits another run of a task whose end was not acknowledged before the lease expired, as the
 	// platform's rules do.
 	lapseVoidsEnds bool
@@ -234,7 +236,11 @@
 	if step.LongRunning {
 		return
 	}
-	time.AfterFunc(step.Estimate, func() {
+	runTime := step.Estimate
+	if len(w.runs) == 1 && w.firstRunTime > 0 {
+		runTime = w.firstRunTime
+	}
+	time.AfterFunc(runTime, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		w.expireLease(k)
