Refuse jobs that cannot have value any more; finish late jobs that have begun

Cause: in an overload accepted jobs were late or without value, and none was refused. A late job that had begun went further back the more of it was done, and late jobs began just before their value was gone.

Change: csadmit decides from a pool's backlog and capacity, which rounds publish at most every 50 ms; the leader's store asks it before a submission is proposed. A leader refuses nothing in its first 3 s, and no job of which a submission may be in flight, so that a refusal is true. Late jobs that have begun go first; others need 400 ms before their value is gone. The table estimates its memory, and a store refuses jobs from 80% of its limit on (503).

Measured: go test of csadmit, csjob, csplan, csrun, csentry, csrelay, csrpc, csstore, platform and cmd/cowslipstream passes. In the same command csvms failed in TestListOlderThanOrderIsIgnored and TestOrderWithUnknownOutcomeStaysReserved (condition not met within 600 ms), beside other load on the machine. Effects not measured.

--- a/cmd/cowslipstream/roles.go
+++ b/cmd/cowslipstream/roles.go
@@ -195,7 +195,7 @@
 			})
 		},
 		IP: s.IP, Zone: s.Zone, Seeds: s.Seeds, First: s.First, Folder: s.Folder, Losses: s.Losses, Listener: p.link,
-		PeerAddress: s.PeerAddress, Retention: s.Retention, Workers: client, Clock: clock,
+		PeerAddress: s.PeerAddress, Retention: s.Retention, Memory: s.Memory, Workers: client, Clock: clock,
 		Log: p.log, Registry: p.registry,
 		Timing: csrun.Timing{
 			Lease: min(runLease, s.LongestLease*9/10), LongestLease: s.LongestLease, HeartbeatInterval: s.Beat,
--- a/internal/jobs/csjob/job.go
+++ b/internal/jobs/csjob/job.go
@@ -263,8 +263,9 @@
 	Begun    []*Occurrence `cbor:"9,keyasint,omitempty"`
 	Finished Spans         `cbor:"10,keyasint,omitempty"` // occurrences that are done and have no open runs
 
-	queue *Queue      // latest settings of its queue, shared by the jobs of the queue
-	fresh *Occurrence // progress of each occurrence that has not begun; nil once the job is released
+	size  csmodel.Bytes // estimated memory; see sizes.go
+	queue *Queue        // latest settings of its queue, shared by the jobs of the queue
+	fresh *Occurrence   // progress of each occurrence that has not begun; nil once the job is released
 }
 
 // NewJob returns a job that was accepted at the given time and log index.
--- a/internal/jobs/csjob/runs.go
+++ b/internal/jobs/csjob/runs.go
@@ -20,7 +20,7 @@
 	if len(task.Runs) > 0 && !j.Submission.Steps[s.Task.Step].Speculative {
 		return
 	}
-	task = j.begin(s.Task.Occurrence).task(s.Task.Step, s.Task.Index)
+	task = t.beginOccurrence(j, s.Task.Occurrence).task(s.Task.Step, s.Task.Index)
 	task.Attempts = s.Attempt
 	task.Runs = append(task.Runs, Run{Attempt: s.Attempt, Incarnation: s.Incarnation, StartedAt: at})
 	j.OpenRuns++
@@ -81,7 +81,7 @@
 		j.addUnconfirmed(e.Task, task, e.Attempt)
 	}
 	t.applyOutcome(j, o, task, e, at)
-	j.releaseOccurrence(o.Number)
+	t.releaseOccurrence(j, o.Number)
 	t.releaseEnded(j)
 }
 
@@ -96,7 +96,7 @@
 	task.Unconfirmed = slices.Delete(task.Unconfirmed, i, i+1)
 	o.recordCheckpoint(j.Submission.Steps[e.Task.Step], e)
 	t.applyOutcome(j, o, task, e, at)
-	j.releaseOccurrence(o.Number)
+	t.releaseOccurrence(j, o.Number)
 	t.releaseEnded(j)
 }
 
--- a/internal/jobs/csjob/snapshot.go
+++ b/internal/jobs/csjob/snapshot.go
@@ -59,13 +59,16 @@
 	for _, q := range s.Queues {
 		t.setQueue(q)
 	}
+	t.resizeCancelled()
 	for _, j := range s.Jobs {
 		j.queue = t.queues[queueName(j.Submission.Queue)]
 		if j.Released() {
+			t.resize(j)
 			continue
 		}
 		j.fresh = j.Submission.freshOccurrence()
 		j.migrate()
+		t.resize(j)
 		t.addActive(j)
 		j.eachRun(func(k TaskKey, r Run) { t.addOpenRuns(r.Incarnation, k, 1) })
 	}
--- a/internal/jobs/csjob/table.go
+++ b/internal/jobs/csjob/table.go
@@ -30,6 +30,7 @@
 	openRuns    map[Incarnation]map[TaskKey]int // number of open runs
 	accounts    map[csmodel.AccountID]*Account  // of the current configuration
 	keys        map[KeyDigest]*Account          // the same accounts by the digests of their keys
+	size        csmodel.Bytes                   // estimated memory of the jobs; see sizes.go
 	changes     uint64                          // number of the latest change
 	log         changeLog
 }
@@ -229,6 +230,7 @@
 	j.queue = t.setQueue(*q)
 	t.state.Jobs[s.ID] = j
 	t.addActive(j)
+	t.resize(j)
 	if _, cancelled := t.state.Cancelled[JobRef{Queue: s.Queue, ID: s.ID}.name()]; cancelled {
 		t.finishJob(j, Cancelled, at)
 	}
@@ -239,7 +241,7 @@
 func (t *Table) cancel(r JobRef, at time.Time) Verdict {
 	j := t.state.Jobs[r.ID]
 	if j == nil || j.Submission.Queue != r.Queue {
-		t.state.Cancelled[r.name()] = at
+		t.addCancelled(r.name(), at)
 		return UnknownJob
 	}
 	if !j.State.Final() {
@@ -263,6 +265,7 @@
 	}
 	j.Begun, j.Finished, j.fresh = nil, nil, nil
 	j.Submission.Spec = ""
+	t.resize(j)
 	t.active, t.longRunning = removeJob(t.active, j), removeJob(t.longRunning, j)
 }
 
@@ -294,11 +297,12 @@
 	for id, j := range t.state.Jobs {
 		if j.Released() && at.Sub(j.Ended) > retention {
 			delete(t.state.Jobs, id)
+			t.size -= j.size
 		}
 	}
 	for name, cancelledAt := range t.state.Cancelled {
 		if at.Sub(cancelledAt) > retention {
-			delete(t.state.Cancelled, name)
+			t.removeCancelled(name)
 		}
 	}
 }
--- a/internal/jobs/csplan/plan.go
+++ b/internal/jobs/csplan/plan.go
@@ -94,6 +94,8 @@
 	priority    int
 	latestStart time.Time     // latest start of the remaining steps that meets the objective
 	acceptance  csmodel.Index // position in the order of acceptance
+	begun       bool          // a task of the occurrence has been started
+	remaining   time.Duration // length of the remaining critical path
 }
 
 type urgencyClass uint8
@@ -106,11 +108,14 @@
 	expired                         // will have no value left, but must still be run to its end
 )
 
-// compareUrgency orders by class, latest start, priority and acceptance.
+// compareUrgency orders by class, late jobs that have begun first, then latest start, priority and acceptance.
 func compareUrgency(a, b *urgency) int {
 	if a.class != b.class {
 		return cmp.Compare(a.class, b.class)
 	}
+	if c := compareBegun(a, b); c != 0 {
+		return c
+	}
 	if c := a.latestStart.Compare(b.latestStart); c != 0 {
 		return c
 	}
@@ -143,18 +148,8 @@
 	total, remaining := criticalPaths(e, j, o.Remaining)
 	deadline, expiry := deadlines(q, j, number, total)
 	u.latestStart = deadline.Add(-remaining - resultDelay)
-	minSlack := minStartSlack
-	if started(o) {
-		minSlack = -startedTolerance
-	}
-	switch {
-	case !u.latestStart.Before(now.Add(minSlack)):
-		u.class = feasible
-	case expiry.Add(-remaining).After(now):
-		u.class = late
-	default:
-		u.class = expired
-	}
+	u.begun, u.remaining = started(o), remaining
+	u.class = classOf(now, u.latestStart, expiry.Add(-remaining), u.begun)
 	return u
 }
 
--- a/internal/jobs/csrun/draining_test.go
+++ b/internal/jobs/csrun/draining_test.go
@@ -42,3 +42,6 @@
 		t.Errorf("got %d runs on a draining target, want none", got)
 	}
 }
+
+// Capacity implements csrun.Fleet.
+func (f *fleet) Capacity() csrun.VMCapacity { return csrun.VMCapacity{} }
--- a/internal/jobs/csrun/leader.go
+++ b/internal/jobs/csrun/leader.go
@@ -72,6 +72,8 @@
 	// EvictingSoon returns the incarnations whose VMs will be reclaimed soon. Long-running tasks should be placed elsewhere. The
 	// caller must not modify the set.
 	EvictingSoon() csmodel.Set[csjob.Incarnation]
+	// Capacity returns the CPU of the VMs. The caller may modify it.
+	Capacity() VMCapacity
 	// Ended reports whether a VM order has ended the incarnation.
 	Ended(csjob.Incarnation) bool
 	// Reset is called when this node loses leadership.
@@ -157,6 +159,7 @@
 	idleRoundDue     atomic.Bool // a round is scheduled after idleRoundInterval
 	deferredRoundDue atomic.Bool // a round is scheduled for the earliest permitted time
 	demand           atomic.Pointer[demandSnapshot]
+	admission        atomic.Pointer[Admission] // nil until a round of the term has ended
 }
 
 // Messages of the actor.
--- a/internal/jobs/csrun/runner.go
+++ b/internal/jobs/csrun/runner.go
@@ -67,6 +67,8 @@
 	markRound     int       // number of the round that marked targets last
 	lostCheckedAt time.Time // when targets were last checked for lost ones
 	earliestRound time.Time // earliest time of the next round
+	backlogAt     time.Time // time of the last snapshot of the backlog
+	estimatorAt   time.Time // time of the last copy of the predicted run times
 	syncedTasks   int       // number of times a task on a target was compared with the table
 	summedTargets int       // number of times the runs of a target were summed up
 }
@@ -169,6 +171,7 @@
 	}
 	r.termState = termState{}
 	r.leader.demand.Store(&demandSnapshot{})
+	r.leader.admission.Store(nil)
 	if r.options.Fleet != nil {
 		r.options.Fleet.Reset()
 	}
--- a/internal/jobs/csrun/schedule.go
+++ b/internal/jobs/csrun/schedule.go
@@ -11,7 +11,7 @@
 	"cowslipstream.example/cowslipstream/internal/jobs/csplan"
 )
 
-// demandSnapshot is the demand that the leader publishes for admission control and VM allocation.
+// demandSnapshot is the demand that the leader publishes for VM allocation.
 type demandSnapshot struct {
 	demand Demand
 }
@@ -48,6 +48,7 @@
 	r.addRunning(demand)
 	addLongRunning(t, demand)
 	r.leader.demand.Store(&demandSnapshot{demand: demand})
+	r.publishAdmission(now, t)
 	return starts
 }
 
--- a/internal/jobs/csrun/simulation_targets_test.go
+++ b/internal/jobs/csrun/simulation_targets_test.go
@@ -76,3 +76,5 @@
 	}
 	return response, nil
 }
+
+func (sim *simulation) Capacity() VMCapacity { return VMCapacity{} }
--- a/internal/node/csentry/entry.go
+++ b/internal/node/csentry/entry.go
@@ -166,7 +166,7 @@
 var resultNames = [...]string{
 	csrpc.ResultDone: "done", csrpc.ResultNoQueue: "no_queue", csrpc.ResultNoJob: "no_job", csrpc.ResultRefused: "refused",
 	csrpc.ResultInvalid: "invalid", csrpc.ResultNoConfig: "no_config", csrpc.ResultMoved: "no_leader",
-	csrpc.ResultUnknown: "unknown",
+	csrpc.ResultUnknown: "unknown", csrpc.ResultBusy: "no_memory",
 }
 
 // do tries the known leader until one answers. Where an attempt was sent without an answer, the request may have been
--- a/internal/node/csrpc/messages.go
+++ b/internal/node/csrpc/messages.go
@@ -59,6 +59,7 @@
 	ResultMoved                             // not run; another node leads
 	ResultUnknown                           // may have been run
 	ResultUnauthorized                      // no client account has the key; not run
+	ResultBusy                              // no memory for the job; not run, and the client account may return after Retry
 )
 
 // JobAnswer answers a JobRequest.
--- a/internal/node/csstore/calls.go
+++ b/internal/node/csstore/calls.go
@@ -9,6 +9,7 @@
 
 	"cowslipstream.example/cowslipstream/csgroup"
 	"cowslipstream.example/cowslipstream/csmodel"
+	"cowslipstream.example/cowslipstream/internal/jobs/csadmit"
 	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
 	"cowslipstream.example/cowslipstream/internal/jobs/csrun"
 	"cowslipstream.example/cowslipstream/internal/node/csrpc"
@@ -86,7 +87,8 @@
 	if request.Action != csrpc.ActionState {
 		s.log.Info("job request", zap.String("job", string(j.id)), zap.Uint8("action", uint8(request.Action)),
 			zap.String("entry", string(from)), zap.String("queue", j.queue.Name), zap.Uint8("result", uint8(a.Result)),
-			zap.Int64("config", j.version), zap.Duration("waited", waited(request, j.queue.Timeout)), zap.Duration("after", s.options.Clock.Now().Sub(started)))
+			zap.Int64("config", j.version), zap.Duration("waited", waited(request, j.queue.Timeout)), zap.Duration("after", s.options.Clock.Now().Sub(started)),
+			zap.String("refused", j.decision.Reason.String()))
 	}
 	return a
 }
@@ -99,6 +101,8 @@
 	queue   csjob.Queue
 	version int64
 	id      csjob.ID
+	// decision tells why a submission was refused.
+	decision csadmit.Decision
 }
 
 func (j *jobCall) run() csrpc.JobAnswer {
@@ -114,7 +118,7 @@
 	case csrpc.ActionSubmit:
 		job := *j.request.Job
 		job.ID, job.Queue, job.Waited = j.id, j.queue.Key, waited(j.request, j.queue.Timeout)
-		return j.propose(csjob.Command{Submit: &job})
+		return j.submit(job)
 	default:
 		return j.propose(csjob.Command{Cancel: &csjob.JobRef{Queue: j.queue.Key, ID: j.id}})
 	}
--- a/internal/node/csstore/store.go
+++ b/internal/node/csstore/store.go
@@ -66,6 +66,7 @@
 	Listener    net.Listener
 	PeerAddress func(ip string) string // where another store listens for links
 	Retention   time.Duration          // of ended jobs
+	Memory      csmodel.Bytes          // that the process may use; zero is no limit
 	Timing      csrun.Timing
 	Workers     csrun.TargetClient
 	// Fleet returns what decides about VMs. It may be nil.
@@ -90,6 +91,7 @@
 	opened  chan struct{} // closed when group, links and leader are set
 	closing chan struct{} // closed by Close
 
+	admission *admission
 	announcer announcer
 	saves     prometheus.Histogram
 	slowSaves rate.Sometimes
@@ -104,6 +106,7 @@
 			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 14),
 		}),
 		slowSaves: rate.Sometimes{First: 1, Interval: time.Second},
+		admission: newAdmission(o.Registry),
 	}
 	o.Registry.MustRegister(s.saves)
 	disk, err := csdisk.OpenOS(filepath.Join(o.Folder, "group"))
@@ -170,6 +173,7 @@
 }
 
 func (s *Store) lead(t csmodel.Term) {
+	s.admission.lead(s.options.Clock.Now())
 	s.leader.Lead(t)
 	go s.announceOnceReady(t)
 }
