--- a/internal/node/csentry/memory_test.go
+++ b/internal/node/csentry/refusal_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"cowslipstream.example/cowslipstream/csmodel"
 	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
@@ -45,3 +46,32 @@
 		return err == nil && v == csjob.Accepted
 	})
 }
+
+// Pattern: a client comes back after the value of its job is gone. Guards against a refusal of a job that runs nevertheless (rule NOTRUN).
+func TestJobWithoutValueIsRefused(t *testing.T) {
+	c := startCluster(t)
+	c.configure()
+	submit := func(id string, remaining time.Duration) csrpc.JobAnswer {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		return c.entry.Do(ctx, csrpc.JobRequest{
+			Action: csrpc.ActionSubmit, Host: "q.example", Path: "/jobs/" + id, Remaining: remaining,
+			Job: &csjob.Submission{Steps: []csjob.Step{{Tasks: 1, Resources: csjob.Resources{CPU: 100, Memory: 1}, Estimate: 50 * time.Millisecond}}},
+		})
+	}
+	jobs := 0
+	var refused string
+	c.eventually("a refusal", func() bool { // none in the first seconds of a leader
+		submit(fmt.Sprintf("%016x", jobs), time.Second) // tells the entry how long the clients wait
+		refused = fmt.Sprintf("%016x", jobs+1)
+		jobs += 2
+		a := submit(refused, 100*time.Millisecond)
+		return a.Result == csrpc.ResultRefused && a.Retry > 0
+	})
+	if a := c.do(csrpc.ActionState, refused); a.Result != csrpc.ResultNoJob {
+		t.Errorf("got result %d for the state of a refused job, want %d", a.Result, csrpc.ResultNoJob)
+	}
+	if a := submit(refused, time.Second); a.Result != csrpc.ResultDone {
+		t.Errorf("got result %d for the same job sent anew, want %d", a.Result, csrpc.ResultDone)
+	}
+}
--- a/internal/node/csstore/admit.go
+++ b/internal/node/csstore/admit.go
@@ -29,9 +29,10 @@
 	refusalLogInterval = time.Second
 )
 
-// admission refuses submissions on the leader. Its zero value works.
+// admission refuses submissions on the leader. Use newAdmission.
 type admission struct {
-	refusals *prometheus.CounterVec
+	refusals  *prometheus.CounterVec
+	stateSize prometheus.Gauge
 
 	mu       sync.Mutex
 	since    time.Time              // when this store began to lead
@@ -45,9 +46,12 @@
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cowslipstream_refusals_total", Help: "Submissions that the leader refused, by reason.",
 		}, []string{"reason"}),
+		stateSize: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "cowslipstream_jobs_bytes", Help: "Estimated memory of the jobs in the table, at the last submission.",
+		}),
 		open: map[csjob.ID]int{}, unlogged: map[csmodel.PoolID]int{}, logged: map[csmodel.PoolID]*rate.Sometimes{},
 	}
-	r.MustRegister(a.refusals)
+	r.MustRegister(a.refusals, a.stateSize)
 	for _, reason := range csadmit.Reasons {
 		a.refusals.WithLabelValues(reason.String())
 	}
@@ -127,6 +131,7 @@
 	known := false
 	var size csmodel.Bytes
 	replica{s}.View(func(t *csjob.Table) { known, size = t.Job(job.ID) != nil, t.Size() })
+	s.admission.stateSize.Set(float64(size))
 	switch limit := csmodel.Bytes(stateShare * float64(s.options.Memory)); {
 	case known:
 		return csadmit.Decision{}
--- a/internal/node/csstore/admit_test.go
+++ b/internal/node/csstore/admit_test.go
@@ -59,8 +59,12 @@
 		t.Fatal(err)
 	}
 	counts := map[string]float64{}
-	for _, m := range families[0].GetMetric() {
-		counts[m.GetLabel()[0].GetValue()] = m.GetCounter().GetValue()
+	for _, f := range families {
+		for _, m := range f.GetMetric() {
+			for _, l := range m.GetLabel() {
+				counts[l.GetValue()] = m.GetCounter().GetValue()
+			}
+		}
 	}
 	if counts["backlog"] != 500 || counts["no_value"] != 500 || counts["memory"] != 0 {
 		t.Errorf("got refusals %v, want 500 for the backlog, 500 without value and none for memory", counts)
