Refuse no job of a queue without an objective; log the waiting work with refusals

Cause: a queue without an objective says nothing about the value of late jobs, and the line about refusals did not tell what waited.

Change: such jobs are always accepted; "jobs refused" has the waiting on-time work and the CPU of late work.

--- a/internal/jobs/csadmit/backlog.go
+++ b/internal/jobs/csadmit/backlog.go
@@ -81,8 +81,8 @@
 	b.Running.add(time.Duration(certainShare*float64(remaining)), cpu)
 }
 
-// TotalOnTime returns the work of waiting on-time tasks as the time that the present capacity needs for it.
-func (b *Backlog) TotalOnTime() time.Duration {
+// waitingOnTime returns the work of waiting on-time tasks as the time that the present capacity needs for it.
+func (b *Backlog) waitingOnTime() time.Duration {
 	var sum csmodel.MilliCPU
 	for _, w := range b.OnTime {
 		sum += w
--- a/internal/jobs/csadmit/decide.go
+++ b/internal/jobs/csadmit/decide.go
@@ -43,15 +43,17 @@
 // Decision is the decision about a submission. The zero value accepts it.
 type Decision struct {
 	Reason Reason
-	Retry  time.Duration // after which a new job like this one would be accepted
-	Wait   time.Duration // lower bound of the time until the job could start
-	Left   time.Duration // time in which it would have to start to have value; negative if that is over
+	Retry  time.Duration    // after which a new job like this one would be accepted
+	Wait   time.Duration    // lower bound of the time until the job could start
+	Left   time.Duration    // time in which it would have to start to have value; negative if that is over
+	OnTime time.Duration    // waiting on-time work of the pool, as the time that its capacity needs for it
+	Late   csmodel.MilliCPU // CPU of the waiting late work of the pool
 }
 
 // Decide decides whether a job that is submitted now can still have value. A nil backlog, or one that is too old to tell, accepts the job,
 // as does a pool without known targets.
 func Decide(now time.Time, b *Backlog, q csjob.Queue, s csjob.Submission, e csplan.Estimator) Decision {
-	if b == nil || b.Now <= 0 || now.Sub(b.At) > maxAge || !expires(s) {
+	if b == nil || b.Now <= 0 || now.Sub(b.At) > maxAge || !expires(q, s) {
 		return Decision{}
 	}
 	p := csplan.ProspectOf(now, slowest{e}, q, s)
@@ -66,6 +68,7 @@
 	default:
 		return d
 	}
+	d.OnTime, d.Late = b.waitingOnTime(), b.Late
 	// A job that is sent anew has all its time left.
 	excess := b.start(0, need) - age - (d.Left + s.Waited)
 	d.Retry = jittered(s.ID, max(minRetry, excess))
@@ -81,9 +84,10 @@
 	return time.Duration(float64(e.Estimator.Duration(q, s)) / certainShare)
 }
 
-// expires reports whether a job loses its value with time and needs CPU to start. Long-running jobs and jobs with due times do not.
-func expires(s csjob.Submission) bool {
-	return s.Repeats == 0 && s.First.IsZero() && !slices.ContainsFunc(s.Steps, func(t csjob.Step) bool {
+// expires reports whether a job loses its value with time and needs CPU to start. Jobs of queues without an objective, long-running jobs
+// and jobs with due times do not.
+func expires(q csjob.Queue, s csjob.Submission) bool {
+	return (q.Objective > 0 || q.Stretch > 0) && s.Repeats == 0 && s.First.IsZero() && !slices.ContainsFunc(s.Steps, func(t csjob.Step) bool {
 		return t.LongRunning || t.Needs().CPU <= 0
 	})
 }
--- a/internal/node/csstore/admit.go
+++ b/internal/node/csstore/admit.go
@@ -95,7 +95,8 @@
 	}
 	s.Do(func() {
 		log.Warn("jobs refused", zap.String("pool", string(pool)), zap.Int("jobs", a.unlogged[pool]), zap.String("job", string(id)),
-			zap.String("reason", d.Reason.String()), zap.Duration("wait", d.Wait), zap.Duration("left", d.Left), zap.Duration("retry", d.Retry))
+			zap.String("reason", d.Reason.String()), zap.Duration("wait", d.Wait), zap.Duration("left", d.Left), zap.Duration("retry", d.Retry),
+			zap.Duration("on_time", d.OnTime), zap.Int64("late", int64(d.Late)))
 		a.unlogged[pool] = 0
 	})
 }
