--- a/internal/jobs/csrun/leader.go
+++ b/internal/jobs/csrun/leader.go
@@ -75,6 +75,8 @@
 	// MaintenanceDue returns the incarnations whose VMs have to begin their maintenance now to meet the deadline of a wave. Runs of late
 	// jobs there are stopped. The caller must not modify the set.
 	MaintenanceDue() csmodel.Set[csjob.Incarnation]
+	// Capacity returns the CPU of the VMs. The caller may modify it.
+	Capacity() VMCapacity
 	// Ended reports whether a VM order has ended the incarnation.
 	Ended(csjob.Incarnation) bool
 	// Reset is called when this node loses leadership.
@@ -160,6 +162,7 @@
 	idleRoundDue     atomic.Bool // a round is scheduled after idleRoundInterval
 	deferredRoundDue atomic.Bool // a round is scheduled for the earliest permitted time
 	demand           atomic.Pointer[demandSnapshot]
+	admission        atomic.Pointer[Admission] // nil until a round of the term has ended
 }
 
 // Messages of the actor.
