--- a/internal/fleet/csvms/forecast.go
+++ b/internal/fleet/csvms/forecast.go
@@ -326,29 +326,10 @@
 
 // RampUp returns the work expected of a busy phase that has just started, or 0 if there is none.
 func (f *Forecast) RampUp(now time.Time, pool csmodel.PoolID) csmodel.MilliCPU {
-	h := f.pools[pool]
-	if h == nil || !h.busy || len(h.starts) == 0 || now.Sub(h.starts[len(h.starts)-1]) > rampTime {
-		return 0
-	}
-	if h.meanWork > 0 {
-		return csmodel.MilliCPU(h.meanWork)
-	}
-	return csmodel.MilliCPU(f.firstPhaseWork(h))
-}
-
-// firstPhaseWork returns the work expected of the first phase of a pool: the median of the phases that other pools have completed, because
-// pools that are busy by turns bring similar work. Before any has, it is firstPhaseRatio times the pool's share.
-func (f *Forecast) firstPhaseWork(h *poolHistory) float64 {
-	var completed []csmodel.PoolID
-	for _, id := range csmodel.SortedKeys(f.pools) {
-		if f.pools[id].meanWork > 0 {
-			completed = append(completed, id)
-		}
-	}
-	if len(completed) == 0 {
-		return firstPhaseRatio * h.shareCPU
+	if h := f.pools[pool]; h != nil && h.busy && len(h.starts) > 0 {
+		return h.rampUp(now)
 	}
-	return f.medianPhaseWork(completed)
+	return 0
 }
 
 // NextPhase returns the work expected of the next busy phase of a pool, or 0 if it does not start within the time ahead.
@@ -367,3 +348,14 @@
 	}
 	return csmodel.MilliCPU(h.meanWork)
 }
+
+// rampUp returns the work expected of a phase that has just started, or 0 after rampTime.
+func (h *poolHistory) rampUp(now time.Time) csmodel.MilliCPU {
+	if now.Sub(h.starts[len(h.starts)-1]) > rampTime {
+		return 0
+	}
+	if h.meanWork > 0 {
+		return csmodel.MilliCPU(h.meanWork)
+	}
+	return csmodel.MilliCPU(firstPhaseRatio * h.shareCPU)
+}
--- a/internal/fleet/csvms/policy_test.go
+++ b/internal/fleet/csvms/policy_test.go
@@ -231,38 +231,6 @@
 	}
 }
 
-// Pattern: pools are busy by turns, and a pool has its first one. Guards against VMs that are powered for more work than the turns of other
-// pools have brought.
-func TestFirstPhaseIsExpectedLikeThoseOfOtherPools(t *testing.T) {
-	const share, usual = csmodel.MilliCPU(60_000), csmodel.MilliCPU(50_000)
-	cases := []struct {
-		name string
-		seen bool // another pool has completed a phase
-		want csmodel.MilliCPU
-	}{
-		{"no phase completed", false, csmodel.MilliCPU(firstPhaseRatio * float64(share))},
-		{"another pool has completed one", true, usual},
-	}
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			var f Forecast
-			start := time.Unix(1_800_000_000, 0)
-			at := time.Duration(0)
-			for ; c.seen && at < 4*time.Second; at += 100 * time.Millisecond {
-				f.Observe(start.Add(at), "first", usual, 20, share)
-			}
-			for begun := at; at < begun+1500*time.Millisecond; at += 100 * time.Millisecond {
-				f.Observe(start.Add(at), "first", 0, 0, share)
-				f.Observe(start.Add(at), "second", usual, 20, share)
-			}
-			// The mean of a phase includes the second after which it counts as over.
-			if got := f.RampUp(start.Add(at), "second"); got < c.want*3/4 || got > c.want {
-				t.Errorf("got %d mCPU expected of the first phase, want between %d and %d", got, c.want*3/4, c.want)
-			}
-		})
-	}
-}
-
 // Pattern: jobs arrive at a quiet pool without a pause, and then its turn starts. Guards against a turn whose start is set
 // somewhere in the quiet time: the next one would be expected seconds too early.
 func TestTurnStartsWhenWorkRises(t *testing.T) {
