Validate accounts and keep jobs to their accounts in the table

Cause: the table held accounts without checking them, and any request could repeat or cancel any job.

Change: Config.Validate names all faults of pools, queues and accounts, keys by their positions. Submissions and cancellations are compared with the account of the job, and the cancellation of an unknown job counts for its account only. A submission whose account was withdrawn before the commit gets the verdict Unauthorized.

Measured: go test -race ./internal/jobs/csjob passes; load not measured.

--- a/internal/jobs/csjob/account.go
+++ b/internal/jobs/csjob/account.go
@@ -2,6 +2,9 @@
 
 import (
 	"crypto/sha256"
+	"fmt"
+	"strings"
+	"time"
 
 	"cowslipstream.example/cowslipstream/csmodel"
 )
@@ -42,6 +45,109 @@
 	return *a, true
 }
 
+// KeyCheck is what the check of the key of a request found.
+type KeyCheck uint8
+
+// Results of a check.
+const (
+	KeyNotChecked KeyCheck = iota // the request was answered before
+	KeyNotNeeded                  // the queue is open, or the configuration requires no keys
+	KeyKnown                      // a client account has the key
+	KeyUnknown                    // no client account has the key
+)
+
+// CheckKey returns the client account with the key of a request for a queue of the current configuration, if any, and whether the request
+// may be served.
+func (t *Table) CheckKey(q *Queue, key string) (csmodel.AccountID, KeyCheck) {
+	a, known := t.AccountOf(key)
+	switch {
+	case !t.needsKey(q):
+		return a.ID, KeyNotNeeded
+	case known:
+		return a.ID, KeyKnown
+	default:
+		return "", KeyUnknown
+	}
+}
+
+// RequiresKeys reports whether the current configuration requires keys.
+func (t *Table) RequiresKeys() bool { return t.state.Config != nil && t.state.Config.RequireKey }
+
+func (t *Table) needsKey(q *Queue) bool { return t.RequiresKeys() && !q.Open }
+
+// Uniform reports whether all requests whose path begins with the prefix of a queue need a key, or none of them does.
+func (t *Table) Uniform(q *Queue) bool {
+	for _, o := range t.routing[q.Key.Host] {
+		if o.Open != q.Open && strings.HasPrefix(o.Key.Prefix, q.Key.Prefix) {
+			return false
+		}
+	}
+	return true
+}
+
+// MayAccess reports whether a client account may read, cancel and repeat a job. Any request may do so for a job without an account, which
+// was accepted from a queue that was open or when no keys were required.
+func (t *Table) MayAccess(j *Job, id csmodel.AccountID) bool {
+	return !t.RequiresKeys() || j.Submission.Account == "" || j.Submission.Account == id
+}
+
+// admits reports whether the configuration still lets an account submit jobs to a queue. The leader checked the key before it proposed the
+// submission, and a configuration that withdraws the account may have been committed in between.
+func (t *Table) admits(q *Queue, id csmodel.AccountID) bool {
+	return !t.needsKey(q) || t.accounts[id] != nil
+}
+
+// recordCancellation keeps the cancellation of an unknown job for the jobs of its account. Jobs of open queues have no account.
+func (t *Table) recordCancellation(r JobRef, at time.Time) {
+	if q := t.Queue(r.Queue); q != nil && !t.needsKey(q) {
+		r.Account = ""
+	}
+	t.state.Cancelled[r.name()] = at
+}
+
+// cancelledBefore reports whether a job was cancelled before its submission arrived, by its account or when its queue needed no keys.
+func (t *Table) cancelledBefore(s Submission) bool {
+	_, byAccount := t.state.Cancelled[JobRef{Queue: s.Queue, ID: s.ID, Account: s.Account}.name()]
+	_, byAnyone := t.state.Cancelled[JobRef{Queue: s.Queue, ID: s.ID}.name()]
+	return byAccount || byAnyone
+}
+
+// accountFaults describes all faults of the accounts of a configuration. Keys are named by their positions, because the text is logged.
+func accountFaults(accounts []Account) []string {
+	type position struct{ account, key int }
+	var faults []string
+	names, keys := csmodel.NewSet[csmodel.AccountID](), map[KeyDigest]position{}
+	noKey := DigestKey("")
+	for i, a := range accounts {
+		switch {
+		case a.ID == "":
+			faults = append(faults, fmt.Sprintf("account %d of %d has no name", i+1, len(accounts)))
+		case names.Has(a.ID):
+			faults = append(faults, fmt.Sprintf("account %q is listed twice", a.ID))
+		}
+		names.Add(a.ID)
+		for n, k := range a.Keys {
+			first, used := keys[k]
+			switch {
+			case k == noKey:
+				faults = append(faults, fmt.Sprintf("key %d of account %q is empty", n+1, a.ID))
+			case !used:
+				keys[k] = position{i, n}
+			case first.account != i:
+				faults = append(faults, fmt.Sprintf("key %d of account %q is also key %d of account %q", n+1, a.ID, first.key+1, accounts[first.account].ID))
+			}
+		}
+		if !(a.Weight >= 0) {
+			faults = append(faults, fmt.Sprintf("account %q has the weight %g, want at least 0", a.ID, a.Weight))
+		}
+		if l := a.Limit; l.CPU < 0 || l.Memory < 0 || l.GPUs < 0 {
+			faults = append(faults, fmt.Sprintf("account %q has a limit of %d thousandths of a core, %d MiB and %d GPUs, want at least 0 of each",
+				a.ID, l.CPU, l.Memory, l.GPUs))
+		}
+	}
+	return faults
+}
+
 // indexAccounts derives the indexes of client accounts from the current configuration.
 func (t *Table) indexAccounts() {
 	t.accounts, t.keys = map[csmodel.AccountID]*Account{}, map[KeyDigest]*Account{}
--- a/internal/jobs/csjob/command.go
+++ b/internal/jobs/csjob/command.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math"
+	"strconv"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -46,8 +47,14 @@
 	Account csmodel.AccountID `cbor:"3,keyasint,omitempty"`
 }
 
-// name returns the key of a job in state.Cancelled.
-func (r JobRef) name() string { return queueName(r.Queue) + " " + string(r.ID) }
+// name returns the key of a job in state.Cancelled. The quotes separate an account from the host, which cannot contain any.
+func (r JobRef) name() string {
+	name := queueName(r.Queue) + " " + string(r.ID)
+	if r.Account == "" {
+		return name
+	}
+	return strconv.Quote(string(r.Account)) + " " + name
+}
 
 // Start records the intent to run a task. It is committed before the target is told to start the run, so that a later leader
 // knows every run that may exist.
@@ -152,6 +159,7 @@
 	VersionConflict         // the current configuration has the same version but other content
 	Refused                 // invalid, undecodable or from another term
 	Incomplete              // a part was stored and others are missing
+	Unauthorized            // the current configuration requires an account and has none of that name
 )
 
 var encMode = func() cbor.EncMode {
--- a/internal/jobs/csjob/queue.go
+++ b/internal/jobs/csjob/queue.go
@@ -47,30 +47,42 @@
 	Accounts   []Account `cbor:"7,keyasint,omitempty"`
 }
 
-// Validate returns an ErrInvalid that says why the configuration can't be applied, or nil.
+// Validate returns an ErrInvalid that names every reason why the configuration can't be applied, or nil.
 func (c Config) Validate() error {
+	faults := append(c.queueFaults(), accountFaults(c.Accounts)...)
+	if len(faults) == 0 {
+		return nil
+	}
+	return fmt.Errorf("%w: %s", ErrInvalid, strings.Join(faults, "; "))
+}
+
+// queueFaults describes all faults of the pools and queues.
+func (c Config) queueFaults() []string {
+	var faults []string
 	pools := csmodel.NewSet[csmodel.PoolID]()
 	for _, p := range c.Pools {
 		if p.ID == "" || pools.Has(p.ID) {
-			return fmt.Errorf("%w: pool %q has no name or is listed twice", ErrInvalid, p.ID)
+			faults = append(faults, fmt.Sprintf("pool %q has no name or is listed twice", p.ID))
 		}
 		pools.Add(p.ID)
 	}
 	keys := csmodel.NewSet[QueueKey]()
 	for _, q := range c.Queues {
-		switch {
-		case !pools.Has(q.Pool):
-			return fmt.Errorf("%w: queue %q refers to the unknown pool %q", ErrInvalid, q.Name, q.Pool)
-		case keys.Has(q.Key):
-			return fmt.Errorf("%w: queue %q has the same host and prefix as another queue", ErrInvalid, q.Name)
-		case q.Timeout <= 0:
-			return fmt.Errorf("%w: queue %q has no positive timeout", ErrInvalid, q.Name)
-		case !strings.HasPrefix(q.Key.Prefix, "/"):
-			return fmt.Errorf("%w: queue %q has the prefix %q, which does not start with a slash", ErrInvalid, q.Name, q.Key.Prefix)
+		if !pools.Has(q.Pool) {
+			faults = append(faults, fmt.Sprintf("queue %q refers to the unknown pool %q", q.Name, q.Pool))
+		}
+		if keys.Has(q.Key) {
+			faults = append(faults, fmt.Sprintf("queue %q has the same host and prefix as another queue", q.Name))
+		}
+		if q.Timeout <= 0 {
+			faults = append(faults, fmt.Sprintf("queue %q has the timeout %s, want more than 0", q.Name, q.Timeout))
+		}
+		if !strings.HasPrefix(q.Key.Prefix, "/") {
+			faults = append(faults, fmt.Sprintf("queue %q has the prefix %q, which does not start with a slash", q.Name, q.Key.Prefix))
 		}
 		keys.Add(q.Key)
 	}
-	return nil
+	return faults
 }
 
 // routing maps the host of a request to its queues.
--- a/internal/jobs/csjob/table.go
+++ b/internal/jobs/csjob/table.go
@@ -209,11 +209,11 @@
 // queueName returns the key of a queue in state.Queues.
 func queueName(k QueueKey) string { return k.Host + " " + k.Prefix }
 
-// submit adds a job. A repeated submission to the same queue has no effect. A job that was cancelled before its submission arrived, for
+// submit adds a job. A repeated submission of the same account to the same queue has no effect. A job that was cancelled before its submission arrived, for
 // example because the network delayed it, is cancelled from the start.
 func (t *Table) submit(s Submission, at time.Time, index csmodel.Index) Verdict {
 	if j := t.state.Jobs[s.ID]; j != nil {
-		if j.Submission.Queue != s.Queue {
+		if j.Submission.Queue != s.Queue || !t.MayAccess(j, s.Account) {
 			return Refused
 		}
 		return Accepted
@@ -222,6 +222,9 @@
 	if q == nil {
 		return UnknownQueue
 	}
+	if !t.admits(q, s.Account) {
+		return Unauthorized
+	}
 	if s.Validate() != nil {
 		return Refused
 	}
@@ -229,17 +232,18 @@
 	j.queue = t.setQueue(*q)
 	t.state.Jobs[s.ID] = j
 	t.addActive(j)
-	if _, cancelled := t.state.Cancelled[JobRef{Queue: s.Queue, ID: s.ID}.name()]; cancelled {
+	if t.cancelledBefore(s) {
 		t.finishJob(j, Cancelled, at)
 	}
 	return Accepted
 }
 
-// cancel ends a job. The cancellation of an unknown job is kept, because its submission may still be on its way.
+// cancel ends a job. The cancellation of an unknown job is kept, because its submission may still be on its way. The job of another
+// account counts as unknown.
 func (t *Table) cancel(r JobRef, at time.Time) Verdict {
 	j := t.state.Jobs[r.ID]
-	if j == nil || j.Submission.Queue != r.Queue {
-		t.state.Cancelled[r.name()] = at
+	if j == nil || j.Submission.Queue != r.Queue || !t.MayAccess(j, r.Account) {
+		t.recordCancellation(r, at)
 		return UnknownJob
 	}
 	if !j.State.Final() {
