Check keys on the leader and bound floods of unknown keys at entries

Cause: requests were served whatever key they carried.

Change: the leader checks the key of each request against the configuration in force and answers 401, and 410 for jobs of other accounts. Its answer tells for which paths the result of the check holds. Without accounts entries look at no key.

--- a/internal/node/csentry/entry.go
+++ b/internal/node/csentry/entry.go
@@ -59,6 +59,8 @@
 	latency  prometheus.Histogram
 
 	patience patience
+	keys     *keyGate
+	refusals *refusals
 
 	mu     sync.Mutex
 	leader csmodel.NodeID
@@ -82,6 +84,7 @@
 		}),
 	}
 	o.Registry.MustRegister(e.requests, e.latency)
+	e.keys, e.refusals = newKeyGate(o.Clock), newRefusals(o.Registry)
 	var peers []cslink.Peer
 	for _, ip := range o.Seeds {
 		peers = append(peers, cslink.Peer{Node: csrpc.StoreNode(ip), Address: o.PeerAddress(ip)})
@@ -152,11 +155,11 @@
 	if r.Action == csrpc.ActionSubmit {
 		r.Waited = e.patience.waited(started, r)
 	}
-	a := e.do(ctx, started, r)
+	a := e.doAdmitted(ctx, started, r)
 	after := e.options.Clock.Now().Sub(started)
 	e.latency.Observe(after.Seconds())
 	e.requests.WithLabelValues(resultNames[a.Result]).Inc()
-	if a.Result >= csrpc.ResultRefused {
+	if a.Result >= csrpc.ResultRefused && a.Result < csrpc.ResultUnauthorized { // refused keys have lines of their own
 		e.log.Info("request not served", zap.String("host", r.Host), zap.String("path", r.Path), zap.Uint8("action", uint8(r.Action)),
 			zap.String("result", resultNames[a.Result]), zap.String("leader", string(e.current())), zap.Duration("after", after))
 	}
@@ -166,7 +169,7 @@
 var resultNames = [...]string{
 	csrpc.ResultDone: "done", csrpc.ResultNoQueue: "no_queue", csrpc.ResultNoJob: "no_job", csrpc.ResultRefused: "refused",
 	csrpc.ResultInvalid: "invalid", csrpc.ResultNoConfig: "no_config", csrpc.ResultMoved: "no_leader",
-	csrpc.ResultUnknown: "unknown",
+	csrpc.ResultUnknown: "unknown", csrpc.ResultUnauthorized: "unauthorized", csrpc.ResultBusy: "busy",
 }
 
 // do tries the known leader until one answers. Where an attempt was sent without an answer, the request may have been
--- a/internal/node/csentry/watch.go
+++ b/internal/node/csentry/watch.go
@@ -94,6 +94,9 @@
 		return
 	case from:
 		e.setReady(from, a.Term, a.Ready)
+		if a.Ready {
+			e.keys.require(a.Keys)
+		}
 	}
 	e.learn(a.Leader, a.Term)
 }
--- a/internal/node/csrpc/messages.go
+++ b/internal/node/csrpc/messages.go
@@ -59,6 +59,7 @@
 	ResultMoved                             // not run; another node leads
 	ResultUnknown                           // may have been run
 	ResultUnauthorized                      // no client account has the key; not run
+	ResultBusy                              // too many requests are in progress; not run
 )
 
 // JobAnswer answers a JobRequest.
@@ -69,6 +70,10 @@
 	Queue   bool           `cbor:"4,keyasint,omitempty"` // the answer is about the queue itself
 	Retry   time.Duration  `cbor:"5,keyasint,omitempty"`
 	Leader  csmodel.NodeID `cbor:"6,keyasint,omitempty"`
+	// Key is what the leader found out about the key of the request.
+	Key csjob.KeyCheck `cbor:"7,keyasint,omitempty"`
+	// Prefix is set if a check of the same key, KeyUnknown or KeyNotNeeded, holds for all paths of the host with this prefix.
+	Prefix string `cbor:"8,keyasint,omitempty"`
 }
 
 // TargetAnswer answers heartbeats and announcements of an end.
@@ -84,6 +89,8 @@
 	Ready  bool           `cbor:"3,keyasint,omitempty"` // a configuration is in force
 	// Stores lists the members of the group, so that an entry still finds a leader once its seeds are gone.
 	Stores []csmodel.NodeID `cbor:"4,keyasint,omitempty"`
+	// Keys is set if the leader is ready and its configuration requires keys of client accounts.
+	Keys bool `cbor:"5,keyasint,omitempty"`
 }
 
 var encoding = func() cbor.EncMode {
--- a/internal/node/csstore/calls.go
+++ b/internal/node/csstore/calls.go
@@ -53,8 +53,8 @@
 	for _, m := range status.Members {
 		a.Stores = append(a.Stores, m.Node)
 	}
-	replica{s}.View(func(t *csjob.Table) { a.Ready = t.Config() != nil })
-	a.Ready = a.Ready && status.Leading
+	replica{s}.View(func(t *csjob.Table) { a.Ready, a.Keys = t.Config() != nil, t.RequiresKeys() })
+	a.Ready, a.Keys = a.Ready && status.Leading, a.Keys && status.Leading
 	return a
 }
 
@@ -83,9 +83,10 @@
 	defer cancel()
 	j := jobCall{store: s, ctx: ctx, request: request}
 	a := j.run()
+	a.Key, a.Prefix = j.check, j.uniform
 	if request.Action != csrpc.ActionState {
 		s.log.Info("job request", zap.String("job", string(j.id)), zap.Uint8("action", uint8(request.Action)),
-			zap.String("entry", string(from)), zap.String("queue", j.queue.Name), zap.Uint8("result", uint8(a.Result)),
+			zap.String("entry", string(from)), zap.String("queue", j.queue.Name), zap.String("account", string(j.account)), zap.Uint8("result", uint8(a.Result)),
 			zap.Int64("config", j.version), zap.Duration("waited", waited(request, j.queue.Timeout)), zap.Duration("after", s.options.Clock.Now().Sub(started)))
 	}
 	return a
@@ -99,6 +100,9 @@
 	queue   csjob.Queue
 	version int64
 	id      csjob.ID
+	account csmodel.AccountID // that has the key of the request
+	check   csjob.KeyCheck
+	uniform string // prefix of all paths for which the check holds, or empty
 }
 
 func (j *jobCall) run() csrpc.JobAnswer {
@@ -114,9 +118,10 @@
 	case csrpc.ActionSubmit:
 		job := *j.request.Job
 		job.ID, job.Queue, job.Waited = j.id, j.queue.Key, waited(j.request, j.queue.Timeout)
+		job.Account = j.owner()
 		return j.propose(csjob.Command{Submit: &job})
 	default:
-		return j.propose(csjob.Command{Cancel: &csjob.JobRef{Queue: j.queue.Key, ID: j.id}})
+		return j.propose(csjob.Command{Cancel: &csjob.JobRef{Queue: j.queue.Key, ID: j.id, Account: j.account}})
 	}
 }
 
@@ -142,9 +147,12 @@
 	}
 	j.queue = *q
 	j.id = csjob.ID(j.request.Path[len(q.Key.Prefix):])
+	j.checkKey(t, q)
 	job := t.Job(j.id)
-	mine := job != nil && job.Submission.Queue == q.Key
+	mine := job != nil && job.Submission.Queue == q.Key && t.MayAccess(job, j.account)
 	switch {
+	case j.check == csjob.KeyUnknown:
+		return csrpc.JobAnswer{Result: csrpc.ResultUnauthorized}
 	case j.id == "" && j.request.Action == csrpc.ActionState:
 		return csrpc.JobAnswer{Result: csrpc.ResultDone, Queue: true, Pending: t.Pending(q.Key)}
 	case j.request.Action == csrpc.ActionSubmit && len(j.id) != idLength:
@@ -168,6 +176,22 @@
 	}
 }
 
+// checkKey finds the client account of the request.
+func (j *jobCall) checkKey(t *csjob.Table, q *csjob.Queue) {
+	j.account, j.check = t.CheckKey(q, j.request.Key)
+	if j.check != csjob.KeyKnown && t.Uniform(q) {
+		j.uniform = q.Key.Prefix
+	}
+}
+
+// owner returns the account that a submitted job belongs to. Jobs of open queues belong to none, whatever key the request has.
+func (j *jobCall) owner() csmodel.AccountID {
+	if j.check == csjob.KeyKnown {
+		return j.account
+	}
+	return ""
+}
+
 func (j *jobCall) propose(c csjob.Command) csrpc.JobAnswer {
 	v, err := replica{j.store}.Propose(j.ctx, c)
 	switch {
@@ -181,6 +205,8 @@
 		return csrpc.JobAnswer{Result: csrpc.ResultNoQueue}
 	case v == csjob.UnknownJob:
 		return csrpc.JobAnswer{Result: csrpc.ResultNoJob}
+	case v == csjob.Unauthorized:
+		return csrpc.JobAnswer{Result: csrpc.ResultUnauthorized}
 	default:
 		return csrpc.JobAnswer{Result: csrpc.ResultInvalid}
 	}
