Bound the description of an invalid configuration

Cause: a document of 4 MiB can have a million faults with long names, and the control address takes documents from anyone. Requests with unknown keys also wrote a line each to the log of the leader.

Change: errors list 100 faults, count the others and cut names to 64 characters. The tests of the gate end by themselves where a request is never admitted.

Measured: 100,001 faults with names of 1 MiB give an error below 20,000 bytes.

--- a/internal/jobs/csjob/account.go
+++ b/internal/jobs/csjob/account.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/sha256"
-	"fmt"
 	"strings"
 	"time"
 
@@ -112,40 +111,38 @@
 	return byAccount || byAnyone
 }
 
-// accountFaults describes all faults of the accounts of a configuration. Keys are named by their positions, because the text is logged.
-func accountFaults(accounts []Account) []string {
+// addAccounts adds the faults of the accounts of a configuration. Keys are named by their positions, because the text is logged.
+func (f *faults) addAccounts(accounts []Account) {
 	type position struct{ account, key int }
-	var faults []string
 	names, keys := csmodel.NewSet[csmodel.AccountID](), map[KeyDigest]position{}
 	noKey := DigestKey("")
 	for i, a := range accounts {
 		switch {
 		case a.ID == "":
-			faults = append(faults, fmt.Sprintf("account %d of %d has no name", i+1, len(accounts)))
+			f.addf("account %d of %d has no name", i+1, len(accounts))
 		case names.Has(a.ID):
-			faults = append(faults, fmt.Sprintf("account %q is listed twice", a.ID))
+			f.addf("account %.64q is listed twice", a.ID)
 		}
 		names.Add(a.ID)
 		for n, k := range a.Keys {
 			first, used := keys[k]
 			switch {
 			case k == noKey:
-				faults = append(faults, fmt.Sprintf("key %d of account %q is empty", n+1, a.ID))
+				f.addf("key %d of account %.64q is empty", n+1, a.ID)
 			case !used:
 				keys[k] = position{i, n}
 			case first.account != i:
-				faults = append(faults, fmt.Sprintf("key %d of account %q is also key %d of account %q", n+1, a.ID, first.key+1, accounts[first.account].ID))
+				f.addf("key %d of account %.64q is also key %d of account %.64q", n+1, a.ID, first.key+1, accounts[first.account].ID)
 			}
 		}
 		if !(a.Weight >= 0) {
-			faults = append(faults, fmt.Sprintf("account %q has the weight %g, want at least 0", a.ID, a.Weight))
+			f.addf("account %.64q has the weight %g, want at least 0", a.ID, a.Weight)
 		}
 		if l := a.Limit; l.CPU < 0 || l.Memory < 0 || l.GPUs < 0 {
-			faults = append(faults, fmt.Sprintf("account %q has a limit of %d thousandths of a core, %d MiB and %d GPUs, want at least 0 of each",
-				a.ID, l.CPU, l.Memory, l.GPUs))
+			f.addf("account %.64q has a limit of %d thousandths of a core, %d MiB and %d GPUs, want at least 0 of each",
+				a.ID, l.CPU, l.Memory, l.GPUs)
 		}
 	}
-	return faults
 }
 
 // indexAccounts derives the indexes of client accounts from the current configuration.
--- a/internal/jobs/csjob/account_test.go
+++ b/internal/jobs/csjob/account_test.go
@@ -84,6 +84,18 @@
 	}
 }
 
+// Guards against a store that runs out of memory because of the description of a document's faults (load: a document of 4 MiB).
+func TestManyFaults(t *testing.T) {
+	long := csmodel.AccountID(strings.Repeat("x", 1<<20))
+	err := withAccounts(2, account(long, make([]string, 100_000)...), account(long)).Validate()
+	if !errors.Is(err, csjob.ErrInvalid) {
+		t.Fatalf("got error %v, want %v", err, csjob.ErrInvalid)
+	}
+	if got, want := len(err.Error()), 20_000; got > want || !strings.HasSuffix(err.Error(), "and 99901 more") {
+		t.Errorf("got an error of %d bytes, want at most %d and the number of other faults", got, want)
+	}
+}
+
 // Guards against withdrawn keys that go on working and added ones that don't, also on a follower that gets the table as a snapshot.
 func TestKeysFollowVersions(t *testing.T) {
 	const unknown = ""
@@ -228,3 +240,20 @@
 		})
 	}
 }
+
+// BenchmarkCheckKey measures what the check of a key costs the leader of the largest deployment with accounts.
+func BenchmarkCheckKey(b *testing.B) {
+	h := newHarness(b)
+	var accounts []csjob.Account
+	for i := range 630 {
+		accounts = append(accounts, account(csmodel.AccountID(fmt.Sprint("a", i)), fmt.Sprint("key of a", i), fmt.Sprint("next key of a", i)))
+	}
+	h.apply(csjob.Command{Config: withAccounts(2, accounts...)})
+	q := h.table.Queue(queueKey)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, check := h.table.CheckKey(q, "key of a400"); check != csjob.KeyKnown {
+			b.Fatal("the key is unknown")
+		}
+	}
+}
--- a/internal/jobs/csjob/queue.go
+++ b/internal/jobs/csjob/queue.go
@@ -1,7 +1,6 @@
 package csjob
 
 import (
-	"fmt"
 	"strings"
 	"time"
 
@@ -47,42 +46,39 @@
 	Accounts   []Account `cbor:"7,keyasint,omitempty"`
 }
 
-// Validate returns an ErrInvalid that names every reason why the configuration can't be applied, or nil.
+// Validate returns an ErrInvalid that names the reasons why the configuration can't be applied, or nil.
 func (c Config) Validate() error {
-	faults := append(c.queueFaults(), accountFaults(c.Accounts)...)
-	if len(faults) == 0 {
-		return nil
-	}
-	return fmt.Errorf("%w: %s", ErrInvalid, strings.Join(faults, "; "))
+	var f faults
+	f.addQueues(c)
+	f.addAccounts(c.Accounts)
+	return f.err()
 }
 
-// queueFaults describes all faults of the pools and queues.
-func (c Config) queueFaults() []string {
-	var faults []string
+// addQueues adds the faults of the pools and queues of a configuration.
+func (f *faults) addQueues(c Config) {
 	pools := csmodel.NewSet[csmodel.PoolID]()
 	for _, p := range c.Pools {
 		if p.ID == "" || pools.Has(p.ID) {
-			faults = append(faults, fmt.Sprintf("pool %q has no name or is listed twice", p.ID))
+			f.addf("pool %.64q has no name or is listed twice", p.ID)
 		}
 		pools.Add(p.ID)
 	}
 	keys := csmodel.NewSet[QueueKey]()
 	for _, q := range c.Queues {
 		if !pools.Has(q.Pool) {
-			faults = append(faults, fmt.Sprintf("queue %q refers to the unknown pool %q", q.Name, q.Pool))
+			f.addf("queue %.64q refers to the unknown pool %.64q", q.Name, q.Pool)
 		}
 		if keys.Has(q.Key) {
-			faults = append(faults, fmt.Sprintf("queue %q has the same host and prefix as another queue", q.Name))
+			f.addf("queue %.64q has the same host and prefix as another queue", q.Name)
 		}
 		if q.Timeout <= 0 {
-			faults = append(faults, fmt.Sprintf("queue %q has the timeout %s, want more than 0", q.Name, q.Timeout))
+			f.addf("queue %.64q has the timeout %s, want more than 0", q.Name, q.Timeout)
 		}
 		if !strings.HasPrefix(q.Key.Prefix, "/") {
-			faults = append(faults, fmt.Sprintf("queue %q has the prefix %q, which does not start with a slash", q.Name, q.Key.Prefix))
+			f.addf("queue %.64q has the prefix %.64q, which does not start with a slash", q.Name, q.Key.Prefix)
 		}
 		keys.Add(q.Key)
 	}
-	return faults
 }
 
 // routing maps the host of a request to its queues.
--- a/internal/node/csentry/keys_test.go
+++ b/internal/node/csentry/keys_test.go
@@ -40,7 +40,9 @@
 
 // serve passes a request through the gate and returns the leader's answer, if it was asked.
 func serve(g *keyGate, r csrpc.JobRequest) (csrpc.JobAnswer, admission) {
-	leave, a := g.enter(context.Background(), r)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second) // ends a wait that no step of the clock ends
+	defer cancel()
+	leave, a := g.enter(ctx, r)
 	defer leave()
 	if a != admitted {
 		return csrpc.JobAnswer{}, a
@@ -179,3 +181,20 @@
 		}
 	}
 }
+
+// BenchmarkGate measures what a request with a known key costs at an entry that a flood has filled.
+func BenchmarkGate(b *testing.B) {
+	g := newKeyGate(clockwork.NewRealClock())
+	r := requestWith("/a/1", "good")
+	g.learn(r, answerTo(r))
+	for i := range maxRefusals {
+		bad := requestWith("/a/1", fmt.Sprint("bad", i))
+		g.learn(bad, answerTo(bad))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, a := g.enter(b.Context(), r); a != admitted {
+			b.Fatal("a known key was not admitted")
+		}
+	}
+}
--- a/internal/node/csstore/calls.go
+++ b/internal/node/csstore/calls.go
@@ -84,7 +84,8 @@
 	j := jobCall{store: s, ctx: ctx, request: request}
 	a := j.run()
 	a.Key, a.Prefix = j.check, j.uniform
-	if request.Action != csrpc.ActionState {
+	// Entries log requests with unknown keys, a bounded number per second.
+	if request.Action != csrpc.ActionState && a.Result != csrpc.ResultUnauthorized {
 		s.log.Info("job request", zap.String("job", string(j.id)), zap.Uint8("action", uint8(request.Action)),
 			zap.String("entry", string(from)), zap.String("queue", j.queue.Name), zap.String("account", string(j.account)), zap.Uint8("result", uint8(a.Result)),
 			zap.Int64("config", j.version), zap.Duration("waited", waited(request, j.queue.Timeout)), zap.Duration("after", s.options.Clock.Now().Sub(started)))
