Bound memory, connections and time of clients' requests

Cause: each body was read whole before anything checked whether there is capacity, and nothing bounded connections or the time of a body.

Change: the servers of a process share a budget for bodies, derived from Limits.MemoryMb, and a bound of connections, derived from it and Limits.MaxFds. Bodies reserve memory by announced length or as they come, and decoding reserves what its objects and elements take. Where there is no memory the answer is 503 with Retry-After, above the limit 413, and nothing was handed to the leader. Bodies without progress, idle connections and unfinished headers are closed for the sake of others.

--- a/cmd/cowslipstream/roles.go
+++ b/cmd/cowslipstream/roles.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
@@ -37,6 +38,17 @@
 	storeGCPercent = 200
 	// headerTimeout bounds the time in which a client sends the head of a request.
 	headerTimeout = 5 * time.Second
+	// idleTimeout is how long a connection without a request is kept: longer than clients keep idle connections (15 s).
+	idleTimeout = 90 * time.Second
+	// writeTimeout bounds a request from its header to the last byte of its answer: a whole body (60 s) and an answer that the
+	// client takes slowly.
+	writeTimeout = 90 * time.Second
+	// ownConnections is the most connections of the addresses for readiness and metrics. Clients have none of them, and
+	// cshttp keeps descriptors for them.
+	ownConnections = 32
+	// storeClientPart is the part of a store's descriptors that targets and operators may take, as a divisor. The leader itself
+	// opens up to four connections to each target: 1,360 for 340 targets, of 4,096 descriptors.
+	storeClientPart = 2
 	// stopMargin is the part of the grace period that is left for closing files and connections.
 	stopMargin = 1500 * time.Millisecond
 	// idleLinger is how long idle connections of client accounts are kept after the listener was closed. They are asked to leave with the
@@ -80,6 +92,7 @@
 	log      *zap.Logger
 	ring     *cslog.Ring
 	registry *prometheus.Registry
+	pool     *cshttp.Pool
 	link     net.Listener
 	hup      chan os.Signal // the platform says that the settings file has changed
 }
@@ -98,13 +111,20 @@
 	if settings.Memory > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory)))
 	}
+	limits := cshttp.LimitsOf(int64(settings.Memory), settings.Files)
+	if settings.Control != "" && settings.Files > 0 {
+		limits.Connections = min(limits.Connections, settings.Files/storeClientPart)
+	}
+	p.pool = cshttp.NewPool(cshttp.PoolOptions{
+		Limits: limits, Clock: clockwork.NewRealClock(), Log: p.log, Registry: p.registry,
+	})
 	p.link, err = net.Listen("tcp", settings.LinkAddress()) //nolint:noctx // bound for the life of the process
 	if err != nil {
 		return nil, trace.Wrap(err, "link address")
 	}
 	p.log.Info("starting", zap.String("version", readVersion().Version), zap.String("node", settings.Node), zap.String("zone", string(settings.Zone)),
 		zap.Strings("seeds", settings.Seeds), zap.Bool("first", settings.First), zap.Int("pid", os.Getpid()))
-	p.serve(settings.MetricsAddress(), p.metrics())
+	p.serve(settings.MetricsAddress(), p.metrics(), ownConnections)
 	return p, nil
 }
 
@@ -116,9 +136,12 @@
 	return mux
 }
 
-// serve starts a server that runs until the process ends or the server is shut down.
-func (p *process) serve(address string, h http.Handler) *cshttp.Server {
-	s := cshttp.New(&http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}, csclock.NewBoot())
+// serve starts a server that runs until the process ends or the server is shut down. With connections of 0 it has those that the
+// process has for clients.
+func (p *process) serve(address string, h http.Handler, connections int) *cshttp.Server {
+	s := p.pool.Server(&http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout, MaxHeaderBytes: cshttp.MaxHeaderBytes,
+	}, csclock.NewBoot(), connections)
 	go func() {
 		l, err := net.Listen("tcp", address) //nolint:noctx // bound for the life of the process
 		if err == nil {
@@ -207,7 +230,7 @@
 		p.close("failed start")
 		return trace.Wrap(err)
 	}
-	server := p.serve(s.Control, platform.ControlHandler(store, s.ControlAddress, p.log))
+	server := p.serve(s.Control, platform.ControlHandler(store, s.ControlAddress, p.log), 0)
 	<-c.ctx.Done()
 	p.log.Info("stopping", zap.Duration("grace", s.Grace))
 	store.Close()
@@ -238,8 +261,8 @@
 	}
 	go p.watchSettings(c.ctx, entry.AddSeeds)
 	draining := func() bool { return c.ctx.Err() != nil }
-	p.serve(s.Ready, platform.ReadyHandler(entry, draining))
-	front := p.serve(s.Callers, closing(platform.FrontHandler(entry), draining))
+	p.serve(s.Ready, platform.ReadyHandler(entry, draining), ownConnections)
+	front := p.serve(s.Callers, closing(platform.FrontHandler(entry), draining), 0)
 	<-c.ctx.Done()
 	p.log.Info("stopping", zap.Duration("grace", s.Grace))
 	p.drain(front)
--- a/internal/base/cshttp/server.go
+++ b/internal/base/cshttp/server.go
@@ -1,4 +1,4 @@
-// Package cshttp stops HTTP servers without losing requests.
+// Package cshttp stops HTTP servers without losing requests, and bounds what clients may take of a process: memory, connections and time.
 package cshttp
 
 import (
@@ -21,15 +21,40 @@
 	http     *http.Server
 	clock    clockwork.Clock
 	stopping atomic.Bool
+	pool     *Pool
+	share    *share
 
 	mu       sync.Mutex
 	listener net.Listener
 	open     map[net.Conn]http.ConnState
 }
 
-// New returns a server with the settings of s, whose Handler must be set. It takes over s.Handler and s.ConnState.
+// New returns a server without bounds, with the settings of s, whose Handler must be set. It takes over s.Handler and s.ConnState.
 func New(s *http.Server, c clockwork.Clock) *Server {
-	v := &Server{http: s, clock: c, open: map[net.Conn]http.ConnState{}}
+	return NewPool(PoolOptions{Clock: c}).server(s, c, 0)
+}
+
+// Server returns a server like New that takes its memory from the pool. It has at most the given number of connections; with 0 it
+// shares those of the pool. Its handlers read bodies with ReadBody: a body that nobody reads is cut after some seconds.
+func (p *Pool) Server(s *http.Server, c clockwork.Clock, connections int) *Server {
+	v := p.server(s, c, connections)
+	s.ConnContext = withConn
+	next := s.Handler
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c := connOf(r); c != nil {
+			c.startRequest(r)
+			defer p.finish(c)
+		}
+		next.ServeHTTP(w, r)
+	})
+	return v
+}
+
+func (p *Pool) server(s *http.Server, c clockwork.Clock, connections int) *Server {
+	v := &Server{http: s, clock: c, pool: p, share: &p.shared, open: map[net.Conn]http.ConnState{}}
+	if connections > 0 {
+		v.share = &share{limit: connections}
+	}
 	next := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if v.stopping.Load() {
@@ -42,6 +67,9 @@
 }
 
 func (s *Server) connState(c net.Conn, state http.ConnState) {
+	if a, ok := c.(*conn); ok {
+		s.pool.connState(a, state)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if state == http.StateClosed || state == http.StateHijacked {
@@ -60,7 +88,7 @@
 		_ = l.Close()
 		return http.ErrServerClosed
 	}
-	err := s.http.Serve(l)
+	err := s.http.Serve(&listener{Listener: l, pool: s.pool, share: s.share})
 	if s.stopping.Load() {
 		return http.ErrServerClosed
 	}
