--- a/internal/base/cshttp/bounds_test.go
+++ b/internal/base/cshttp/bounds_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 )
 
 // bounded is a server with bounds whose handler reads a body and answers with its size.
@@ -244,6 +246,34 @@
 	}
 }
 
+// Load: many refusals at once. Guards against a log line for each, and against refusals that no line tells of.
+func TestRefusalsAreLoggedTogether(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	clock := clockwork.NewFakeClock()
+	p := NewPool(PoolOptions{Clock: clock, Log: zap.New(core)})
+	want := []int64{1000, 1}
+	for i, n := range want {
+		p.mu.Lock()
+		for range n {
+			p.count(ReasonSize)
+		}
+		p.mu.Unlock()
+		clock.Advance(logInterval)
+		for range 2000 {
+			if logs.Len() > i {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		if got := logs.Len(); got != i+1 {
+			t.Fatalf("got %d lines after %d refusals, want %d", got, n, i+1)
+		}
+		if got := logs.All()[i].ContextMap()["size"]; got != uint64(n) {
+			t.Errorf("got %v refusals in line %d, want %d", got, i, n)
+		}
+	}
+}
+
 // Guards against limits that a process of the stated size doesn't keep, or that clients inside the limits reach.
 func TestLimitsOf(t *testing.T) {
 	cases := []struct {
--- a/internal/base/cshttp/pool.go
+++ b/internal/base/cshttp/pool.go
@@ -30,8 +30,11 @@
 
 func (r Reason) String() string { return reasonNames[r] }
 
-// logInterval is the least time between two log lines about refusals.
-const logInterval = 10 * time.Second
+// Log lines about refusals: the first one tells of all within a short time, and a crowd of clients writes few.
+const (
+	logDelay    = time.Second
+	logInterval = 10 * time.Second
+)
 
 // PoolOptions are the options of a pool.
 type PoolOptions struct {
@@ -52,8 +55,8 @@
 	budget  budget
 	shared  share
 	refused [reasons]uint64
-	logged  [reasons]uint64 // refused at the last log line
-	lastLog time.Time
+	logged  [reasons]uint64             // refused at the last log line
+	waiting bool                        // a log line is due
 	counter [reasons]prometheus.Counter // nil without a registry
 }
 
@@ -104,10 +107,21 @@
 	if c := p.counter[r]; c != nil {
 		c.Inc()
 	}
-	now := p.clock.Now()
-	if now.Sub(p.lastLog) < logInterval {
+	if !p.waiting {
+		p.waiting = true
+		p.clock.AfterFunc(logDelay, p.report)
+	}
+}
+
+// report logs what was refused since the last line, and goes on until nothing is.
+func (p *Pool) report() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.refused == p.logged {
+		p.waiting = false
 		return
 	}
+	p.clock.AfterFunc(logInterval, p.report)
 	fields := make([]zap.Field, 0, int(reasons)+3)
 	for r := range reasons {
 		if n := p.refused[r] - p.logged[r]; n > 0 {
@@ -115,7 +129,7 @@
 		}
 	}
 	fields = append(fields, zap.Int64("body_bytes", p.budget.used), zap.Int64("of", p.budget.limits.Bodies), zap.Int("connections", p.shared.open))
-	p.lastLog, p.logged = now, p.refused
+	p.logged = p.refused
 	p.log.Warn("clients refused", fields...)
 }
 
