--- a/internal/base/cshttp/body.go
+++ b/internal/base/cshttp/body.go
@@ -137,7 +137,7 @@
 	c.pool.release(c)
 	c.pool.mu.Unlock()
 	c.pool.move(c, refused)
-	_ = c.SetReadDeadline(time.Now().Add(drainTime)) // a closed connection ends the next read anyway
+	_ = c.SetReadDeadline(time.Now().Add(c.pool.drainTime)) // a closed connection ends the next read anyway
 	if http.NewResponseController(w).Flush() != nil || r.Header.Get("Expect") != "" {
 		return // a client that waits for "100 Continue" sends nothing more
 	}
--- a/internal/base/cshttp/bounds_test.go
+++ b/internal/base/cshttp/bounds_test.go
@@ -31,6 +31,10 @@
 	v := &bounded{t: t, clock: clockwork.NewFakeClock()}
 	v.pool = NewPool(PoolOptions{Limits: l, Clock: v.clock})
 	s := v.pool.Server(&http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/unknown" {
+			http.NotFound(w, r)
+			return
+		}
 		b, err := ReadBody(r, bodyLimit)
 		if err != nil {
 			Refuse(w, r, err)
@@ -133,6 +137,22 @@
 	}
 }
 
+// Guards against a connection that is reset while its client still sends a refused body: such a client may lose the answer.
+func TestRefusedBodiesAreReadOn(t *testing.T) {
+	v := newBounded(t, LimitsOf(64<<20, 0))
+	v.pool.drainTime = bodyIdle // longer than the test, however slow the machine is
+	conn := v.send(strings.Replace(announce(2*bodyLimit, 10), "Host", "Connection: close\r\nHost", 1))
+	if got, _ := v.answer(conn); got != http.StatusRequestEntityTooLarge {
+		t.Errorf("got status %d, want 413", got)
+	}
+	for i := range 10 {
+		time.Sleep(10 * time.Millisecond) // a reset would have arrived
+		if _, err := io.WriteString(conn, strings.Repeat("x", 10_000)); err != nil {
+			t.Fatalf("got error %v at part %d of a refused body, want it read", err, i)
+		}
+	}
+}
+
 // Load: large bodies that stop one byte short take all memory. Guards against small bodies that find none, a large one that waits, and
 // stalled ones that keep their memory although another one needs it.
 func TestStalledBodiesMakeRoom(t *testing.T) {
@@ -194,6 +214,27 @@
 	}
 }
 
+// Load: bodies that stop short, sent to a path that nobody serves. Guards against connections that can't be closed for new clients
+// because net/http waits for the rest of a body that no handler has read.
+func TestUnreadBodiesMakeRoom(t *testing.T) {
+	v := newBounded(t, Limits{Connections: 1})
+	stalled := v.send(strings.Replace(announce(100, 99), " / ", " /unknown ", 1))
+	v.eventually("unfinished bodies", 1, func() int64 {
+		if v.pool.shared.order.first[unfinished] == nil {
+			return 0
+		}
+		return 1
+	})
+	time.Sleep(50 * time.Millisecond) // the handler returns meanwhile
+	v.clock.Advance(stalledTime)
+	if got, _ := v.answer(v.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n")); got != http.StatusOK {
+		t.Errorf("got status %d beside an unread body without progress, want 200", got)
+	}
+	if got, _ := v.answer(stalled); got != 0 {
+		t.Errorf("got status %d for the unread body, want its connection closed", got)
+	}
+}
+
 // Guards against bodies that take for ever where nothing else is wrong: without progress, and with a little of it.
 func TestBodiesEnd(t *testing.T) {
 	cases := []struct {
@@ -237,7 +278,8 @@
 	}
 	text := "GET / HTTP/1.1\r\nHost: x\r\n" + lines.String()
 	v.send(text)
-	v.eventually("whether a header is reserved", 1, func() int64 { return min(1, v.pool.budget.used/100_000) })
+	// Most of the header, so that no second one fits.
+	v.eventually("whether a header is reserved", 1, func() int64 { return min(1, v.pool.budget.used/(12*headerStep)) })
 	if got, _ := v.answer(v.send(text + "\r\n")); got == http.StatusOK {
 		t.Error("got status 200 at a large header without memory, want a refusal")
 	}
--- a/internal/base/cshttp/pool.go
+++ b/internal/base/cshttp/pool.go
@@ -46,10 +46,10 @@
 
 // Pool holds what the servers of a process share: memory for bodies, and connections. Use NewPool.
 type Pool struct {
-	clock    clockwork.Clock
-	log      *zap.Logger
-	bodyIdle time.Duration
-	bodyTime time.Duration
+	clock clockwork.Clock
+	log   *zap.Logger
+
+	bodyIdle, bodyTime, drainTime time.Duration // constants, except in tests
 
 	mu      sync.Mutex
 	budget  budget
@@ -69,7 +69,7 @@
 
 // NewPool returns a pool.
 func NewPool(o PoolOptions) *Pool {
-	p := &Pool{clock: o.Clock, log: o.Log, bodyIdle: bodyIdle, bodyTime: bodyTime, budget: budget{limits: o.Limits}}
+	p := &Pool{clock: o.Clock, log: o.Log, bodyIdle: bodyIdle, bodyTime: bodyTime, drainTime: drainTime, budget: budget{limits: o.Limits}}
 	p.shared.limit = o.Limits.Connections
 	if p.log == nil {
 		p.log = zap.NewNop()
@@ -229,15 +229,13 @@
 	}
 }
 
-// finish ends a request whose handler has returned.
+// finish ends a request whose handler has returned. Where it has not read the body, net/http reads on, so the body still counts as
+// unfinished.
 func (p *Pool) finish(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.release(c)
 	c.headerBytes, c.headerLines, c.headerReserved = 0, 0, 0
-	if c.phase != refused && !c.gone {
-		c.share.order.move(c, inHandler, p.clock.Now())
-	}
 }
 
 // listener accounts the connections of a server.
