Spend nothing on keys where none are required

Cause: without accounts the leader hashed the key of each request and looked at all queues of its host, for a prefix that no entry uses.

Change: both are left out.

--- a/internal/jobs/csjob/account.go
+++ b/internal/jobs/csjob/account.go
@@ -58,9 +58,12 @@
 // CheckKey returns the client account with the key of a request for a queue of the current configuration, if any, and whether the request
 // may be served.
 func (t *Table) CheckKey(q *Queue, key string) (csmodel.AccountID, KeyCheck) {
+	if !t.RequiresKeys() {
+		return "", KeyNotNeeded
+	}
 	a, known := t.AccountOf(key)
 	switch {
-	case !t.needsKey(q):
+	case q.Open:
 		return a.ID, KeyNotNeeded
 	case known:
 		return a.ID, KeyKnown
--- a/internal/node/csentry/keys_test.go
+++ b/internal/node/csentry/keys_test.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
 	"cowslipstream.example/cowslipstream/internal/node/csrpc"
@@ -182,6 +186,40 @@
 	}
 }
 
+// Guards against a flood that fills the log, and against keys in it.
+func TestRefusalsAreLoggedAtALimitedRate(t *testing.T) {
+	core, lines := observer.New(zap.InfoLevel)
+	registry, now := prometheus.NewRegistry(), time.Unix(1_800_000_000, 0)
+	f := newRefusals(registry)
+	for i := range 1000 {
+		f.record(zap.New(core), now, requestWith(fmt.Sprint("/a/", i), "s3cret"), reasonCached)
+	}
+	f.record(zap.New(core), now.Add(time.Second), requestWith("/a/last", "s3cret"), reasonBusy)
+	if got, want := lines.Len(), refusalBurst+1; got != want {
+		t.Fatalf("got %d lines, want %d", got, want)
+	}
+	last := lines.All()[refusalBurst].ContextMap()
+	if got, want := last["omitted"], int64(1000-refusalBurst); got != want || last["path"] != "/a/last" || last["key"] != true {
+		t.Errorf("got last line %v, want %d omitted lines", last, want)
+	}
+	for _, l := range lines.All() {
+		if text := fmt.Sprint(l.Message, l.ContextMap()); strings.Contains(text, "s3cret") {
+			t.Fatalf("the line %q contains the key", text)
+		}
+	}
+	families, err := registry.Gather()
+	if err != nil || len(families) != 1 {
+		t.Fatalf("got %d metrics and error %v, want 1", len(families), err)
+	}
+	counted := map[string]float64{}
+	for _, m := range families[0].GetMetric() {
+		counted[m.GetLabel()[0].GetValue()] = m.GetCounter().GetValue()
+	}
+	if counted[reasonCached] != 1000 || counted[reasonBusy] != 1 || counted[reasonLeader] != 0 {
+		t.Errorf("counted %v, want 1000 refusals from the cache and 1 without a place", counted)
+	}
+}
+
 // BenchmarkGate measures what a request with a known key costs at an entry that a flood has filled.
 func BenchmarkGate(b *testing.B) {
 	g := newKeyGate(clockwork.NewRealClock())
--- a/internal/node/csstore/account_test.go
+++ b/internal/node/csstore/account_test.go
@@ -38,6 +38,19 @@
 			t.Fatalf("command %d: got verdict %d, want accepted", i, got)
 		}
 	}
+	t.Run("without accounts", func(t *testing.T) { // nothing is added to the answers
+		open := csjob.Config{Version: 2, Pools: config.Pools, Queues: config.Queues, Document: []byte("2")}
+		b, err := csjob.Command{Config: &open}.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		var table csjob.Table
+		table.Apply(csraft.Entry{Index: 1, Data: b})
+		j := jobCall{request: csrpc.JobRequest{Action: csrpc.ActionState, Host: "h", Path: "/closed/", Key: "kx"}}
+		if got := j.look(&table); got.Result != csrpc.ResultDone || j.uniform != "" || j.account != "" {
+			t.Errorf("got result %d, prefix %q and account %q, want %d and nothing else", got.Result, j.uniform, j.account, csrpc.ResultDone)
+		}
+	})
 	const change = csrpc.JobResult(0) // the request asks for a command
 	cases := []struct {
 		name   string
--- a/internal/node/csstore/calls.go
+++ b/internal/node/csstore/calls.go
@@ -180,7 +180,8 @@
 // checkKey finds the client account of the request.
 func (j *jobCall) checkKey(t *csjob.Table, q *csjob.Queue) {
 	j.account, j.check = t.CheckKey(q, j.request.Key)
-	if j.check != csjob.KeyKnown && t.Uniform(q) {
+	// Entries use the prefix only where keys are required, and only for keys that are not known.
+	if t.RequiresKeys() && j.check != csjob.KeyKnown && t.Uniform(q) {
 		j.uniform = q.Key.Prefix
 	}
 }
