Keep VMs that a wave needs soon from moving to another pool

Cause: an idle VM of a wave was moved 5 s before the wave's deadline, returned 1.5 s later, got runs and began its maintenance 0.8 s after the deadline.

Change: VMs that wait for a wave are not moved once the wave leaves no time for a move and its margin.

--- a/internal/fleet/csvms/balance.go
+++ b/internal/fleet/csvms/balance.go
@@ -85,7 +85,7 @@
 
 // balance reserves VMs for moves to pools that need them, and idle VMs that no pool needs for the standby pool.
 func (f *Fleet) balance(r csrun.Round, view *fleetView) {
-	candidates := view.remaining()
+	candidates := f.movable(view.remaining())
 	transfers := Balance(view.pools, candidates)
 	f.peakVMs.observe(r.Now, totalDesiredVMs(view.pools, view.cpuPerVM))
 	if f.mayPark(r.Now) {
@@ -97,6 +97,21 @@
 	}
 }
 
+// movable returns the candidates that have time for a move. A VM that is moved shortly before the deadline of its wave returns with new runs
+// and makes the wave late.
+func (f *Fleet) movable(candidates []Candidate) []Candidate {
+	if len(f.noTimeToMove) == 0 {
+		return candidates
+	}
+	out := make([]Candidate, 0, len(candidates))
+	for i := range candidates {
+		if !f.noTimeToMove.Has(candidates[i].ID) {
+			out = append(out, candidates[i])
+		}
+	}
+	return out
+}
+
 // firstDrainTime is the time that it takes to drain the first VMs for another pool.
 const firstDrainTime = 300 * time.Millisecond
 
--- a/internal/fleet/csvms/fleet.go
+++ b/internal/fleet/csvms/fleet.go
@@ -82,6 +82,8 @@
 	replayed       bool       // the forecast has learned from the arrivals before this epoch
 	// awaitingMaintenance are the targets whose VMs await their maintenance. Each decision makes a new set.
 	awaitingMaintenance csmodel.Set[csjob.Incarnation]
+	// noTimeToMove are the VMs whose wave leaves no time for a move to another pool. Each decision makes a new set.
+	noTimeToMove csmodel.Set[csmodel.VMID]
 	// maintenanceDue are the targets whose VMs have to begin their maintenance now. Each decision makes a new set.
 	maintenanceDue csmodel.Set[csjob.Incarnation]
 	absences       map[csmodel.VMID]*absence       // VMs of open waves that are missing from the lists
@@ -115,7 +117,7 @@
 	f.idleSince = map[csmodel.VMID]time.Time{}
 	f.replayed = false
 	f.peakVMs = slidingMax{}
-	f.awaitingMaintenance, f.maintenanceDue = nil, nil
+	f.awaitingMaintenance, f.maintenanceDue, f.noTimeToMove = nil, nil, nil
 	f.absences = map[csmodel.VMID]*absence{}
 	f.lastTargets = map[csmodel.VMID]csjob.TargetID{}
 }
--- a/internal/fleet/csvms/wave.go
+++ b/internal/fleet/csvms/wave.go
@@ -40,6 +40,7 @@
 func (f *Fleet) advanceWaves(r csrun.Round, view *fleetView) {
 	awaited := csmodel.NewSet[csmodel.VMID]()
 	f.awaitingMaintenance, f.maintenanceDue = csmodel.NewSet[csjob.Incarnation](), csmodel.NewSet[csjob.Incarnation]()
+	f.noTimeToMove = csmodel.NewSet[csmodel.VMID]()
 	for _, w := range r.Table.Waves() {
 		if !w.Completed() {
 			for _, id := range w.Wave.VMs {
@@ -94,9 +95,10 @@
 		f.propose(csjob.Command{VMs: updates})
 	}
 	f.addTargetIncarnations(f.awaitingMaintenance, r.Table, waiting)
-	if f.mustBegin(r.Now, w) {
+	if f.timeLeft(r.Now, w) <= 0 {
 		f.addTargetIncarnations(f.maintenanceDue, r.Table, reserved)
 	}
+	f.keepFromMoving(r.Now, w, waiting)
 	for _, id := range f.selectWaveVMs(r, view, w, waiting, down, moving) {
 		f.reserve(r, id, csjob.VMOrder{VM: id, Wave: w.Wave.ID})
 	}
@@ -209,9 +211,19 @@
 	return min(w.Wave.MaxConcurrent, int(math.Ceil(need)))
 }
 
-// mustBegin reports whether the VMs of a wave that are not down have to go down now for the wave to meet its deadline.
-func (f *Fleet) mustBegin(now time.Time, w *csjob.WaveState) bool {
-	return w.Accepted.Add(w.Wave.Deadline).Sub(now) <= f.options.MaintenanceTime+maintenanceOverhead
+// timeLeft returns the time after which the VMs of a wave that are not down have to go down for the wave to meet its deadline.
+func (f *Fleet) timeLeft(now time.Time, w *csjob.WaveState) time.Duration {
+	return w.Accepted.Add(w.Wave.Deadline).Sub(now) - f.options.MaintenanceTime - maintenanceOverhead
+}
+
+// keepFromMoving keeps VMs of a wave that leaves no time for a move in their pools.
+func (f *Fleet) keepFromMoving(now time.Time, w *csjob.WaveState, vms []csmodel.VMID) {
+	if f.timeLeft(now, w) > f.options.MoveTime+waveDeadlineMargin {
+		return
+	}
+	for _, id := range vms {
+		f.noTimeToMove.Add(id)
+	}
 }
 
 // addTargetIncarnations adds the incarnations of the known targets on VMs.
--- a/internal/fleet/csvms/wave_test.go
+++ b/internal/fleet/csvms/wave_test.go
@@ -89,9 +89,27 @@
 	}
 }
 
+// Pattern: the last VMs of a wave are idle while another pool becomes busy. Guards against a wave that misses its deadline because one of
+// them is moved and returns with new runs, and against VMs that are kept from other pools while there is time for a move.
+func TestWaveKeepsItsLastVMsFromMoving(t *testing.T) {
+	now := time.Now()
+	candidates := idleVMs("pool", 4, now)
+	w := &csjob.WaveState{Wave: csjob.Wave{Deadline: 20 * time.Second}, Accepted: now}
+	for _, c := range []struct {
+		left time.Duration // until the deadline
+		want int           // movable VMs
+	}{{20 * time.Second, 4}, {9500 * time.Millisecond, 4}, {8500 * time.Millisecond, 2}, {2 * time.Second, 2}} {
+		f := Fleet{noTimeToMove: csmodel.NewSet[csmodel.VMID](), options: Options{MaintenanceTime: 2 * time.Second, MoveTime: 1500 * time.Millisecond}}
+		f.keepFromMoving(now.Add(20*time.Second-c.left), w, []csmodel.VMID{candidates[0].ID, candidates[1].ID})
+		if got := len(f.movable(candidates)); got != c.want {
+			t.Errorf("%s left: got %d movable VMs, want %d", c.left, got, c.want)
+		}
+	}
+}
+
 // Guards against a wave that waits for late runs until its deadline has passed, and against late runs that are stopped while there is time
 // for them to end.
-func TestMaintenanceMustBegin(t *testing.T) {
+func TestMaintenanceIsDue(t *testing.T) {
 	now := time.Now()
 	f := Fleet{options: Options{MaintenanceTime: 2 * time.Second}}
 	w := &csjob.WaveState{Wave: csjob.Wave{Deadline: 20 * time.Second}, Accepted: now}
@@ -100,7 +118,7 @@
 		left time.Duration
 		want bool
 	}{{20 * time.Second, false}, {downtime + time.Second, false}, {downtime, true}, {-time.Second, true}} {
-		if got := f.mustBegin(now.Add(20*time.Second-c.left), w); got != c.want {
+		if got := f.timeLeft(now.Add(20*time.Second-c.left), w) <= 0; got != c.want {
 			t.Errorf("%s left: got %t, want %t", c.left, got, c.want)
 		}
 	}
