csjob: learn run times from finished runs in the replicated table

Cause: the leader's regression of run times is lost with each change of leaders, and it predicts a mean only.

Change: an end may carry the measured run time (End.Ran), and the table learns a distribution from it for each queue, image, and declared time and size. Ratios to a regression of the queue are kept in histograms; the arithmetic is in integers so that all replicas have the same bytes. At most 512 groups are kept, in the order of their last use. A task of a speculative step has at most two open runs, and a job doesn't fail while another run of the failed task is open.

--- a/internal/jobs/csjob/command.go
+++ b/internal/jobs/csjob/command.go
@@ -78,6 +78,8 @@
 	Incarnation Incarnation `cbor:"3,keyasint"`
 	Outcome     Outcome     `cbor:"4,keyasint"`
 	Checkpoint  string      `cbor:"5,keyasint,omitempty"`
+	// Ran is the measured run time, or zero if the time of the end is not exact. The table learns run times from it.
+	Ran time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // TargetEvent records a change of a target that must survive a leader change.
--- a/internal/jobs/csjob/runs.go
+++ b/internal/jobs/csjob/runs.go
@@ -17,7 +17,7 @@
 	if task == nil || task.Done || s.Attempt <= task.Attempts || !known || target.Incarnation != s.Incarnation {
 		return
 	}
-	if len(task.Runs) > 0 && !j.Submission.Steps[s.Task.Step].Speculative {
+	if len(task.Runs) >= j.Submission.Steps[s.Task.Step].maxOpenRuns() {
 		return
 	}
 	task = j.begin(s.Task.Occurrence).task(s.Task.Step, s.Task.Index)
@@ -77,6 +77,7 @@
 	t.addOpenRuns(incarnation, e.Task, -1)
 	t.recordGangChange(j, e.Task)
 	o.recordCheckpoint(j.Submission.Steps[e.Task.Step], e)
+	t.learnRunTime(j, task, e)
 	if e.Outcome == OutcomeNotStarted {
 		j.addUnconfirmed(e.Task, task, e.Attempt)
 	}
@@ -138,7 +139,7 @@
 			counted = &o.Tasks[e.Task.Step][0]
 		}
 		counted.addFailure(step, e.Attempt)
-		if q := t.queueOf(j); !task.Done && counted.Failures >= max(1, q.Attempts) {
+		if q := t.queueOf(j); !task.Done && len(task.Runs) == 0 && counted.Failures >= max(1, q.Attempts) {
 			t.finishJob(j, Failed, at)
 		}
 	case OutcomeStopped, OutcomeLost, OutcomeGangMemberEnded, OutcomeGangTimeout, OutcomeNotStarted:
--- a/internal/jobs/csjob/table.go
+++ b/internal/jobs/csjob/table.go
@@ -48,6 +48,7 @@
 	Uploads    map[string]*upload            `cbor:"10,keyasint,omitempty"` // commands with missing parts, by digest
 	// Cancelled holds when jobs were cancelled that were not known, by JobRef.name.
 	Cancelled map[string]time.Time `cbor:"11,keyasint,omitempty"`
+	RunTimes  *RunTimes            `cbor:"20,keyasint,omitempty"` // learned from finished runs
 }
 
 // WaveState is a wave with its progress.
