--- a/internal/jobs/csjob/runtimegroup.go
+++ b/internal/jobs/csjob/runtimegroup.go
@@ -27,6 +27,7 @@
 	runs       uint64
 	regression regression // of groups of level QueueGroup
 	ratios     *hdrhistogram.Histogram
+	dropped    bool
 }
 
 func newRunTimeGroup(k RunTimeKey) *RunTimeGroup {
@@ -36,6 +37,9 @@
 // Runs returns the number of runs that the group has learned from. It only grows.
 func (g *RunTimeGroup) Runs() uint64 { return g.runs }
 
+// Dropped reports whether the group was dropped in favor of others, so that it learns no more.
+func (g *RunTimeGroup) Dropped() bool { return g.dropped }
+
 // Weight returns the number of runs that the group remembers.
 func (g *RunTimeGroup) Weight() float64 { return float64(g.ratios.TotalCount()) / runWeight }
 
--- a/internal/jobs/csjob/runtimes.go
+++ b/internal/jobs/csjob/runtimes.go
@@ -65,6 +65,8 @@
 type RunTimes struct {
 	groups map[RunTimeKey]*list.Element // of order
 	order  list.List                    // of *RunTimeGroup, the least recently used first
+	// created is the number of groups created since the start or the last restore.
+	created uint64
 }
 
 // RunTimes returns the learned run times. The caller must not modify them.
@@ -81,6 +83,14 @@
 	return nil
 }
 
+// Created returns a number that grows with each new group. While it stays the same, a group that was unknown still is.
+func (r *RunTimes) Created() uint64 {
+	if r == nil {
+		return 0
+	}
+	return r.created
+}
+
 // Len returns the number of groups.
 func (r *RunTimes) Len() int {
 	if r == nil {
@@ -103,6 +113,7 @@
 	}
 	if len(r.groups) >= maxRunTimeGroups {
 		oldest := r.order.Front()
+		groupOf(oldest).dropped = true
 		delete(r.groups, groupOf(oldest).key)
 		r.order.Remove(oldest)
 	}
@@ -115,12 +126,13 @@
 	if r.groups == nil {
 		r.groups = map[RunTimeKey]*list.Element{}
 	}
+	r.created++
 	r.groups[g.key] = r.order.PushBack(g)
 }
 
-// observe learns from a run of a step. The run time of a run that was stopped before its end is a lower bound, which says something about
+// Observe learns from a run of a step. The run time of a run that was stopped before its end is a lower bound, which says something about
 // the spread of run times only.
-func (r *RunTimes) observe(q QueueKey, s *Step, ran time.Duration, stopped bool) {
+func (r *RunTimes) Observe(q QueueKey, s *Step, ran time.Duration, stopped bool) {
 	logRan, logDeclared := logMicroseconds(ran), logMicroseconds(declared(s))
 	keys := RunTimeKeys(q, s)
 	ratio := r.use(keys[QueueGroup]).ratioTo(logRan, logDeclared)
@@ -148,5 +160,5 @@
 	if t.state.RunTimes == nil {
 		t.state.RunTimes = &RunTimes{}
 	}
-	t.state.RunTimes.observe(j.Submission.Queue, step, e.Ran, cut)
+	t.state.RunTimes.Observe(j.Submission.Queue, step, e.Ran, cut)
 }
--- a/internal/jobs/csjob/runtimes_test.go
+++ b/internal/jobs/csjob/runtimes_test.go
@@ -101,7 +101,7 @@
 		s, ran := randomStep(), randomTime()
 		runOne(apply, 2000+n, s, ran)
 		if ran > 0 {
-			restored.observe(learningQueue, &s, ran, false)
+			restored.Observe(learningQueue, &s, ran, false)
 		}
 	}
 	if !bytes.Equal(marshal(t, &restored), marshal(t, table.RunTimes())) {
@@ -174,7 +174,7 @@
 			var r RunTimes
 			b.ReportAllocs()
 			for n := 0; b.Loop(); n++ {
-				r.observe(learningQueue, &steps[n%images], time.Duration(1+n%977)*time.Millisecond, false)
+				r.Observe(learningQueue, &steps[n%images], time.Duration(1+n%977)*time.Millisecond, false)
 			}
 		})
 	}
--- a/internal/jobs/csplan/plan.go
+++ b/internal/jobs/csplan/plan.go
@@ -42,6 +42,13 @@
 	Duration(csjob.QueueKey, csjob.Step) time.Duration
 }
 
+// Predictor is an Estimator that also knows the spread of run times.
+type Predictor interface {
+	Estimator
+	// Predict returns what is known about the run time of one task of a step of a queue.
+	Predict(csjob.QueueKey, *csjob.Step) Prediction
+}
+
 // RemainingCriticalPath returns the length of the remaining critical path of an occurrence: the predicted time until it is done if no task had
 // to wait for resources.
 func RemainingCriticalPath(e Estimator, j *csjob.Job, occurrence int) time.Duration {
