csrun: use learned run times, copy unusually long runs, avoid slow targets

Cause: 3 in 100 tasks run seven times as long and make their jobs late, and a slow target gets work like any other.

Change: the leader sets End.Ran where the time of an end is exact and predicts from the table. A run beyond the 95th percentile whose job would be late gets one copy on another target and rack if its step is speculative, from what waiting work on time leaves free and at most 5% of the pool's CPU. Each target has a cost learned from run times and failures, shrunk towards targets with its rack and labels; slow ones are used last, at most a quarter of a pool, and return in steps of 1, 2, 4 and more runs. Metrics and log lines for copies, prediction errors and slow targets.

--- a/internal/jobs/csplan/learned.go
+++ b/internal/jobs/csplan/learned.go
@@ -65,9 +65,9 @@
 	return l.predict(q, &s).Typical
 }
 
-// Predict implements Predictor.
-func (l *LearnedEstimator) Predict(q csjob.QueueKey, s *csjob.Step) Prediction {
-	return l.predict(q, s).Prediction
+// Predict implements Predictor. The caller must not modify the prediction, which stays as it is.
+func (l *LearnedEstimator) Predict(q csjob.QueueKey, s *csjob.Step) *Prediction {
+	return &l.predict(q, s).Prediction
 }
 
 func (l *LearnedEstimator) predict(q csjob.QueueKey, s *csjob.Step) *cachedPrediction {
--- a/internal/jobs/csplan/place.go
+++ b/internal/jobs/csplan/place.go
@@ -21,6 +21,8 @@
 	Starting int
 	// Preferred is false if the target should get a task only when no other target can take it.
 	Preferred bool
+	// Cost is the expected time for a done run there as a multiple of that on other targets. Zero is unknown.
+	Cost float64
 	// EvictingSoon is set if the target will be removed soon.
 	EvictingSoon bool
 	reserved     bool // kept free for a more urgent task that doesn't fit yet
--- a/internal/jobs/csplan/plan.go
+++ b/internal/jobs/csplan/plan.go
@@ -46,7 +46,7 @@
 type Predictor interface {
 	Estimator
 	// Predict returns what is known about the run time of one task of a step of a queue.
-	Predict(csjob.QueueKey, *csjob.Step) Prediction
+	Predict(csjob.QueueKey, *csjob.Step) *Prediction
 }
 
 // RemainingCriticalPath returns the length of the remaining critical path of an occurrence: the predicted time until it is done if no task had
--- a/internal/jobs/csplan/runtimes_sim_test.go
+++ b/internal/jobs/csplan/runtimes_sim_test.go
@@ -61,7 +61,7 @@
 
 type learnRun struct {
 	simRun
-	since, took time.Duration
+	took time.Duration
 }
 
 func (sim *learnSim) logNormal(deviation float64) float64 {
--- a/internal/jobs/csplan/spread.go
+++ b/internal/jobs/csplan/spread.go
@@ -123,7 +123,7 @@
 }
 
 // Quantile returns a quantile of the run time between 0 and 1, and false if too little is known of its spread.
-func (p Prediction) Quantile(q float64) (time.Duration, bool) {
+func (p *Prediction) Quantile(q float64) (time.Duration, bool) {
 	if p.spread == nil {
 		return p.Typical, false
 	}
@@ -131,7 +131,7 @@
 }
 
 // Remaining returns the expected time until a run ends that has run for the given time.
-func (p Prediction) Remaining(passed time.Duration) time.Duration {
+func (p *Prediction) Remaining(passed time.Duration) time.Duration {
 	if p.spread == nil || p.center <= 0 {
 		return max(p.Mean-passed, 0)
 	}
--- a/internal/jobs/csrun/evict.go
+++ b/internal/jobs/csrun/evict.go
@@ -83,7 +83,12 @@
 }
 
 // remaining returns the predicted time until the run ends.
-func (u *run) remaining(now time.Time) time.Duration { return u.expected - now.Sub(u.since) }
+func (u *run) remaining(now time.Time) time.Duration {
+	if u.prediction == nil {
+		return u.expected - now.Sub(u.since)
+	}
+	return u.prediction.Remaining(now.Sub(u.since))
+}
 
 // evictable reports whether stopping a run frees its VM sooner and costs its job only the lost work: the job is late already,
 // or the run can be restarted in time.
--- a/internal/jobs/csrun/offered.go
+++ b/internal/jobs/csrun/offered.go
@@ -91,8 +91,16 @@
 	var sum float64
 	for _, s := range j.Submission.Steps {
 		if !s.LongRunning {
-			sum += float64(s.Tasks) * float64(s.Resources.CPU) * e.Duration(j.Submission.Queue, s).Seconds()
+			sum += float64(s.Tasks) * float64(s.Resources.CPU) * meanDuration(e, j.Submission.Queue, &s).Seconds()
 		}
 	}
 	return csmodel.MilliCPU(sum)
 }
+
+// meanDuration returns the mean run time of a step. The estimator's Duration leaves out unusually long runs, which are work nevertheless.
+func meanDuration(e csplan.Estimator, q csjob.QueueKey, s *csjob.Step) time.Duration {
+	if p, ok := e.(csplan.Predictor); ok {
+		return p.Predict(q, s).Mean
+	}
+	return e.Duration(q, *s)
+}
--- a/internal/jobs/csrun/polls.go
+++ b/internal/jobs/csrun/polls.go
@@ -231,13 +231,12 @@
 		r.stats.ends++
 		key := runKey{e.Task, e.Attempt}
 		delete(w.strays, key)
+		end := csjob.End{Task: e.Task, Attempt: e.Attempt, Incarnation: w.incarnation, Outcome: e.Outcome, Checkpoint: e.Checkpoint}
 		if u := w.runs[key]; u != nil {
 			u.ended = true
-			r.learnFromEnd(w, u, e, now, prompt)
+			r.learnFromEnd(w, u, &end, now, prompt)
 		}
-		r.proposedEnds = append(r.proposedEnds, csjob.End{
-			Task: e.Task, Attempt: e.Attempt, Incarnation: w.incarnation, Outcome: e.Outcome, Checkpoint: e.Checkpoint,
-		})
+		r.proposedEnds = append(r.proposedEnds, end)
 		r.options.Metrics.ends.WithLabelValues(outcomeNames[e.Outcome]).Inc()
 		r.log.Info("end", zap.String("job", string(e.Task.Job)), zap.Stringer("task", e.Task), zap.Int("attempt", int(e.Attempt)),
 			zap.String("target", string(w.incarnation.Target)), zap.String("outcome", outcomeNames[e.Outcome]), zap.Int64("number", e.Number),
@@ -245,29 +244,6 @@
 	}
 }
 
-// learnFromEnd updates the predicted run times and the failure history of the target from the end of a run.
-func (r *runner) learnFromEnd(w *target, u *run, e RunEnd, now time.Time, prompt bool) {
-	switch e.Outcome {
-	case csjob.OutcomeDone:
-		w.quarantine.recordEnd(now, false)
-		if !prompt {
-			return
-		}
-		r.options.State.View(func(t *csjob.Table) {
-			if j := t.Job(e.Task.Job); j != nil && !j.Released() {
-				r.learned.Observe(j.Submission.Queue, j.Submission.Steps[e.Task.Step], now.Sub(u.since))
-			}
-		})
-	case csjob.OutcomeFailed:
-		w.quarantine.recordEnd(now, true)
-		if w.quarantine.quarantined(now) {
-			r.log.Warn("target quarantined", zap.String("target", string(w.incarnation.Target)), zap.Int("failed_in_a_row", w.quarantine.failuresInRow),
-				zap.Duration("for", quarantineDuration))
-		}
-	case csjob.OutcomeStopped, csjob.OutcomeLost, csjob.OutcomeGangMemberEnded, csjob.OutcomeGangTimeout, csjob.OutcomeNotStarted:
-	}
-}
-
 // reconcileRuns compares the runs that the target lists with the open runs in the table.
 func (r *runner) reconcileRuns(w *target, m *pollResult) {
 	listed := csmodel.NewSet[runKey]()
--- a/internal/jobs/csrun/runner.go
+++ b/internal/jobs/csrun/runner.go
@@ -31,7 +31,7 @@
 	options Options
 	log     *zap.Logger
 	termState
-	learned csplan.RunTimeEstimator
+	learned csplan.LearnedEstimator
 	offered offeredLoad
 	// unknownPools limits the log lines about heartbeats with an unknown pool.
 	unknownPools rate.Sometimes
@@ -63,6 +63,8 @@
 	begun                csmodel.Set[csjob.ID] // jobs of which a target confirmed a start that the table may not have recorded
 	inDoubt              inDoubtCommands
 	stats                leaderStats
+	speeds               map[speedGroup]*speed
+	copiesCheckedAt      time.Time // when runs were last checked for copies
 
 	markRound     int       // number of the round that marked targets last
 	lostCheckedAt time.Time // when targets were last checked for lost ones
@@ -128,6 +130,7 @@
 	r.pendingByJob = map[csjob.ID]int{}
 	r.pools = map[csmodel.PoolID]*poolPlan{}
 	r.begun = csmodel.NewSet[csjob.ID]()
+	r.speeds = map[speedGroup]*speed{}
 	r.log.Info("leading", zap.Uint64("term", uint64(t)))
 	r.catchUp(r.ctx, t)
 }
@@ -204,6 +207,7 @@
 	var starts []csjob.Start
 	var begun []csjob.ID
 	r.options.State.View(func(t *csjob.Table) {
+		r.learned.Use(t.RunTimes())
 		r.sync(t, now)
 		begun = r.takeBegun(t)
 		if now.Sub(r.lostCheckedAt) >= lostCheckInterval {
--- a/internal/jobs/csrun/schedule.go
+++ b/internal/jobs/csrun/schedule.go
@@ -30,12 +30,14 @@
 	demand := Demand{}
 	var starts []csjob.Start
 	r.offered.update(now, t, &r.learned)
+	long := r.longRuns(now, t)
 	for _, pool := range csmodel.SortedKeys(r.pools) {
 		p := r.pools[pool]
 		if !p.hasJobs {
 			continue
 		}
 		csplan.Sort(p.work)
+		r.markSlow(pool, p)
 		placed := csplan.Place(p.work, p.slots, r.isPending)
 		d := r.waitingDemand(p.work)
 		for _, s := range p.slots {
@@ -44,6 +46,7 @@
 		}
 		demand[pool] = d
 		starts = append(starts, r.startsFor(t, placed)...)
+		starts = append(starts, r.copyStarts(now, t, long[pool], p, d)...)
 	}
 	r.addRunning(demand)
 	addLongRunning(t, demand)
@@ -124,7 +127,8 @@
 			continue
 		}
 		s.Starting = w.unconfirmedStarts(len(r.pendingByIncarnation[w.incarnation]))
-		s.Preferred, s.EvictingSoon = w.failures == 0 && !w.quarantine.suspect(), w.evictingSoonRound == r.markRound
+		s.Preferred, s.EvictingSoon = w.failures == 0 && !w.quarantine.suspect() && !w.fullReturn(), w.evictingSoonRound == r.markRound
+		s.Cost = w.costOf(now)
 		p.slots = append(p.slots, s)
 	}
 }
--- a/internal/jobs/csrun/simulation_targets_test.go
+++ b/internal/jobs/csrun/simulation_targets_test.go
@@ -30,13 +30,22 @@
 	run := simRun{attempt: o.Attempt}
 	step := sim.table.Job(o.Task.Job).Submission.Steps[o.Task.Step]
 	if !step.LongRunning {
-		run.ends = sim.now.Add(time.Duration(float64(step.Estimate) * math.Exp(sim.runTimeSigma*sim.callRandom.NormFloat64())))
+		run.ends = sim.now.Add(sim.runTime(t, o, step.Estimate))
 	}
 	sim.targets[t.Incarnation.Target].running[o.Task] = run
 	sim.starts++
 	return Reply{Clock: sim.clock()}, nil
 }
 
+// runTime returns the run time of a run of a step with the given typical one.
+func (sim *simulation) runTime(t csjob.Target, o StartOrder, typical time.Duration) time.Duration {
+	d := time.Duration(float64(typical) * math.Exp(sim.runTimeSigma*sim.callRandom.NormFloat64()))
+	if sim.unevenRunTime != nil {
+		d = sim.unevenRunTime(t, o, d)
+	}
+	return d
+}
+
 func (sim *simulation) clock() time.Duration { return sim.now.Sub(time.Unix(1_700_000_000, 0)) }
 
 func (sim *simulation) Stop(_ context.Context, t csjob.Target, o StopOrder) (Reply, error) {
--- a/internal/jobs/csrun/simulation_test.go
+++ b/internal/jobs/csrun/simulation_test.go
@@ -63,6 +63,9 @@
 	heldTargets   int           // number of targets whose VM is about to be reclaimed; a different set each second
 	runTimeSigma  float64       // standard deviation of the logarithm of a run time
 	refusalRate   float64       // probability that decisions are not committed
+	speculative   float64       // share of the steps that allow copies
+	// unevenRunTime changes the run time of a run. It may be nil.
+	unevenRunTime func(csjob.Target, StartOrder, time.Duration) time.Duration
 
 	mu           sync.Mutex
 	targets      map[csjob.TargetID]*simTarget
@@ -182,6 +185,7 @@
 			s.Resources.CPU, s.Estimate = 4400, 2100*time.Millisecond
 		}
 		s.Estimate = time.Duration(float64(s.Estimate) * (0.7 + 0.6*sim.jobRandom.Float64()))
+		s.Speculative = sim.speculative > 0 && sim.jobRandom.Float64() < sim.speculative
 		steps := []csjob.Step{s}
 		for n := 1; n < count; n++ {
 			s.After = []int{n - 1}
--- a/internal/jobs/csrun/sync.go
+++ b/internal/jobs/csrun/sync.go
@@ -176,7 +176,8 @@
 		key := runKey{k, o.Attempt}
 		u := w.runs[key]
 		if u == nil {
-			u = &run{key: key, since: o.StartedAt, expected: r.learned.Duration(j.Submission.Queue, *step)}
+			u = &run{key: key, since: o.StartedAt, prediction: r.learned.Predict(j.Submission.Queue, step), copy: o.Attempt != task.Runs[0].Attempt}
+			u.expected, u.mayCopy = u.prediction.Typical, step.MayCopy()
 			u.placedEvictingSoon = w.evictingSoonRound > 0 && w.evictingSoonRound == r.markRound
 			w.runs[key] = u
 			w.list = append(w.list, u)
--- a/internal/jobs/csrun/target.go
+++ b/internal/jobs/csrun/target.go
@@ -5,6 +5,7 @@
 
 	"cowslipstream.example/cowslipstream/csmodel"
 	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
+	"cowslipstream.example/cowslipstream/internal/jobs/csplan"
 )
 
 // Bounds and timeouts for the state of a target.
@@ -41,9 +42,12 @@
 type run struct {
 	key                runKey
 	since              time.Time
-	expected           time.Duration // predicted run time
-	started            bool          // the target has acknowledged its start or listed it
-	onIncarnation      bool          // the answer is known to come from this incarnation of the target
+	expected           time.Duration      // predicted run time
+	prediction         *csplan.Prediction // nil if unknown
+	mayCopy            bool               // its step allows copies
+	copy               bool               // started beside another run of its task
+	started            bool               // the target has acknowledged its start or listed it
+	onIncarnation      bool               // the answer is known to come from this incarnation of the target
 	ackedAt            time.Time
 	longRunning        bool // a long-running task whose job is active
 	placedEvictingSoon bool // placed on a VM that will be reclaimed soon, for lack of another; it stays until the VM is reclaimed
@@ -106,6 +110,10 @@
 	heldRound         int  // last round in which its VM was about to be reclaimed
 	evictingSoonRound int  // last round in which its VM was to be reclaimed soon
 	usage             usage
+	speed             speed
+	peers             *speed // of targets with the same rack and labels; nil before its first run
+	slow              bool   // it counted as slow in the last round
+	returning         int    // number of runs up to which a target that was slow is preferred; zero if it is ordinary
 }
 
 // recordAnswer records an answer of this incarnation that is handled now.
