csplan: simulate copies beside learned run times

Cause: the comparison of estimators did not show what copies bring.

Change: the simulated pool can copy unusually long runs with the same decision as the leader.

--- a/internal/jobs/csplan/runtimes_sim_test.go
+++ b/internal/jobs/csplan/runtimes_sim_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"cowslipstream.example/cowslipstream/csmodel"
@@ -38,17 +39,19 @@
 	name string
 	Estimator
 	observe func(csjob.Step, time.Duration)
+	// stopped is told how long a run took that was stopped because another run of its task was done. Without it no copies are made.
+	stopped func(csjob.Step, time.Duration)
 }
 
 // learnSim simulates one pool that is busy by turns, under a virtual clock. The objective of a job counts the typical run time of its steps.
 type learnSim struct {
 	learnLoad
 	learner
-	random *rand.Rand
-	start  time.Time
-	slots  []*Slot
-	images [learnImages]float64
-	jobs   map[csjob.ID]*csjob.Job
+	random, copied *rand.Rand // of the load, and of the run times of copies
+	start          time.Time
+	slots          []*Slot
+	images         [learnImages]float64
+	jobs           map[csjob.ID]*csjob.Job
 	// lengths holds the run times of the tasks of each job by step. They are drawn at its arrival, so that all estimators meet the same load.
 	lengths map[csjob.ID][][]time.Duration
 	active  []*csjob.Job
@@ -57,11 +60,13 @@
 	late    time.Duration // sum of all jobs
 	errors  float64       // sum of the logarithms of the errors of predictions
 	started int
+	copies  int
 }
 
 type learnRun struct {
 	simRun
-	took time.Duration
+	since time.Time
+	took  time.Duration
 }
 
 func (sim *learnSim) logNormal(deviation float64) float64 {
@@ -94,6 +99,7 @@
 			s.After = []int{0}
 		}
 		lengths = append(lengths, sim.draw(s.Tasks, length))
+		s.Speculative = sim.stopped != nil
 		steps = append(steps, s)
 	}
 	j := job(fmt.Sprintf("%06d", len(sim.jobs)), at, steps...)
@@ -125,18 +131,23 @@
 }
 
 func (sim *learnSim) endRuns(at time.Time) {
+	slices.SortStableFunc(sim.runs, func(a, b learnRun) int { return a.ends.Compare(b.ends) })
 	open := sim.runs[:0]
 	for _, run := range sim.runs {
-		if run.ends.After(at) {
+		step := run.job.Submission.Steps[run.key.Step]
+		task := run.job.Task(run.key)
+		switch {
+		case task.Done: // another run ended first
+			sim.stopped(step, at.Sub(run.since))
+		case run.ends.After(at):
 			open = append(open, run)
 			continue
+		default:
+			task.Runs, task.Done = nil, true
+			run.job.Begun[0].Remaining[run.key.Step]--
+			sim.observe(step, run.took)
 		}
-		step := run.job.Submission.Steps[run.key.Step]
 		run.slot.Free = run.slot.Free.Add(step.Needs())
-		task := run.job.Task(run.key)
-		task.Runs, task.Done = nil, true
-		run.job.Begun[0].Remaining[run.key.Step]--
-		sim.observe(step, run.took)
 	}
 	sim.runs = open
 	unfinished := sim.active[:0]
@@ -166,7 +177,45 @@
 		took := sim.lengths[p.Task.Job][p.Task.Step][p.Task.Index]
 		task := j.Task(p.Task)
 		task.Attempts, task.Runs = 1, []csjob.Run{{Attempt: 1}}
-		sim.runs = append(sim.runs, learnRun{simRun: simRun{p.Slot, j, p.Task, at.Add(took + simEndDelay)}, took: took})
+		sim.runs = append(sim.runs, learnRun{simRun{p.Slot, j, p.Task, at.Add(took + simEndDelay)}, at, took})
+	}
+	if sim.stopped != nil {
+		sim.copyRuns(at, work)
+	}
+}
+
+// copyRuns starts copies of unusually long runs. A copy takes as long as an ordinary run.
+func (sim *learnSim) copyRuns(at time.Time, work []Work) {
+	predictor, _ := sim.Estimator.(Predictor)
+	room := CopyRoom{Capacity: learnVMs * simVMCPU}
+	for i := range work {
+		for range work[i].Idle() {
+			if !work[i].Late() {
+				room.Waiting += work[i].Step.Needs().CPU
+			}
+		}
+	}
+	var long []LongRun
+	for _, run := range sim.runs {
+		if len(run.job.Task(run.key).Runs) == 2 {
+			room.Copies += run.job.Submission.Steps[run.key.Step].Needs().CPU / 2 // the task is listed twice
+			continue
+		}
+		p := predictor.Predict(testQueue.Key, &run.job.Submission.Steps[run.key.Step])
+		deadline, expiry := Objective(predictor, testQueue, run.job, 0)
+		long = append(long, LongRun{
+			Job: run.job, Task: run.key, Target: run.slot.Incarnation.Target, Passed: at.Sub(run.since), Prediction: p,
+			After: RemainingCriticalPath(predictor, run.job, 0) - p.Typical, Deadline: deadline, Expiry: expiry,
+		})
+	}
+	for _, c := range PlaceCopies(at, long, sim.slots, room) {
+		c.Slot.Starting = 0
+		j := sim.jobs[c.Task.Job]
+		task := j.Task(c.Task)
+		task.Attempts, task.Runs = 2, append(task.Runs, csjob.Run{Attempt: 2})
+		took := time.Duration(float64(typical(&j.Submission.Steps[c.Task.Step])) * math.Exp(0.2*sim.copied.NormFloat64()))
+		sim.runs = append(sim.runs, learnRun{simRun{c.Slot, j, c.Task, at.Add(took + simEndDelay)}, at, took})
+		sim.copies++
 	}
 }
 
@@ -175,10 +224,11 @@
 	onTime   float64       // share of the jobs
 	lateness time.Duration // mean of all jobs, zero for one on time
 	err      float64       // mean deviation of the logarithm of predictions from that of the typical run time
+	copies   int
 }
 
 func (sim *learnSim) run(seed uint64) result {
-	sim.random = rand.New(rand.NewPCG(seed, 1))
+	sim.random, sim.copied = rand.New(rand.NewPCG(seed, 1)), rand.New(rand.NewPCG(seed, 2))
 	sim.start = time.Unix(1_800_000_000, 0)
 	sim.jobs, sim.lengths = map[csjob.ID]*csjob.Job{}, map[csjob.ID][][]time.Duration{}
 	for i := range learnVMs {
@@ -207,5 +257,5 @@
 		sim.startRuns(at)
 	}
 	jobs := float64(len(sim.jobs))
-	return result{float64(sim.onTime) / jobs, sim.late / time.Duration(len(sim.jobs)), sim.errors / float64(sim.started)}
+	return result{float64(sim.onTime) / jobs, sim.late / time.Duration(len(sim.jobs)), sim.errors / float64(sim.started), sim.copies}
 }
--- a/internal/jobs/csplan/runtimes_test.go
+++ b/internal/jobs/csplan/runtimes_test.go
@@ -21,14 +21,19 @@
 func newLearners() []learner {
 	nothing := func(csjob.Step, time.Duration) {}
 	var regression RunTimeEstimator
-	var runTimes csjob.RunTimes
-	learned := &LearnedEstimator{}
+	var runTimes, withCopies csjob.RunTimes
+	learned, copying := &LearnedEstimator{}, &LearnedEstimator{}
 	learned.Use(&runTimes)
+	copying.Use(&withCopies)
+	observe := func(r *csjob.RunTimes, stopped bool) func(csjob.Step, time.Duration) {
+		return func(s csjob.Step, d time.Duration) { r.Observe(testQueue.Key, &s, d, stopped) }
+	}
 	return []learner{
-		{"declared", declaredTimes{}, nothing},
-		{"regression", &regression, func(s csjob.Step, d time.Duration) { regression.Observe(testQueue.Key, s, d) }},
-		{"learned", learned, func(s csjob.Step, d time.Duration) { runTimes.Observe(testQueue.Key, &s, d, false) }},
-		{"perfect", perfectTimes{}, nothing},
+		{"declared", declaredTimes{}, nothing, nil},
+		{"regression", &regression, func(s csjob.Step, d time.Duration) { regression.Observe(testQueue.Key, s, d) }, nil},
+		{"learned", learned, observe(&runTimes, false), nil},
+		{"learned, copies", copying, observe(&withCopies, false), observe(&withCopies, true)},
+		{"perfect", perfectTimes{}, nothing, nil},
 	}
 }
 
@@ -54,12 +59,12 @@
 				for _, l := range newLearners() {
 					sim := learnSim{learnLoad: load, learner: l}
 					one, sum := sim.run(seed), got[l.name]
-					got[l.name] = result{sum.onTime + one.onTime/seeds, sum.lateness + one.lateness/seeds, sum.err + one.err/seeds}
+					got[l.name] = result{sum.onTime + one.onTime/seeds, sum.lateness + one.lateness/seeds, sum.err + one.err/seeds, sum.copies + one.copies}
 				}
 			}
 			for _, l := range newLearners() {
 				r := got[l.name]
-				t.Logf("| %s | %.3f | %d ms | %.2f |", l.name, r.onTime, r.lateness.Milliseconds(), r.err)
+				t.Logf("| %s | %.3f | %d ms | %.2f | %d |", l.name, r.onTime, r.lateness.Milliseconds(), r.err, r.copies/seeds)
 			}
 			for _, other := range []string{"declared", "regression"} {
 				if got, want := got["learned"].onTime, got[other].onTime-chance; got < want {
@@ -72,6 +77,11 @@
 			if got, want := got["learned"].err, got["regression"].err+0.01; got > want {
 				t.Errorf("got predictions off by %.2f, want at most %.2f, as those of the regression", got, want)
 			}
+			if load.tail {
+				if got, want := got["learned, copies"].lateness, got["learned"].lateness*9/10; got > want {
+					t.Errorf("got a mean lateness of %s with copies, want at most %s, a tenth less than without", got, want)
+				}
+			}
 			if load.gain > 0 {
 				if got, want := got["learned"].onTime, got["declared"].onTime+load.gain; got < want {
 					t.Errorf("got %.3f of the jobs on time with learned run times, want %.3f, more than with declared ones", got, want)
