--- a/internal/jobs/csrun/backlog.go
+++ b/internal/jobs/csrun/backlog.go
@@ -55,7 +55,7 @@
 	if last != nil && now.Sub(r.estimatorAt) < estimatorInterval {
 		a.Estimator = last.Estimator
 	} else {
-		r.estimatorAt, a.Estimator = now, r.learned.Clone()
+		r.estimatorAt, a.Estimator = now, r.learned.Freeze()
 	}
 	for _, p := range t.Config().Pools {
 		a.Backlogs[p.ID] = &csadmit.Backlog{At: now}
--- a/internal/jobs/csrun/polls.go
+++ b/internal/jobs/csrun/polls.go
@@ -231,40 +231,17 @@
 		r.stats.ends++
 		key := runKey{e.Task, e.Attempt}
 		delete(w.strays, key)
+		end := csjob.End{Task: e.Task, Attempt: e.Attempt, Incarnation: w.incarnation, Outcome: e.Outcome, Checkpoint: e.Checkpoint}
+		expected := time.Duration(0)
 		if u := w.runs[key]; u != nil {
-			u.ended = true
-			r.learnFromEnd(w, u, e, now, prompt)
+			u.ended, expected = true, u.expected
+			r.learnFromEnd(w, u, &end, now, prompt)
 		}
-		r.proposedEnds = append(r.proposedEnds, csjob.End{
-			Task: e.Task, Attempt: e.Attempt, Incarnation: w.incarnation, Outcome: e.Outcome, Checkpoint: e.Checkpoint,
-		})
+		r.proposedEnds = append(r.proposedEnds, end)
 		r.options.Metrics.ends.WithLabelValues(outcomeNames[e.Outcome]).Inc()
 		r.log.Info("end", zap.String("job", string(e.Task.Job)), zap.Stringer("task", e.Task), zap.Int("attempt", int(e.Attempt)),
 			zap.String("target", string(w.incarnation.Target)), zap.String("outcome", outcomeNames[e.Outcome]), zap.Int64("number", e.Number),
-			zap.Bool("prompt", prompt))
-	}
-}
-
-// learnFromEnd updates the predicted run times and the failure history of the target from the end of a run.
-func (r *runner) learnFromEnd(w *target, u *run, e RunEnd, now time.Time, prompt bool) {
-	switch e.Outcome {
-	case csjob.OutcomeDone:
-		w.quarantine.recordEnd(now, false)
-		if !prompt {
-			return
-		}
-		r.options.State.View(func(t *csjob.Table) {
-			if j := t.Job(e.Task.Job); j != nil && !j.Released() {
-				r.learned.Observe(j.Submission.Queue, j.Submission.Steps[e.Task.Step], now.Sub(u.since))
-			}
-		})
-	case csjob.OutcomeFailed:
-		w.quarantine.recordEnd(now, true)
-		if w.quarantine.quarantined(now) {
-			r.log.Warn("target quarantined", zap.String("target", string(w.incarnation.Target)), zap.Int("failed_in_a_row", w.quarantine.failuresInRow),
-				zap.Duration("for", quarantineDuration))
-		}
-	case csjob.OutcomeStopped, csjob.OutcomeLost, csjob.OutcomeGangMemberEnded, csjob.OutcomeGangTimeout, csjob.OutcomeNotStarted:
+			zap.Bool("prompt", prompt), zap.Duration("ran", end.Ran), zap.Duration("expected", expected.Round(time.Millisecond)))
 	}
 }
 
