Start copies only where they change what a job is worth

Cause: a copy was started for each unusually long run of a late job, also where the job would be late with it, and after a change of leaders for runs whose ends were not read yet.

Change: a copy is started where it is expected to bring its job from late to on time, or from without value to late, and where a list of the target from after the unusual run time shows the run.

--- a/internal/jobs/csplan/copies.go
+++ b/internal/jobs/csplan/copies.go
@@ -39,8 +39,8 @@
 	Lateness time.Duration
 }
 
-// NeedsCopy reports whether a run is unusually long, its job would be late without a copy, and a copy is expected to end earlier and while
-// the job has a value.
+// NeedsCopy reports whether a run is unusually long, and a copy is expected to change what the job is worth: to bring it from late to on time,
+// or from without value to late. A copy that only makes a late job less late takes room from other work.
 func (r *LongRun) NeedsCopy(now time.Time) (CopyReason, bool) {
 	step := &r.Job.Submission.Steps[r.Task.Step]
 	unusual, known := r.Prediction.Quantile(UnusualQuantile)
@@ -49,8 +49,10 @@
 	}
 	reason := CopyReason{Unusual: unusual, Remaining: r.Prediction.Remaining(r.Passed), CopyTime: copyStartTime + r.Prediction.Typical}
 	reason.Lateness = now.Add(reason.Remaining + r.After + resultDelay).Sub(r.Deadline)
-	hasValue := now.Add(reason.CopyTime + r.After + resultDelay).Before(r.Expiry)
-	return reason, reason.Lateness > 0 && reason.CopyTime < reason.Remaining && hasValue
+	withCopy, without := now.Add(reason.CopyTime+r.After+resultDelay), now.Add(reason.Remaining+r.After+resultDelay)
+	onTime := without.After(r.Deadline) && !withCopy.After(r.Deadline)
+	hasValue := without.After(r.Expiry) && !withCopy.After(r.Expiry)
+	return reason, onTime || hasValue
 }
 
 // CopyRoom is what a pool has left for copies after all other work of a round is placed.
--- a/internal/jobs/csrun/copies.go
+++ b/internal/jobs/csrun/copies.go
@@ -49,7 +49,8 @@
 	p := r.learned.Predict(j.Submission.Queue, &j.Submission.Steps[k.Step])
 	unusual, known := p.Quantile(csplan.UnusualQuantile)
 	passed := now.Sub(u.since)
-	if !known || passed <= unusual {
+	// An older list doesn't tell that the run still goes on: after a change of leaders most runs seem long, because their ends are not read yet.
+	if !known || passed <= unusual || w.listedAt.Sub(u.since) <= unusual {
 		return csplan.LongRun{}, false
 	}
 	if task := j.Task(k); task == nil || task.Done || len(task.Runs) != 1 {
