Limit what client accounts run, and mark surplus jobs

Cause: accounts have limits and weights in the configuration, and nothing holds them.

Change: the table keeps the usage of each account as an index of its open runs and refuses a start beyond the limit at its commit. A round takes from the headroom of each account, which all pools share and from which pending starts are taken; work without headroom reserves nothing, does not count as work that does not fit and requests no VMs. A submission that the limit can never hold is refused. Jobs beyond the weight of their account are surplus and go after all others that have value; in a full pool accounts below their weighted dominant share go first.

Cost of a round: not measured yet.

--- a/internal/jobs/csjob/job.go
+++ b/internal/jobs/csjob/job.go
@@ -262,6 +262,8 @@
 	// numbers. All others take no memory, so that a job with many occurrences is no larger than its progress.
 	Begun    []*Occurrence `cbor:"9,keyasint,omitempty"`
 	Finished Spans         `cbor:"10,keyasint,omitempty"` // occurrences that are done and have no open runs
+	// Surplus is set if the job exceeded what its account is owed when it was accepted.
+	Surplus bool `cbor:"11,keyasint,omitempty"`
 
 	queue *Queue      // latest settings of its queue, shared by the jobs of the queue
 	fresh *Occurrence // progress of each occurrence that has not begun; nil once the job is released
--- a/internal/jobs/csjob/runs.go
+++ b/internal/jobs/csjob/runs.go
@@ -6,7 +6,7 @@
 )
 
 // startRun opens a run. A start has no effect if its job or task has ended, its attempt has been used, its incarnation is not
-// the current one of a known target, or an open run of the task excludes another one.
+// the current one of a known target, an open run of the task excludes another one, or the limit of its account is reached.
 func (t *Table) startRun(s Start, at time.Time) {
 	j := t.state.Jobs[s.Task.Job]
 	if j == nil || j.State.Final() {
@@ -20,10 +20,14 @@
 	if len(task.Runs) > 0 && !j.Submission.Steps[s.Task.Step].Speculative {
 		return
 	}
+	if !t.withinLimit(j, s.Task.Step) {
+		return
+	}
 	task = j.begin(s.Task.Occurrence).task(s.Task.Step, s.Task.Index)
 	task.Attempts = s.Attempt
 	task.Runs = append(task.Runs, Run{Attempt: s.Attempt, Incarnation: s.Incarnation, StartedAt: at})
 	j.OpenRuns++
+	t.countRun(j, s.Task.Step)
 	t.addOpenRuns(s.Incarnation, s.Task, 1)
 }
 
@@ -74,6 +78,7 @@
 	incarnation := task.Runs[i].Incarnation
 	task.Runs = slices.Delete(task.Runs, i, i+1)
 	j.OpenRuns--
+	t.discountRun(j, e.Task.Step)
 	t.addOpenRuns(incarnation, e.Task, -1)
 	t.recordGangChange(j, e.Task)
 	o.recordCheckpoint(j.Submission.Steps[e.Task.Step], e)
--- a/internal/jobs/csjob/snapshot.go
+++ b/internal/jobs/csjob/snapshot.go
@@ -67,7 +67,10 @@
 		j.fresh = j.Submission.freshOccurrence()
 		j.migrate()
 		t.addActive(j)
-		j.eachRun(func(k TaskKey, r Run) { t.addOpenRuns(r.Incarnation, k, 1) })
+		j.eachRun(func(k TaskKey, r Run) {
+			t.countRun(j, k.Step)
+			t.addOpenRuns(r.Incarnation, k, 1)
+		})
 	}
 	slices.SortFunc(t.active, compareAcceptance)
 	slices.SortFunc(t.longRunning, compareAcceptance)
--- a/internal/jobs/csjob/table.go
+++ b/internal/jobs/csjob/table.go
@@ -30,7 +30,8 @@
 	openRuns    map[Incarnation]map[TaskKey]int // number of open runs
 	accounts    map[csmodel.AccountID]*Account  // of the current configuration
 	keys        map[KeyDigest]*Account          // the same accounts by the digests of their keys
-	changes     uint64                          // number of the latest change
+	usage       map[csmodel.AccountID]*accountUse
+	changes     uint64 // number of the latest change
 	log         changeLog
 }
 
@@ -48,6 +49,8 @@
 	Uploads    map[string]*upload            `cbor:"10,keyasint,omitempty"` // commands with missing parts, by digest
 	// Cancelled holds when jobs were cancelled that were not known, by JobRef.name.
 	Cancelled map[string]time.Time `cbor:"11,keyasint,omitempty"`
+	// Buckets holds when the token bucket of an account is full. That of any other account is full.
+	Buckets map[csmodel.AccountID]time.Time `cbor:"12,keyasint,omitempty"`
 }
 
 // WaveState is a wave with its progress.
@@ -231,7 +234,9 @@
 	t.addActive(j)
 	if _, cancelled := t.state.Cancelled[JobRef{Queue: s.Queue, ID: s.ID}.name()]; cancelled {
 		t.finishJob(j, Cancelled, at)
+		return Accepted
 	}
+	j.Surplus = !t.takeToken(s.Account, at)
 	return Accepted
 }
 
@@ -301,4 +306,5 @@
 			delete(t.state.Cancelled, name)
 		}
 	}
+	t.pruneBuckets(at)
 }
--- a/internal/jobs/csplan/backlog_test.go
+++ b/internal/jobs/csplan/backlog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -124,7 +125,7 @@
 			if placed[work[i].Key] {
 				continue
 			}
-			if more, _ := placeStep(&work[i], pool, unstarted); len(more) > 0 {
+			if more, _ := placeStep(&work[i], pool, unstarted, math.MaxInt); len(more) > 0 {
 				t.Fatalf("seed %d: %d tasks of step %+v fit after the round", seed, len(more), work[i].Step)
 			}
 		}
--- a/internal/jobs/csplan/place.go
+++ b/internal/jobs/csplan/place.go
@@ -42,8 +42,8 @@
 // long backlog of urgent work is not delayed by what fits into the gaps, and costs little time.
 const maxFailedSteps = 41
 
-// Place assigns waiting tasks to slots and subtracts their resources from the slots. starting reports whether a task is already
-// being started.
+// Place assigns the waiting tasks of a pool to slots and subtracts their resources from the slots. work must be sorted. starting reports
+// whether a task is already being started. Client accounts have no influence; see Accounts.Place.
 //
 // It reserves a slot for each long-running step that doesn't fit, and for the most urgent other step that doesn't fit if that
 // one is feasible. Otherwise smaller tasks would take the resources as they become free. A slot is reserved only for a task that
@@ -52,46 +52,70 @@
 // Steps that don't fit even then may wait for ever, and don't keep others from being placed. Neither do steps that wait for slots with
 // a label keep others from other slots, nor any steps in a pool that is less than half in use.
 func Place(work []Work, slots []*Slot, starting func(csjob.TaskKey) bool) []Placement {
+	p := Pool{Work: work, Slots: slots}
+	var none *Accounts
+	none.Place([]*Pool{&p}, starting)
+	return p.Placed
+}
+
+// placer places the work of one pool in one round.
+type placer struct {
+	slots      []*Slot
+	starting   func(csjob.TaskKey) bool
+	out        []Placement
+	full       unfit
+	failed     map[string]int // number of steps that did not fit, by label
+	mayReserve bool
+	ended      bool // all other work has to wait
+	pool       *capacity
+}
+
+func newPlacer(slots []*Slot, starting func(csjob.TaskKey) bool) *placer {
 	for _, s := range slots {
 		s.reserved = false
 	}
-	var out []Placement
-	var full unfit
-	failed := map[string]int{} // by label
-	mayReserve := true
-	pool := capacityOf(slots)
-	for i := range work {
-		w := &work[i]
-		if !pool.holds(w.Step) || !w.placeable(starting) {
-			continue
-		}
-		if !full.covers(w.Step) {
-			placed, complete := placeStep(w, slots, starting)
-			out = append(out, placed...)
-			pool.allocate(w.Step, len(placed))
-			if complete {
-				continue
-			}
-			full.add(w.Step)
-		}
-		if !w.fitsDrained(slots) {
-			continue
-		}
-		if class := w.urgency.class; class == longRunning || (class == feasible && mayReserve) {
-			reserved := reserveSlot(w, slots)
-			mayReserve = mayReserve && (class == longRunning || !reserved)
-		}
-		label := w.Step.Label
-		failed[label]++
-		switch {
-		case failed[label] < maxFailedSteps || !pool.halfUsed():
-		case label == "":
-			return out
-		default:
-			reserveLabel(slots, label)
+	return &placer{slots: slots, starting: starting, failed: map[string]int{}, mayReserve: true, pool: capacityOf(slots)}
+}
+
+// place places the waiting tasks of a step as far as they fit. a is the account of its job in this pool, or nil if accounts have no influence.
+func (p *placer) place(w *Work, a *poolAccount) {
+	if !p.pool.holds(w.Step) || !w.placeable(p.starting) {
+		return
+	}
+	limit := a.room(w, p.starting)
+	if limit == 0 {
+		return // it waits for its quota, not for room
+	}
+	if !p.full.covers(w.Step) {
+		placed, complete := placeStep(w, p.slots, p.starting, limit)
+		p.out = append(p.out, placed...)
+		p.pool.allocate(w.Step, len(placed))
+		a.take(w, len(placed))
+		if complete {
+			return
 		}
+		p.full.add(w.Step)
+	}
+	if a.claim(w) && w.fitsDrained(p.slots) {
+		p.fail(w)
+	}
+}
+
+// fail accounts for a step that waits for room.
+func (p *placer) fail(w *Work) {
+	if class := w.urgency.class; class == longRunning || (class == feasible && p.mayReserve) {
+		reserved := reserveSlot(w, p.slots)
+		p.mayReserve = p.mayReserve && (class == longRunning || !reserved)
+	}
+	label := w.Step.Label
+	p.failed[label]++
+	switch {
+	case p.failed[label] < maxFailedSteps || !p.pool.halfUsed():
+	case label == "":
+		p.ended = true
+	default:
+		reserveLabel(p.slots, label)
 	}
-	return out
 }
 
 // unfit holds what did not fit in a round. Resources only shrink during a round, so nothing larger fits later on, and most of a long
@@ -168,8 +192,8 @@
 	return known
 }
 
-// placeStep places the waiting tasks of a step, those of a gang all or none. complete is false if a task did not fit.
-func placeStep(w *Work, slots []*Slot, starting func(csjob.TaskKey) bool) (out []Placement, complete bool) {
+// placeStep places the waiting tasks of a step up to a limit, those of a gang all or none. complete is false if a task did not fit.
+func placeStep(w *Work, slots []*Slot, starting func(csjob.TaskKey) bool, limit int) (out []Placement, complete bool) {
 	need := w.Step.Needs()
 	rack := ""
 	for i := range w.Idle() {
@@ -177,6 +201,9 @@
 		if starting(key) {
 			continue
 		}
+		if len(out) == limit {
+			return out, true
+		}
 		s := bestSlot(w, slots, need, rack)
 		if s == nil {
 			if w.Step.Gang {
--- a/internal/jobs/csplan/plan.go
+++ b/internal/jobs/csplan/plan.go
@@ -91,6 +91,7 @@
 // urgency is the sort key of the work of a pool.
 type urgency struct {
 	class       urgencyClass
+	surplus     bool // the job exceeds what its account is owed
 	priority    int
 	latestStart time.Time     // latest start of the remaining steps that meets the objective
 	acceptance  csmodel.Index // position in the order of acceptance
@@ -106,10 +107,18 @@
 	expired                         // will have no value left, but must still be run to its end
 )
 
-// compareUrgency orders by class, latest start, priority and acceptance.
+// rank returns the position of the class of work. All classes of surplus follow those of other work, apart from work without value.
+func (u *urgency) rank() urgencyClass {
+	if u.surplus || u.class == expired {
+		return u.class + expired
+	}
+	return u.class
+}
+
+// compareUrgency orders by rank, latest start, priority and acceptance.
 func compareUrgency(a, b *urgency) int {
-	if a.class != b.class {
-		return cmp.Compare(a.class, b.class)
+	if c := cmp.Compare(a.rank(), b.rank()); c != 0 {
+		return c
 	}
 	if c := a.latestStart.Compare(b.latestStart); c != 0 {
 		return c
@@ -136,7 +145,7 @@
 
 // urgencyOf returns the urgency of a step of an occurrence.
 func urgencyOf(now time.Time, e Estimator, q *csjob.Queue, j *csjob.Job, number int, o *csjob.Occurrence, step *csjob.Step) urgency {
-	u := urgency{priority: q.Priority, acceptance: j.AcceptIndex}
+	u := urgency{priority: q.Priority, acceptance: j.AcceptIndex, surplus: j.Surplus}
 	if step.LongRunning {
 		return u
 	}
@@ -180,6 +189,9 @@
 	Step    *csjob.Step
 	tasks   []csjob.Task
 	urgency urgency
+	placed  int // tasks placed in this round
+	// withheld is the number of waiting tasks without headroom in the quota of the account.
+	withheld int
 }
 
 // Idle returns the indexes of the tasks without a run that are not done.
@@ -198,6 +210,9 @@
 	return csjob.TaskKey{Job: w.Key.Job, Occurrence: w.Key.Occurrence, Step: w.Key.Step, Index: index}
 }
 
+// Withheld returns how many of the waiting tasks have no headroom in the quota of their account. They are no demand for capacity.
+func (w *Work) Withheld() int { return w.withheld }
+
 // Late reports whether the work is not expected to meet its objective.
 func (w *Work) Late() bool { return w.urgency.class >= late }
 
--- /dev/null
+++ b/internal/jobs/csrun/accounts.go
@@ -0,0 +1,130 @@
+package csrun
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"cowslipstream.example/cowslipstream/csmodel"
+	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
+	"cowslipstream.example/cowslipstream/internal/jobs/csplan"
+)
+
+// limitLogInterval is the minimum time between two log lines about one account at its limit.
+const limitLogInterval = 5 * time.Second
+
+// poolUsage is what accounts use by pool and account.
+type poolUsage map[csmodel.PoolID]map[csmodel.AccountID]csjob.Resources
+
+func (u poolUsage) add(pool csmodel.PoolID, id csmodel.AccountID, r csjob.Resources) {
+	if u[pool] == nil {
+		u[pool] = map[csmodel.AccountID]csjob.Resources{}
+	}
+	u[pool][id] = u[pool][id].Add(r)
+}
+
+// accountsOf returns the accounts of the round with their headroom, and what they use in each pool. It returns nil, and costs nothing, where no
+// job that waits or runs belongs to an account.
+func (r *runner) accountsOf(t *csjob.Table) (*csplan.Accounts, poolUsage) {
+	owned := false
+	for _, p := range r.pools {
+		owned = owned || p.hasAccounts
+	}
+	if !owned {
+		return nil, nil
+	}
+	used := poolUsage{}
+	for id, u := range t.QueueUsage() {
+		used.add(u.Pool, id, u.Used)
+	}
+	pending := map[csmodel.AccountID]csjob.Resources{}
+	for key, l := range r.pendingStarts {
+		j := t.Job(key.Job)
+		if j == nil || j.Submission.Account == "" || r.started(j, key, l) {
+			continue
+		}
+		id, need := j.Submission.Account, j.Submission.Steps[key.Step].Resources
+		pending[id] = pending[id].Add(need)
+		used.add(t.QueueSettings(j).Pool, id, need)
+	}
+	return csplan.NewAccounts(func(id csmodel.AccountID) csplan.Account {
+		a, known := t.Account(id)
+		if !known {
+			return csplan.Account{}
+		}
+		return csplan.Account{Limited: a.Limited(), Headroom: a.Headroom(t.AccountUsage(id).Add(pending[id])), Weight: a.Weight}
+	}), used
+}
+
+// started reports whether the table holds the run of a pending start already. The start is no longer pending once its commit is reported.
+func (r *runner) started(j *csjob.Job, key csjob.TaskKey, l csjob.Incarnation) bool {
+	task := j.Task(key)
+	if task == nil {
+		return true // the job has ended, so that the start has no effect any more
+	}
+	for i := range task.Runs {
+		if task.Runs[i].Incarnation == l {
+			return true
+		}
+	}
+	return false
+}
+
+// withhold removes the batch work that waits for the quota of its account from the load that arriving jobs offer, and logs the accounts. It
+// returns the number of long-running tasks that wait for their quota, by step.
+func (r *runner) withhold(now time.Time, t *csjob.Table, pools []*csplan.Pool, ids []csmodel.PoolID, demand Demand) map[csplan.StepKey]int {
+	clear(r.quotas.waiting)
+	var longRunning map[csplan.StepKey]int
+	for i, p := range pools {
+		d := demand[ids[i]]
+		for n := range p.Work {
+			w := &p.Work[n]
+			tasks := w.Withheld()
+			if tasks == 0 {
+				continue
+			}
+			r.quotas.add(w.Job.Submission.Account)
+			if w.Step.LongRunning {
+				if longRunning == nil {
+					longRunning = map[csplan.StepKey]int{}
+				}
+				longRunning[w.Key] = tasks
+				continue
+			}
+			// What arrives and has to wait for its quota is no load, as far as it waits already.
+			d.Offered = max(0, d.Offered-csmodel.MilliCPU(tasks)*w.Step.Resources.CPU)
+		}
+		demand[ids[i]] = d
+	}
+	for id, steps := range r.quotas.waiting {
+		r.logLimit(now, t, id, steps)
+	}
+	return longRunning
+}
+
+// logLimit writes a line about an account with steps that wait for its quota.
+func (r *runner) logLimit(now time.Time, t *csjob.Table, id csmodel.AccountID, steps int) {
+	if last, logged := r.quotas.loggedAt[id]; logged && now.Sub(last) < limitLogInterval {
+		return
+	}
+	r.quotas.loggedAt[id] = now
+	a, _ := t.Account(id)
+	used := t.AccountUsage(id)
+	r.log.Info("account at its limit", zap.String("account", string(id)), zap.Int("steps", steps),
+		zap.Int64("cpu", int64(used.CPU)), zap.Int64("cpu_limit", int64(a.Limit.CPU)),
+		zap.Int64("memory", int64(used.Memory)), zap.Int64("memory_limit", int64(a.Limit.Memory)),
+		zap.Int("gpus", used.GPUs), zap.Int("gpus_limit", a.Limit.GPUs))
+}
+
+// quotaWaits counts the steps that wait for the quota of their account.
+type quotaWaits struct {
+	waiting  map[csmodel.AccountID]int // steps in the last round
+	loggedAt map[csmodel.AccountID]time.Time
+}
+
+func (q *quotaWaits) add(id csmodel.AccountID) {
+	if q.waiting == nil {
+		q.waiting, q.loggedAt = map[csmodel.AccountID]int{}, map[csmodel.AccountID]time.Time{}
+	}
+	q.waiting[id]++
+}
--- a/internal/jobs/csrun/fake_state_test.go
+++ b/internal/jobs/csrun/fake_state_test.go
@@ -24,6 +24,9 @@
 	withheld     []csjob.Command
 	commitTime   time.Duration // duration of a commit
 	leaseInvalid bool          // the leader lease is not valid
+	// proposed and applied are called, if set, before a command of the current term is applied or withheld, and after one was applied.
+	proposed func(csjob.Command)
+	applied  func()
 }
 
 // stallTime is how long Propose waits before it fails with errUnknown.
@@ -73,7 +76,11 @@
 	}
 	s.index++
 	s.log = append(s.log, c)
-	return csjob.ParseVerdict(s.table.Apply(csraft.Entry{Index: s.index, Term: s.term, At: time.Now(), Data: b}))
+	v := csjob.ParseVerdict(s.table.Apply(csraft.Entry{Index: s.index, Term: s.term, At: time.Now(), Data: b}))
+	if s.applied != nil {
+		s.applied()
+	}
+	return v
 }
 
 func (s *state) View(f func(*csjob.Table)) {
@@ -106,6 +113,9 @@
 	s.mu.RUnlock()
 	time.Sleep(pause)
 	s.mu.Lock()
+	if s.proposed != nil && c.Term == s.term {
+		s.proposed(c)
+	}
 	if s.stalled && c.Submit == nil && c.Config == nil {
 		s.withheld = append(s.withheld, c)
 		s.mu.Unlock()
--- a/internal/jobs/csrun/runner.go
+++ b/internal/jobs/csrun/runner.go
@@ -62,6 +62,7 @@
 	targetChanges        []targetChange
 	begun                csmodel.Set[csjob.ID] // jobs of which a target confirmed a start that the table may not have recorded
 	inDoubt              inDoubtCommands
+	quotas               quotaWaits
 	stats                leaderStats
 
 	markRound     int       // number of the round that marked targets last
--- a/internal/jobs/csrun/schedule.go
+++ b/internal/jobs/csrun/schedule.go
@@ -27,30 +27,45 @@
 	r.collectWaiting(now, t)
 	r.markReclaimed()
 	r.collectSlots(now, t, silent)
+	r.offered.update(now, t, &r.learned)
+	ids, pools := r.place(t)
 	demand := Demand{}
 	var starts []csjob.Start
-	r.offered.update(now, t, &r.learned)
-	for _, pool := range csmodel.SortedKeys(r.pools) {
-		p := r.pools[pool]
-		if !p.hasJobs {
-			continue
-		}
-		csplan.Sort(p.work)
-		placed := csplan.Place(p.work, p.slots, r.isPending)
-		d := r.waitingDemand(p.work)
-		for _, s := range p.slots {
+	for i, p := range pools {
+		d := r.waitingDemand(p.Work)
+		for _, s := range p.Slots {
 			d.Targets++
 			d.Free += s.Free.CPU
 		}
-		demand[pool] = d
-		starts = append(starts, r.startsFor(t, placed)...)
+		demand[ids[i]] = d
+	}
+	for _, p := range pools {
+		starts = append(starts, r.startsFor(t, p.Placed)...)
 	}
 	r.addRunning(demand)
-	addLongRunning(t, demand)
+	addLongRunning(t, demand, r.withhold(now, t, pools, ids, demand))
 	r.leader.demand.Store(&demandSnapshot{demand: demand})
 	return starts
 }
 
+// place places the waiting tasks of all pools with jobs, in the order of the pools' names.
+func (r *runner) place(t *csjob.Table) ([]csmodel.PoolID, []*csplan.Pool) {
+	accounts, used := r.accountsOf(t)
+	var ids []csmodel.PoolID
+	var pools []*csplan.Pool
+	for _, id := range csmodel.SortedKeys(r.pools) {
+		p := r.pools[id]
+		if !p.hasJobs {
+			continue
+		}
+		csplan.Sort(p.work)
+		ids = append(ids, id)
+		pools = append(pools, &csplan.Pool{Work: p.work, Slots: p.slots, Capacity: p.capacity, Used: used[id]})
+	}
+	accounts.Place(pools, r.isPending)
+	return ids, pools
+}
+
 func (r *runner) isPending(k csjob.TaskKey) bool {
 	_, ok := r.pendingStarts[k]
 	return ok
@@ -59,8 +74,10 @@
 // poolPlan is the planning state of a pool in one round. The next round reuses its slices.
 type poolPlan struct {
 	hasJobs     bool
+	hasAccounts bool // client accounts own jobs of the pool
 	work        []csplan.Work
 	slots       []*csplan.Slot
+	capacity    csjob.Resources  // of the targets of the slots
 	longRunning csmodel.MilliCPU // used by long-running tasks on targets that stay in the pool
 	timely      csmodel.MilliCPU // used there by batch runs whose job can meet its objective
 }
@@ -87,6 +104,7 @@
 			q := t.QueueSettings(j)
 			p := r.planFor(q.Pool)
 			p.hasJobs = true
+			p.hasAccounts = p.hasAccounts || j.Submission.Account != ""
 			p.work = csplan.AppendWaiting(p.work, now, &r.learned, q, j)
 		}
 	}
@@ -126,6 +144,7 @@
 		s.Starting = w.unconfirmedStarts(len(r.pendingByIncarnation[w.incarnation]))
 		s.Preferred, s.EvictingSoon = w.failures == 0 && !w.quarantine.suspect(), w.evictingSoonRound == r.markRound
 		p.slots = append(p.slots, s)
+		p.capacity = p.capacity.Add(w.record.Resources)
 	}
 }
 
@@ -144,16 +163,19 @@
 	return n
 }
 
-// waitingDemand returns the CPU demand of the tasks that remain unplaced.
+// waitingDemand returns the CPU demand of the tasks that remain unplaced, without those that wait for the quota of their account.
 func (r *runner) waitingDemand(work []csplan.Work) PoolDemand {
 	var d PoolDemand
 	for i := range work {
 		w := &work[i]
 		pending := r.pendingByJob[w.Key.Job] > 0
+		withheld := w.Withheld()
 		for n := range w.Idle() {
 			key := csjob.TaskKey{Job: w.Key.Job, Occurrence: w.Key.Occurrence, Step: w.Key.Step, Index: n}
 			switch {
 			case pending && r.isPending(key):
+			case withheld > 0:
+				withheld--
 			case w.Step.LongRunning:
 				d.LongRunning += w.Step.Needs().CPU
 			case w.Late():
@@ -220,8 +242,8 @@
 }
 
 // addLongRunning adds the memory that long-running tasks need and the number of targets that their steps have to be spread
-// over.
-func addLongRunning(t *csjob.Table, d Demand) {
+// over. withheld holds the number of tasks that wait for the quota of their account, which need nothing.
+func addLongRunning(t *csjob.Table, d Demand, withheld map[csplan.StepKey]int) {
 	for _, j := range t.LongRunning() {
 		if j.State.Final() {
 			continue
@@ -233,9 +255,10 @@
 			if !s.LongRunning {
 				continue
 			}
-			p.Memory += csjob.MiB(s.Tasks) * s.Resources.Memory
+			tasks := s.Tasks - withheld[csplan.StepKey{Job: j.Submission.ID, Step: i}]
+			p.Memory += csjob.MiB(tasks) * s.Resources.Memory
 			if s.MaxPerTarget > 0 {
-				p.MinTargets = max(p.MinTargets, (s.Tasks+s.MaxPerTarget-1)/s.MaxPerTarget)
+				p.MinTargets = max(p.MinTargets, (tasks+s.MaxPerTarget-1)/s.MaxPerTarget)
 			}
 		}
 		d[pool] = p
--- a/internal/node/csstore/calls.go
+++ b/internal/node/csstore/calls.go
@@ -155,6 +155,8 @@
 		return csrpc.JobAnswer{Result: csrpc.ResultInvalid}
 	case j.request.Action == csrpc.ActionSubmit && config.MaxBody > 0 && j.request.Size > config.MaxBody:
 		return csrpc.JobAnswer{Result: csrpc.ResultInvalid}
+	case j.request.Action == csrpc.ActionSubmit && j.exceedsQuota(t):
+		return csrpc.JobAnswer{Result: csrpc.ResultInvalid}
 	case j.request.Action == csrpc.ActionSubmit:
 		return csrpc.JobAnswer{}
 	case !mine && j.request.Action == csrpc.ActionCancel && len(j.id) == idLength:
