--- a/internal/jobs/csplan/accounts.go
+++ b/internal/jobs/csplan/accounts.go
@@ -49,7 +49,9 @@
 // pools before that of the next one, so that the headroom of an account goes to its most urgent work in whatever pool.
 //
 // A step without headroom is passed over: it reserves nothing and does not count as work that does not fit. Where more work waits in a pool
-// than fits, the work of accounts that use less than their share of the pool goes first within each rank. The order of the other work remains.
+// than fits, the work of accounts that use less than their share goes first within each rank. The order of the other work remains. The share is
+// one of what all accounts use there, not of the capacity: a full pool keeps a few percent free in gaps, so that large accounts would always be
+// below their share of the capacity, and small ones would have no precedence.
 func (a *Accounts) Place(pools []*Pool, starting func(csjob.TaskKey) bool) {
 	rounds := make([]*poolRound, len(pools))
 	for i, p := range pools {
@@ -107,8 +109,9 @@
 	work     []Work // not placed yet
 	accounts *Accounts
 	byID     map[csmodel.AccountID]*poolAccount
-	deferred []int // indexes of work of accounts that have reached their share
-	full     bool  // more work waits than fits, so that shares count
+	deferred []int   // indexes of work of accounts that have reached their share
+	full     bool    // more work waits than fits, so that shares count
+	used     float64 // sum of the dominant shares of all accounts
 	capacity csjob.Resources
 }
 
@@ -118,7 +121,7 @@
 	pool    *poolRound
 	claimed csjob.Resources // headroom that steps which wait for room will use
 	used    float64         // dominant share of the pool's capacity
-	share   float64         // of the pool, by weight
+	share   float64         // of what all accounts use, by weight
 }
 
 // divide finds out whether more work waits than fits, and gives each account with work in the pool its share then.
@@ -148,6 +151,7 @@
 	weights += mean * float64(len(r.byID)-weighted)
 	for id, a := range r.byID {
 		a.used = dominant(p.Used[id], p.Capacity)
+		r.used += a.used
 		if a.share = mean / weights; a.Weight > 0 {
 			a.share = a.Weight / weights
 		}
@@ -187,7 +191,7 @@
 		var a *poolAccount
 		if r.accounts != nil {
 			a = r.account(w.Job.Submission.Account)
-			if r.full && a.used >= a.share {
+			if r.full && a.used >= a.share*r.used {
 				r.deferred = append(r.deferred, n)
 				continue
 			}
@@ -221,7 +225,9 @@
 	used := times(w.Step.Resources, tasks)
 	a.Headroom = a.Headroom.Sub(used)
 	if a.pool.full {
-		a.used += dominant(used, a.pool.capacity)
+		d := dominant(used, a.pool.capacity)
+		a.used += d
+		a.pool.used += d
 	}
 }
 
