Report quotas and surplus, and measure the cost of accounts

Cause: nothing told operators why a job of an account waits, and a round at 630 accounts added up the usage of all accounts and queues.

Change: metrics of the 20 largest accounts and the others, steps that wait for a quota and surplus jobs, also in the workload line; a log line for an account at its limit, every 5 s at most. The usage of a pool is read only where more work waits than fits.

--- a/internal/jobs/csjob/account_test.go
+++ b/internal/jobs/csjob/account_test.go
@@ -50,12 +50,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	before := maps.Collect(h.table.QueueUsage())
+	before := maps.Collect(h.table.PoolUsage("p"))
 	if err := h.table.Restore(b); err != nil {
 		t.Fatal(err)
 	}
 	check("restored", csjob.Resources{CPU: 2000, Memory: 20})
-	if got := maps.Collect(h.table.QueueUsage()); !maps.Equal(got, before) {
+	if got := maps.Collect(h.table.PoolUsage("p")); !maps.Equal(got, before) {
 		t.Errorf("got usage by queue %+v after the snapshot, want %+v", got, before)
 	}
 	for n := range 4 {
--- a/internal/jobs/csjob/quota.go
+++ b/internal/jobs/csjob/quota.go
@@ -47,27 +47,26 @@
 	return r.Count(need, limit)
 }
 
-// accountUse is the sum of the resources of an account's open runs.
-type accountUse struct {
-	total  Resources
-	queues map[*Queue]Resources // by the queue of the job
+// accountUsage holds what the open runs of accounts use. The zero value is empty.
+type accountUsage struct {
+	total  map[csmodel.AccountID]Resources
+	queues map[*Queue]map[csmodel.AccountID]Resources // by the queue of the job
 }
 
 // AccountUsage returns the resources of all open runs of a client account, with the full resources of each step. This includes runs that may
 // never have started, that are being stopped, and those on a lost incarnation whose end is not recorded.
-func (t *Table) AccountUsage(id csmodel.AccountID) Resources {
-	if u := t.usage[id]; u != nil {
-		return u.total
-	}
-	return Resources{}
-}
+func (t *Table) AccountUsage(id csmodel.AccountID) Resources { return t.usage.total[id] }
 
-// QueueUsage returns the resources of all open runs by account and queue, in no particular order.
-func (t *Table) QueueUsage() iter.Seq2[csmodel.AccountID, QueueUse] {
-	return func(yield func(csmodel.AccountID, QueueUse) bool) {
-		for id, u := range t.usage {
-			for q, r := range u.queues {
-				if q != nil && !yield(id, QueueUse{Pool: q.Pool, Used: r}) {
+// PoolUsage returns what the open runs of each account with jobs of a pool's queues use, in no particular order. An account may come up once for
+// each queue.
+func (t *Table) PoolUsage(pool csmodel.PoolID) iter.Seq2[csmodel.AccountID, Resources] {
+	return func(yield func(csmodel.AccountID, Resources) bool) {
+		for q, accounts := range t.usage.queues {
+			if q == nil || q.Pool != pool {
+				continue
+			}
+			for id, r := range accounts {
+				if !yield(id, r) {
 					return
 				}
 			}
@@ -75,45 +74,36 @@
 	}
 }
 
-// QueueUse is what an account's open runs of one queue use.
-type QueueUse struct {
-	Pool csmodel.PoolID
-	Used Resources
-}
-
-// countRun adds a run of a step to the usage of its account.
-func (t *Table) countRun(j *Job, step int) {
+// countRun adds a run of a step to the usage of the account of the job, or removes one that has ended.
+func (t *Table) countRun(j *Job, step int, ended bool) {
 	id := j.Submission.Account
 	if id == "" {
 		return
 	}
-	u := t.usage[id]
-	if u == nil {
-		u = &accountUse{queues: map[*Queue]Resources{}}
-		if t.usage == nil {
-			t.usage = map[csmodel.AccountID]*accountUse{}
-		}
-		t.usage[id] = u
+	u := &t.usage
+	if u.total == nil {
+		u.total, u.queues = map[csmodel.AccountID]Resources{}, map[*Queue]map[csmodel.AccountID]Resources{}
+	}
+	if u.queues[j.queue] == nil {
+		u.queues[j.queue] = map[csmodel.AccountID]Resources{}
 	}
 	r := j.Submission.Steps[step].Resources
-	u.total = u.total.Add(r)
-	u.queues[j.queue] = u.queues[j.queue].Add(r)
+	if ended {
+		addUse(u.total, id, Resources{}.Sub(r))
+		addUse(u.queues[j.queue], id, Resources{}.Sub(r))
+		return
+	}
+	addUse(u.total, id, r)
+	addUse(u.queues[j.queue], id, r)
 }
 
-// discountRun removes a run of a step from the usage of its account.
-func (t *Table) discountRun(j *Job, step int) {
-	u := t.usage[j.Submission.Account]
-	if u == nil {
+// addUse adds to the use of an account, and drops an account that uses nothing.
+func addUse(m map[csmodel.AccountID]Resources, id csmodel.AccountID, r Resources) {
+	if sum := m[id].Add(r); sum != (Resources{}) {
+		m[id] = sum
 		return
 	}
-	r := j.Submission.Steps[step].Resources
-	u.total = u.total.Sub(r)
-	if u.queues[j.queue] = u.queues[j.queue].Sub(r); u.queues[j.queue] == (Resources{}) {
-		delete(u.queues, j.queue)
-	}
-	if u.total == (Resources{}) {
-		delete(t.usage, j.Submission.Account)
-	}
+	delete(m, id)
 }
 
 // withinLimit reports whether the limit of a job's account allows one more run of a step. It decides with the limit at the commit of the
--- a/internal/jobs/csjob/runs.go
+++ b/internal/jobs/csjob/runs.go
@@ -27,7 +27,7 @@
 	task.Attempts = s.Attempt
 	task.Runs = append(task.Runs, Run{Attempt: s.Attempt, Incarnation: s.Incarnation, StartedAt: at})
 	j.OpenRuns++
-	t.countRun(j, s.Task.Step)
+	t.countRun(j, s.Task.Step, false)
 	t.addOpenRuns(s.Incarnation, s.Task, 1)
 }
 
@@ -78,7 +78,7 @@
 	incarnation := task.Runs[i].Incarnation
 	task.Runs = slices.Delete(task.Runs, i, i+1)
 	j.OpenRuns--
-	t.discountRun(j, e.Task.Step)
+	t.countRun(j, e.Task.Step, true)
 	t.addOpenRuns(incarnation, e.Task, -1)
 	t.recordGangChange(j, e.Task)
 	o.recordCheckpoint(j.Submission.Steps[e.Task.Step], e)
--- a/internal/jobs/csjob/snapshot.go
+++ b/internal/jobs/csjob/snapshot.go
@@ -68,7 +68,7 @@
 		j.migrate()
 		t.addActive(j)
 		j.eachRun(func(k TaskKey, r Run) {
-			t.countRun(j, k.Step)
+			t.countRun(j, k.Step, false)
 			t.addOpenRuns(r.Incarnation, k, 1)
 		})
 	}
--- a/internal/jobs/csjob/table.go
+++ b/internal/jobs/csjob/table.go
@@ -30,7 +30,7 @@
 	openRuns    map[Incarnation]map[TaskKey]int // number of open runs
 	accounts    map[csmodel.AccountID]*Account  // of the current configuration
 	keys        map[KeyDigest]*Account          // the same accounts by the digests of their keys
-	usage       map[csmodel.AccountID]*accountUse
+	usage       accountUsage
 	changes     uint64 // number of the latest change
 	log         changeLog
 }
--- a/internal/jobs/csplan/accounts.go
+++ b/internal/jobs/csplan/accounts.go
@@ -12,8 +12,8 @@
 	Work     []Work // sorted
 	Slots    []*Slot
 	Capacity csjob.Resources // of all slots, with what their runs use
-	// Used holds what the runs and pending starts of each account with runs in the pool use there.
-	Used   map[csmodel.AccountID]csjob.Resources
+	// Used returns what the runs and pending starts of each account with runs in the pool use there. Nil is for a pool without runs.
+	Used   func() map[csmodel.AccountID]csjob.Resources
 	Placed []Placement
 }
 
@@ -26,10 +26,14 @@
 
 // Accounts holds the client accounts of one round. Its quotas are shared by all pools. Nil is valid, and accounts have no influence then.
 type Accounts struct {
-	find func(csmodel.AccountID) Account
-	byID map[csmodel.AccountID]*Account
+	find  func(csmodel.AccountID) Account
+	byID  map[csmodel.AccountID]*Account
+	chunk []Account // for the next accounts
 }
 
+// accountChunk is how many accounts are allocated at a time.
+const accountChunk = 32
+
 // NewAccounts returns the accounts of a round. find is called at most once for each account with waiting work.
 func NewAccounts(find func(csmodel.AccountID) Account) *Accounts {
 	return &Accounts{find: find, byID: map[csmodel.AccountID]*Account{}}
@@ -38,8 +42,11 @@
 func (a *Accounts) account(id csmodel.AccountID) *Account {
 	out := a.byID[id]
 	if out == nil {
-		found := a.find(id)
-		out = &found
+		if len(a.chunk) == cap(a.chunk) {
+			a.chunk = make([]Account, 0, accountChunk)
+		}
+		a.chunk = append(a.chunk, a.find(id))
+		out = &a.chunk[len(a.chunk)-1]
 		a.byID[id] = out
 	}
 	return out
@@ -109,9 +116,10 @@
 	work     []Work // not placed yet
 	accounts *Accounts
 	byID     map[csmodel.AccountID]*poolAccount
-	deferred []int   // indexes of work of accounts that have reached their share
-	full     bool    // more work waits than fits, so that shares count
-	used     float64 // sum of the dominant shares of all accounts
+	chunk    []poolAccount // for the next accounts
+	deferred []int         // indexes of work of accounts that have reached their share
+	full     bool          // more work waits than fits, so that shares count
+	used     float64       // sum of the dominant shares of all accounts
 	capacity csjob.Resources
 }
 
@@ -133,7 +141,11 @@
 	for i := range p.Work {
 		r.account(p.Work[i].Job.Submission.Account)
 	}
-	for id := range p.Used {
+	var used map[csmodel.AccountID]csjob.Resources
+	if p.Used != nil {
+		used = p.Used()
+	}
+	for id := range used {
 		r.account(id)
 	}
 	weights, weighted := 0.0, 0
@@ -150,7 +162,7 @@
 	}
 	weights += mean * float64(len(r.byID)-weighted)
 	for id, a := range r.byID {
-		a.used = dominant(p.Used[id], p.Capacity)
+		a.used = dominant(used[id], p.Capacity)
 		r.used += a.used
 		if a.share = mean / weights; a.Weight > 0 {
 			a.share = a.Weight / weights
@@ -177,7 +189,11 @@
 func (r *poolRound) account(id csmodel.AccountID) *poolAccount {
 	a := r.byID[id]
 	if a == nil {
-		a = &poolAccount{Account: r.accounts.account(id), pool: r}
+		if len(r.chunk) == cap(r.chunk) {
+			r.chunk = make([]poolAccount, 0, accountChunk)
+		}
+		r.chunk = append(r.chunk, poolAccount{Account: r.accounts.account(id), pool: r})
+		a = &r.chunk[len(r.chunk)-1]
 		r.byID[id] = a
 	}
 	return a
--- a/internal/jobs/csplan/share_test.go
+++ b/internal/jobs/csplan/share_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -157,12 +158,9 @@
 	work := Waiting(sim.at, &RunTimeEstimator{}, testQueue, sim.table.Active())
 	Sort(work)
 	p := Pool{
-		Work: work, Slots: sim.slots, Used: map[csmodel.AccountID]csjob.Resources{},
+		Work: work, Slots: sim.slots, Used: func() map[csmodel.AccountID]csjob.Resources { return maps.Collect(sim.table.PoolUsage("p")) },
 		Capacity: csjob.Resources{CPU: shareVMs * simVMCPU, Memory: shareVMs << 20},
 	}
-	for id, u := range sim.table.QueueUsage() {
-		p.Used[id] = u.Used
-	}
 	var accounts *Accounts
 	if !sim.ignored {
 		accounts = NewAccounts(func(id csmodel.AccountID) Account {
@@ -306,7 +304,6 @@
 		Sort(work)
 		p := Pool{
 			Work: work, Slots: []*Slot{slot("1", 32_000, 1<<20), slot("2", 32_000, 1<<20)}, Capacity: csjob.Resources{CPU: 64_000, Memory: 2 << 20},
-			Used: map[csmodel.AccountID]csjob.Resources{},
 		}
 		weights := map[csmodel.AccountID]float64{"a": 1, "b": 99}
 		NewAccounts(func(id csmodel.AccountID) Account { return Account{Weight: weights[id]} }).Place([]*Pool{&p}, func(csjob.TaskKey) bool { return false })
--- a/internal/jobs/csrun/accounts.go
+++ b/internal/jobs/csrun/accounts.go
@@ -13,19 +13,9 @@
 // limitLogInterval is the minimum time between two log lines about one account at its limit.
 const limitLogInterval = 5 * time.Second
 
-// poolUsage is what accounts use by pool and account.
-type poolUsage map[csmodel.PoolID]map[csmodel.AccountID]csjob.Resources
-
-func (u poolUsage) add(pool csmodel.PoolID, id csmodel.AccountID, r csjob.Resources) {
-	if u[pool] == nil {
-		u[pool] = map[csmodel.AccountID]csjob.Resources{}
-	}
-	u[pool][id] = u[pool][id].Add(r)
-}
-
-// accountsOf returns the accounts of the round with their headroom, and what they use in each pool. It returns nil, and costs nothing, where no
-// job that waits or runs belongs to an account.
-func (r *runner) accountsOf(t *csjob.Table) (*csplan.Accounts, poolUsage) {
+// accountsOf returns the accounts of the round with their headroom, and a function that tells what they use in a pool. It returns nil, and costs
+// nothing, where no job that waits or runs belongs to an account.
+func (r *runner) accountsOf(t *csjob.Table) (*csplan.Accounts, func(csmodel.PoolID) map[csmodel.AccountID]csjob.Resources) {
 	owned := false
 	for _, p := range r.pools {
 		owned = owned || p.hasAccounts
@@ -33,31 +23,43 @@
 	if !owned {
 		return nil, nil
 	}
-	used := poolUsage{}
-	for id, u := range t.QueueUsage() {
-		used.add(u.Pool, id, u.Used)
+	type poolAccount struct {
+		pool csmodel.PoolID
+		id   csmodel.AccountID
 	}
-	pending := map[csmodel.AccountID]csjob.Resources{}
+	pending, pendingIn := map[csmodel.AccountID]csjob.Resources{}, map[poolAccount]csjob.Resources{}
 	for key, l := range r.pendingStarts {
 		j := t.Job(key.Job)
-		if j == nil || j.Submission.Account == "" || r.started(j, key, l) {
+		if j == nil || j.Submission.Account == "" || started(j, key, l) {
 			continue
 		}
 		id, need := j.Submission.Account, j.Submission.Steps[key.Step].Resources
-		pending[id] = pending[id].Add(need)
-		used.add(t.QueueSettings(j).Pool, id, need)
+		in := poolAccount{t.QueueSettings(j).Pool, id}
+		pending[id], pendingIn[in] = pending[id].Add(need), pendingIn[in].Add(need)
 	}
-	return csplan.NewAccounts(func(id csmodel.AccountID) csplan.Account {
+	accounts := csplan.NewAccounts(func(id csmodel.AccountID) csplan.Account {
 		a, known := t.Account(id)
 		if !known {
 			return csplan.Account{}
 		}
 		return csplan.Account{Limited: a.Limited(), Headroom: a.Headroom(t.AccountUsage(id).Add(pending[id])), Weight: a.Weight}
-	}), used
+	})
+	return accounts, func(pool csmodel.PoolID) map[csmodel.AccountID]csjob.Resources {
+		used := map[csmodel.AccountID]csjob.Resources{}
+		for id, r := range t.PoolUsage(pool) {
+			used[id] = used[id].Add(r)
+		}
+		for in, r := range pendingIn {
+			if in.pool == pool {
+				used[in.id] = used[in.id].Add(r)
+			}
+		}
+		return used
+	}
 }
 
 // started reports whether the table holds the run of a pending start already. The start is no longer pending once its commit is reported.
-func (r *runner) started(j *csjob.Job, key csjob.TaskKey, l csjob.Incarnation) bool {
+func started(j *csjob.Job, key csjob.TaskKey, l csjob.Incarnation) bool {
 	task := j.Task(key)
 	if task == nil {
 		return true // the job has ended, so that the start has no effect any more
@@ -120,6 +122,8 @@
 type quotaWaits struct {
 	waiting  map[csmodel.AccountID]int // steps in the last round
 	loggedAt map[csmodel.AccountID]time.Time
+	// reportedAt is when the metrics of accounts were last updated.
+	reportedAt time.Time
 }
 
 func (q *quotaWaits) add(id csmodel.AccountID) {
--- a/internal/jobs/csrun/bench_test.go
+++ b/internal/jobs/csrun/bench_test.go
@@ -5,6 +5,9 @@
 	"runtime"
 	"testing"
 	"time"
+
+	"cowslipstream.example/cowslipstream/csmodel"
+	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
 )
 
 // benchSizes are numbers of targets: a deployment of about 40 own machines, one of about 150, and the largest that is planned.
@@ -19,9 +22,25 @@
 	}
 }
 
+// BenchmarkRoundsOfAccounts is BenchmarkRounds at 1,100 targets with client accounts that have limits and weights.
+func BenchmarkRoundsOfAccounts(b *testing.B) {
+	for _, accounts := range []int{0, 20, 630} {
+		b.Run(fmt.Sprintf("accounts=%d", accounts), func(b *testing.B) {
+			l := newSimulationOf(1100, newSimulationLog())
+			if accounts > 0 {
+				l.addAccounts(accounts)
+			}
+			benchmarkSimulation(b, l)
+		})
+	}
+}
+
 func benchmarkRounds(b *testing.B, size int) {
-	l := newSimulationOf(size, newSimulationLog())
-	l.heldTargets = size / 20
+	benchmarkSimulation(b, newSimulationOf(size, newSimulationLog()))
+}
+
+func benchmarkSimulation(b *testing.B, l *simulation) {
+	l.heldTargets = l.size / 20
 	l.advance(8 * time.Second)
 	l.handlingTime, l.applyTime, l.rounds, l.starts, l.ends = 0, 0, 0, 0, 0
 	var before, after runtime.MemStats
@@ -91,3 +110,27 @@
 	}
 	return false
 }
+
+func simAccount(n int) csmodel.AccountID { return csmodel.AccountID(fmt.Sprintf("account-%03d", n)) }
+
+// accountOf returns the account of a job.
+func (sim *simulation) accountOf(job int) csmodel.AccountID {
+	if sim.accounts == 0 {
+		return ""
+	}
+	return simAccount(job % sim.accounts)
+}
+
+// addAccounts commits a configuration with client accounts. The limit of each is about twice its mean use.
+func (sim *simulation) addAccounts(n int) {
+	sim.accounts = n
+	config := *sim.table.Config()
+	config.Version++
+	for k := range n {
+		config.Accounts = append(config.Accounts, csjob.Account{
+			ID: simAccount(k), Weight: simJobsPerTarget * float64(sim.size) / float64(n),
+			Limit: csjob.Resources{CPU: csmodel.MilliCPU(max(40_000, 16_000*sim.size/n)), Memory: csjob.MiB(max(65_536, 65_536*sim.size/n))},
+		})
+	}
+	sim.commit(csjob.Command{Config: &config})
+}
--- a/internal/jobs/csrun/metrics.go
+++ b/internal/jobs/csrun/metrics.go
@@ -10,8 +10,15 @@
 	startTime  prometheus.Histogram
 	phaseTime  *prometheus.HistogramVec
 	roundDelay prometheus.Histogram
+	usage      *prometheus.GaugeVec
+	limit      *prometheus.GaugeVec
+	quotaWaits prometheus.Gauge
+	surplus    prometheus.Counter
 }
 
+// accountLabels are the labels of the metrics of accounts.
+var accountLabels = []string{"account", "resource"}
+
 // NewMetrics creates the metrics and registers them. It panics if one of them is registered already.
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	m := &Metrics{
@@ -36,7 +43,20 @@
 			Name: "cowslipstream_round_delay_seconds", Help: "Time from when a round was due until it began.",
 			Buckets: prometheus.ExponentialBuckets(0.0001, 2, 14),
 		}),
+		usage: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "cowslipstream_account_usage", Help: "What the open runs of an account use (cpu in cores, memory in MiB, gpus), of the 20 largest accounts and other.",
+		}, accountLabels),
+		limit: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "cowslipstream_account_limit", Help: "Limit of an account, of the same accounts and in the same units; 0 is no limit.",
+		}, accountLabels),
+		quotaWaits: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "cowslipstream_quota_waiting_steps", Help: "Steps that wait for the quota of their account.",
+		}),
+		surplus: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cowslipstream_surplus_jobs_total", Help: "Accepted jobs beyond what their account is owed; a new leader counts the active ones.",
+		}),
 	}
+	r.MustRegister(m.usage, m.limit, m.quotaWaits, m.surplus)
 	r.MustRegister(m.orders, m.ends, m.polls, m.startTime, m.phaseTime, m.roundDelay)
 	return m
 }
--- a/internal/jobs/csrun/offered.go
+++ b/internal/jobs/csrun/offered.go
@@ -44,8 +44,8 @@
 	return Arrival{At: j.Accepted, Pool: t.QueueOf(j).Pool, Work: predictedWork(j, e), CriticalPath: csplan.CriticalPath(e, j)}
 }
 
-// update adds the jobs accepted since the last call and computes the rates over OfferedLoadWindow.
-func (o *offeredLoad) update(now time.Time, t *csjob.Table, e csplan.Estimator) {
+// update adds the jobs accepted since the last call and computes the rates over OfferedLoadWindow. It returns how many of these jobs are surplus.
+func (o *offeredLoad) update(now time.Time, t *csjob.Table, e csplan.Estimator) (surplus int) {
 	jobs := t.Active()
 	first := len(jobs)
 	for first > 0 && jobs[first-1].AcceptIndex > o.lastIndex {
@@ -53,6 +53,9 @@
 	}
 	for _, j := range jobs[first:] {
 		o.lastIndex = j.AcceptIndex
+		if j.Surplus {
+			surplus++
+		}
 		if a := arrivalOf(j, t, e); a.Work > 0 {
 			o.arrivals = append(o.arrivals, a)
 		}
@@ -68,6 +71,7 @@
 	}
 	o.arrivals = kept
 	o.updateMakespans()
+	return surplus
 }
 
 // updateMakespans sets the makespan of each pool to the mean of its recent jobs, weighted by work. A pool without arrivals
--- a/internal/jobs/csrun/schedule.go
+++ b/internal/jobs/csrun/schedule.go
@@ -27,7 +27,9 @@
 	r.collectWaiting(now, t)
 	r.markReclaimed()
 	r.collectSlots(now, t, silent)
-	r.offered.update(now, t, &r.learned)
+	surplus := r.offered.update(now, t, &r.learned)
+	r.stats.surplus += surplus
+	r.options.Metrics.surplus.Add(float64(surplus))
 	ids, pools := r.place(t)
 	demand := Demand{}
 	var starts []csjob.Start
@@ -45,12 +47,13 @@
 	r.addRunning(demand)
 	addLongRunning(t, demand, r.withhold(now, t, pools, ids, demand))
 	r.leader.demand.Store(&demandSnapshot{demand: demand})
+	r.reportAccounts(now, t)
 	return starts
 }
 
 // place places the waiting tasks of all pools with jobs, in the order of the pools' names.
 func (r *runner) place(t *csjob.Table) ([]csmodel.PoolID, []*csplan.Pool) {
-	accounts, used := r.accountsOf(t)
+	accounts, usedIn := r.accountsOf(t)
 	var ids []csmodel.PoolID
 	var pools []*csplan.Pool
 	for _, id := range csmodel.SortedKeys(r.pools) {
@@ -60,7 +63,7 @@
 		}
 		csplan.Sort(p.work)
 		ids = append(ids, id)
-		pools = append(pools, &csplan.Pool{Work: p.work, Slots: p.slots, Capacity: p.capacity, Used: used[id]})
+		pools = append(pools, &csplan.Pool{Work: p.work, Slots: p.slots, Capacity: p.capacity, Used: func() map[csmodel.AccountID]csjob.Resources { return usedIn(id) }})
 	}
 	accounts.Place(pools, r.isPending)
 	return ids, pools
--- a/internal/jobs/csrun/simulation_test.go
+++ b/internal/jobs/csrun/simulation_test.go
@@ -63,6 +63,7 @@
 	heldTargets   int           // number of targets whose VM is about to be reclaimed; a different set each second
 	runTimeSigma  float64       // standard deviation of the logarithm of a run time
 	refusalRate   float64       // probability that decisions are not committed
+	accounts      int           // number of client accounts, to which jobs belong in turn; zero for none
 
 	mu           sync.Mutex
 	targets      map[csjob.TargetID]*simTarget
@@ -165,7 +166,7 @@
 func (sim *simulation) submit(q csjob.QueueKey, steps ...csjob.Step) {
 	sim.jobs++
 	id := csjob.ID(fmt.Sprintf("%016x", sim.jobs))
-	sim.commit(csjob.Command{Submit: &csjob.Submission{ID: id, Queue: q, Spec: "spec of a job", Steps: steps}})
+	sim.commit(csjob.Command{Submit: &csjob.Submission{ID: id, Queue: q, Spec: "spec of a job", Steps: steps, Account: sim.accountOf(sim.jobs)}})
 }
 
 // submitArrivals submits the jobs that arrive in one tick.
--- a/internal/jobs/csrun/stats.go
+++ b/internal/jobs/csrun/stats.go
@@ -41,6 +41,8 @@
 	slowestCommit time.Duration // longest commit of a round's decisions
 	inFlight      int           // calls to targets in flight
 	maxInFlight   int           // maximum of inFlight
+	surplus       int           // accepted jobs that are surplus
+	quotaWaits    int           // largest number of steps that waited for the quota of their account
 }
 
 // beginRound starts timing the first phase of a round.
@@ -86,6 +88,7 @@
 	log.Info("workload", append(fields, zap.Duration("round_delay", s.maxDelay), zap.Duration("commit", s.slowestCommit),
 		zap.Int("targets", targets), zap.Int("starts", s.starts), zap.Int("stops", s.stops), zap.Int("looks", s.polls),
 		zap.Int("ends", s.ends), zap.Int("heartbeats", s.heartbeats), zap.Int("unanswered", s.failedCalls),
-		zap.Int("calls", s.inFlight), zap.Int("most_calls", s.maxInFlight))...)
+		zap.Int("calls", s.inFlight), zap.Int("most_calls", s.maxInFlight),
+		zap.Int("surplus", s.surplus), zap.Int("quota_waits", s.quotaWaits))...)
 	*s = leaderStats{intervalStart: now, phaseStart: now, inFlight: s.inFlight, maxInFlight: s.inFlight}
 }
