--- a/internal/jobs/csplan/accounts.go
+++ b/internal/jobs/csplan/accounts.go
@@ -1,7 +1,9 @@
 package csplan
 
 import (
+	"cmp"
 	"math"
+	"slices"
 
 	"cowslipstream.example/cowslipstream/csmodel"
 	"cowslipstream.example/cowslipstream/internal/jobs/csjob"
@@ -15,6 +17,15 @@
 	// Used returns what the runs and pending starts of each account with runs in the pool use there. Nil is for a pool without runs.
 	Used   func() map[csmodel.AccountID]csjob.Resources
 	Placed []Placement
+	// OverShare holds the accounts whose work had to wait for that of accounts below their share, and was not placed in full.
+	OverShare []OverShare
+}
+
+// OverShare is an account that has reached its share of a full pool.
+type OverShare struct {
+	Account     csmodel.AccountID
+	Steps       int     // steps that wait
+	Used, Share float64 // dominant share of what all accounts use there, and what its weight gives it
 }
 
 // Account is what a round knows of a client account.
@@ -83,13 +94,16 @@
 		}
 	}
 	for i, p := range pools {
-		p.Placed = rounds[i].out
+		p.Placed, p.OverShare = rounds[i].out, rounds[i].overShare()
 		if a != nil {
 			a.withhold(p.Work, starting)
 		}
 	}
 }
 
+// Headroom returns the headroom of an account that is left after the placement.
+func (a *Accounts) Headroom(id csmodel.AccountID) csjob.Resources { return a.account(id).Headroom }
+
 // withhold sets how many waiting tasks of the work of a pool have no headroom left after the placement, the most urgent ones first.
 func (a *Accounts) withhold(work []Work, starting func(csjob.TaskKey) bool) {
 	left := map[*Account]csjob.Resources{}
@@ -130,6 +144,7 @@
 	claimed csjob.Resources // headroom that steps which wait for room will use
 	used    float64         // dominant share of the pool's capacity
 	share   float64         // of what all accounts use, by weight
+	waiting int             // deferred steps of which no task was placed
 }
 
 // divide finds out whether more work waits than fits, and gives each account with work in the pool its share then.
@@ -215,15 +230,30 @@
 		r.place(w, a)
 	}
 	for _, i := range r.deferred {
-		if r.ended {
-			break
+		w := &r.work[i]
+		a := r.account(w.Job.Submission.Account)
+		if !r.ended {
+			r.place(w, a)
+		}
+		if w.placed == 0 {
+			a.waiting++
 		}
-		r.place(&r.work[i], r.account(r.work[i].Job.Submission.Account))
 	}
 	r.deferred = r.deferred[:0]
 	r.work = r.work[n:]
 }
 
+// overShare returns the accounts with deferred work that was not placed, in the order of their names.
+func (r *poolRound) overShare() (out []OverShare) {
+	for id, a := range r.byID {
+		if a.waiting > 0 && a.used > 0 {
+			out = append(out, OverShare{Account: id, Steps: a.waiting, Used: a.used / r.used, Share: a.share})
+		}
+	}
+	slices.SortFunc(out, func(a, b OverShare) int { return cmp.Compare(a.Account, b.Account) })
+	return out
+}
+
 // room returns how many tasks of a step the account may start now. Nil has no limit.
 func (a *poolAccount) room(w *Work, starting func(csjob.TaskKey) bool) int {
 	if a == nil || !a.Limited {
--- a/internal/jobs/csrun/accounts.go
+++ b/internal/jobs/csrun/accounts.go
@@ -1,6 +1,7 @@
 package csrun
 
 import (
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -10,7 +11,7 @@
 	"cowslipstream.example/cowslipstream/internal/jobs/csplan"
 )
 
-// limitLogInterval is the minimum time between two log lines about one account at its limit.
+// limitLogInterval is the minimum time between two log lines about one account at its limit or over its share of a pool.
 const limitLogInterval = 5 * time.Second
 
 // accountsOf returns the accounts of the round with their headroom, and a function that tells what they use in a pool. It returns nil, and costs
@@ -74,7 +75,9 @@
 
 // withhold removes the batch work that waits for the quota of its account from the load that arriving jobs offer, and logs the accounts. It
 // returns the number of long-running tasks that wait for their quota, by step.
-func (r *runner) withhold(now time.Time, t *csjob.Table, pools []*csplan.Pool, ids []csmodel.PoolID, demand Demand) map[csplan.StepKey]int {
+func (r *runner) withhold(
+	now time.Time, t *csjob.Table, accounts *csplan.Accounts, pools []*csplan.Pool, ids []csmodel.PoolID, demand Demand,
+) map[csplan.StepKey]int {
 	clear(r.quotas.waiting)
 	var longRunning map[csplan.StepKey]int
 	for i, p := range pools {
@@ -99,36 +102,71 @@
 		demand[ids[i]] = d
 	}
 	for id, steps := range r.quotas.waiting {
-		r.logLimit(now, t, id, steps)
+		r.logLimit(now, t, accounts, id, steps)
+	}
+	for i, p := range pools {
+		for _, o := range p.OverShare {
+			r.logOverShare(now, ids[i], o)
+		}
 	}
 	return longRunning
 }
 
-// logLimit writes a line about an account with steps that wait for its quota.
-func (r *runner) logLimit(now time.Time, t *csjob.Table, id csmodel.AccountID, steps int) {
-	if last, logged := r.quotas.loggedAt[id]; logged && now.Sub(last) < limitLogInterval {
+// logLimit writes a line about an account with steps that wait for its quota. What it uses includes the starts of the round.
+func (r *runner) logLimit(now time.Time, t *csjob.Table, accounts *csplan.Accounts, id csmodel.AccountID, steps int) {
+	if !r.quotas.due(now, accountLine{account: id}) {
 		return
 	}
-	r.quotas.loggedAt[id] = now
 	a, _ := t.Account(id)
-	used := t.AccountUsage(id)
+	used := a.Headroom(csjob.Resources{}).Sub(accounts.Headroom(id))
 	r.log.Info("account at its limit", zap.String("account", string(id)), zap.Int("steps", steps),
 		zap.Int64("cpu", int64(used.CPU)), zap.Int64("cpu_limit", int64(a.Limit.CPU)),
 		zap.Int64("memory", int64(used.Memory)), zap.Int64("memory_limit", int64(a.Limit.Memory)),
 		zap.Int("gpus", used.GPUs), zap.Int("gpus_limit", a.Limit.GPUs))
 }
 
+// logOverShare writes a line about an account whose work waits for that of accounts below their share.
+func (r *runner) logOverShare(now time.Time, pool csmodel.PoolID, o csplan.OverShare) {
+	if r.quotas.due(now, accountLine{o.Account, pool}) {
+		r.log.Info("account over its share", zap.String("account", string(o.Account)), zap.String("pool", string(pool)),
+			zap.Int("steps", o.Steps), zap.String("used", percent(o.Used)), zap.String("share", percent(o.Share)))
+	}
+}
+
+func percent(f float64) string { return strconv.FormatFloat(100*f, 'f', 1, 64) + "%" }
+
 // quotaWaits counts the steps that wait for the quota of their account.
 type quotaWaits struct {
 	waiting  map[csmodel.AccountID]int // steps in the last round
-	loggedAt map[csmodel.AccountID]time.Time
+	loggedAt map[accountLine]time.Time
 	// reportedAt is when the metrics of accounts were last updated.
 	reportedAt time.Time
 }
 
 func (q *quotaWaits) add(id csmodel.AccountID) {
 	if q.waiting == nil {
-		q.waiting, q.loggedAt = map[csmodel.AccountID]int{}, map[csmodel.AccountID]time.Time{}
+		q.waiting = map[csmodel.AccountID]int{}
 	}
 	q.waiting[id]++
 }
+
+// accountLine identifies the log lines about an account, or about an account in a pool.
+type accountLine struct {
+	account csmodel.AccountID
+	pool    csmodel.PoolID
+}
+
+// due reports whether a line is due, and records that it is written. It bounds the lines that it remembers.
+func (q *quotaWaits) due(now time.Time, l accountLine) bool {
+	if last, logged := q.loggedAt[l]; logged && now.Sub(last) < limitLogInterval {
+		return false
+	}
+	if q.loggedAt == nil || len(q.loggedAt) >= maxAccountLines {
+		q.loggedAt = map[accountLine]time.Time{}
+	}
+	q.loggedAt[l] = now
+	return true
+}
+
+// maxAccountLines covers 630 accounts in several pools.
+const maxAccountLines = 10_000
--- a/internal/jobs/csrun/schedule.go
+++ b/internal/jobs/csrun/schedule.go
@@ -30,7 +30,7 @@
 	surplus := r.offered.update(now, t, &r.learned)
 	r.stats.surplus += surplus
 	r.options.Metrics.surplus.Add(float64(surplus))
-	ids, pools := r.place(t)
+	accounts, ids, pools := r.place(t)
 	demand := Demand{}
 	var starts []csjob.Start
 	for i, p := range pools {
@@ -45,14 +45,14 @@
 		starts = append(starts, r.startsFor(t, p.Placed)...)
 	}
 	r.addRunning(demand)
-	addLongRunning(t, demand, r.withhold(now, t, pools, ids, demand))
+	addLongRunning(t, demand, r.withhold(now, t, accounts, pools, ids, demand))
 	r.leader.demand.Store(&demandSnapshot{demand: demand})
 	r.reportAccounts(now, t)
 	return starts
 }
 
 // place places the waiting tasks of all pools with jobs, in the order of the pools' names.
-func (r *runner) place(t *csjob.Table) ([]csmodel.PoolID, []*csplan.Pool) {
+func (r *runner) place(t *csjob.Table) (*csplan.Accounts, []csmodel.PoolID, []*csplan.Pool) {
 	accounts, usedIn := r.accountsOf(t)
 	var ids []csmodel.PoolID
 	var pools []*csplan.Pool
@@ -66,7 +66,7 @@
 		pools = append(pools, &csplan.Pool{Work: p.work, Slots: p.slots, Capacity: p.capacity, Used: func() map[csmodel.AccountID]csjob.Resources { return usedIn(id) }})
 	}
 	accounts.Place(pools, r.isPending)
-	return ids, pools
+	return accounts, ids, pools
 }
 
 func (r *runner) isPending(k csjob.TaskKey) bool {
--- a/internal/jobs/csrun/sync.go
+++ b/internal/jobs/csrun/sync.go
@@ -102,7 +102,11 @@
 // onJobEnded logs the end of a job and invalidates the usage of targets with pending starts of it.
 func (r *runner) onJobEnded(t *csjob.Table, j *csjob.Job, now time.Time) {
 	id := j.Submission.ID
-	r.log.Info("job ended", zap.String("job", string(id)), zap.String("queue", t.QueueOf(j).Name), zap.String("state", stateNames[j.State]),
+	account := zap.Skip()
+	if j.Submission.Account != "" {
+		account = zap.String("account", string(j.Submission.Account))
+	}
+	r.log.Info("job ended", zap.String("job", string(id)), account, zap.Bool("surplus", j.Surplus), zap.String("queue", t.QueueOf(j).Name), zap.String("state", stateNames[j.State]),
 		zap.Duration("after", now.Sub(j.Accepted)), zap.Duration("expected", csplan.CriticalPath(&r.learned, j)), zap.Int("open_runs", j.OpenRuns))
 	if r.pendingByJob[id] == 0 {
 		return
