csrun: one copy for each run; expect overdue runs to go on

Cause: a run whose copy had failed or never started could get further copies, which could use up the attempts of its task. A target with an overdue run was polled every 200 ms, however long the run was still expected to take.

Change: a run gets a copy only if no later attempt of its task exists. Polls wait for the expected remaining time of an overdue run.

--- a/internal/jobs/csrun/copies.go
+++ b/internal/jobs/csrun/copies.go
@@ -40,7 +40,7 @@
 	return out
 }
 
-// longRun returns a run as a candidate for a copy, and false if it is not unusually long or its task has another run already.
+// longRun returns a run as a candidate for a copy, and false if it is not unusually long or has had a copy.
 func (r *runner) longRun(now time.Time, t *csjob.Table, w *target, u *run) (csplan.LongRun, bool) {
 	j, k := u.job, u.key.task
 	if j.State.Final() || r.isPending(k) {
@@ -52,7 +52,8 @@
 	if !known || passed <= unusual {
 		return csplan.LongRun{}, false
 	}
-	if task := j.Task(k); task == nil || task.Done || len(task.Runs) != 1 {
+	// A run gets one copy, also if the copy fails or never starts: more of them could use up the attempts of the task.
+	if task := j.Task(k); task == nil || task.Done || len(task.Runs) != 1 || task.Attempts != u.key.attempt {
 		return csplan.LongRun{}, false
 	}
 	l := csplan.LongRun{Job: j, Task: k, Target: w.incarnation.Target, Rack: w.record.Rack, Passed: passed, Prediction: p}
--- a/internal/jobs/csrun/copies_test.go
+++ b/internal/jobs/csrun/copies_test.go
@@ -159,3 +159,43 @@
 		t.Errorf("got slow = %t, returning = %d after %d runs, want an ordinary target", w.slow, w.returning, starts)
 	}
 }
+
+// Pattern: a run is unusually long, and its copy fails or does not start. Guards against copy after copy of the same run, which could use up
+// the attempts of its task.
+func TestRunGetsOneCopy(t *testing.T) {
+	sim := newUnevenSimulation(nil)
+	sim.advance(8 * time.Second) // until the usual run times are known
+	ended := func(o csjob.Outcome) func(csjob.TaskKey) {
+		return func(k csjob.TaskKey) {
+			on := csjob.Incarnation{Target: "target-0004", StartedAtMs: 1}
+			sim.commit(csjob.Command{Starts: []csjob.Start{{Task: k, Attempt: 2, Incarnation: on}}})
+			if o != csjob.OutcomeDone {
+				sim.commit(csjob.Command{Ends: []csjob.End{{Task: k, Attempt: 2, Incarnation: on, Outcome: o}}})
+			}
+		}
+	}
+	cases := []struct {
+		name  string
+		event func(csjob.TaskKey)
+		want  bool
+	}{
+		{"no copy yet", func(csjob.TaskKey) {}, true},
+		{"copy proposed", func(k csjob.TaskKey) { sim.r.addPending(k, csjob.Incarnation{Target: "target-0004", StartedAtMs: 1}) }, false},
+		{"copy runs", ended(csjob.OutcomeDone), false}, // its end is not committed
+		{"copy failed", ended(csjob.OutcomeFailed), false},
+		{"copy never started", ended(csjob.OutcomeNotStarted), false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			sim.submit(queueKey(0, 0), csjob.Step{Tasks: 1, Resources: csjob.Resources{CPU: 1000}, Estimate: time.Second, Speculative: true})
+			j := sim.table.Active()[len(sim.table.Active())-1]
+			w, k := sim.r.targets["target-0000"], csjob.TaskKey{Job: j.Submission.ID}
+			sim.commit(csjob.Command{Starts: []csjob.Start{{Task: k, Attempt: 1, Incarnation: w.incarnation}}})
+			c.event(k)
+			u := &run{key: runKey{k, 1}, since: sim.now.Add(-5 * time.Second), job: j, mayCopy: true}
+			if _, got := sim.r.longRun(sim.now, &sim.table, w, u); got != c.want {
+				t.Errorf("got candidate for a copy = %t, want %t", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/jobs/csrun/polls.go
+++ b/internal/jobs/csrun/polls.go
@@ -13,7 +13,7 @@
 const (
 	// pollRetryDelay is the delay after an unanswered poll.
 	pollRetryDelay = 250 * time.Millisecond
-	// minPollWait is the minimum wait of a poll. It limits the poll rate for targets whose runs take longer than predicted.
+	// minPollWait is the minimum wait of a poll. It limits the poll rate for targets whose runs are expected to end now.
 	minPollWait = 200 * time.Millisecond
 	// predictionMargin is added to the predicted time of the next end, because predictions are off by about 20%.
 	predictionMargin = 150 * time.Millisecond
@@ -105,7 +105,11 @@
 	wait := r.options.Timing.PollWait
 	for _, u := range w.runs {
 		if !u.longRunning {
-			wait = min(wait, max(minPollWait, u.expected-now.Sub(u.since)+predictionMargin))
+			left := u.expected - now.Sub(u.since)
+			if left < 0 {
+				left = u.remaining(now)
+			}
+			wait = min(wait, max(minPollWait, left+predictionMargin))
 		}
 	}
 	if w.awaitsReadiness() {
--- a/internal/jobs/csrun/simulation_targets_test.go
+++ b/internal/jobs/csrun/simulation_targets_test.go
@@ -23,6 +23,18 @@
 	ends    time.Time // zero for a long-running task
 }
 
+type simTimer struct {
+	at time.Time
+	f  func()
+}
+
+type simProposal struct {
+	at         time.Time
+	data       []byte
+	encodeTime time.Duration // CPU time of its encoding
+	done       chan csjob.Verdict
+}
+
 // Start, Stop and Poll implement TargetClient.
 func (sim *simulation) Start(_ context.Context, t csjob.Target, o StartOrder) (Reply, error) {
 	sim.mu.Lock()
--- a/internal/jobs/csrun/simulation_test.go
+++ b/internal/jobs/csrun/simulation_test.go
@@ -80,18 +80,6 @@
 	ends         int
 }
 
-type simTimer struct {
-	at time.Time
-	f  func()
-}
-
-type simProposal struct {
-	at         time.Time
-	data       []byte
-	encodeTime time.Duration // CPU time of its encoding
-	done       chan csjob.Verdict
-}
-
 func newSimulation(log *zap.Logger) *simulation { return newSimulationOf(simTargets, log) }
 
 // newSimulationOf returns a simulation with the given number of targets, and with jobs in proportion.
