Compare learned run times with the earlier regression in tests only

Cause: no part of the program uses the regression over one queue any more, and an overrunning run was expected to go on for long when VMs were chosen and runs were stopped to free them, so that VMs stayed in pools whose turn was over.

Change: the regression moves to the tests that compare with it; drains count on the predicted run time as before, and polls and copies on the distribution.

--- a/internal/jobs/csadmit/decide_test.go
+++ b/internal/jobs/csadmit/decide_test.go
@@ -69,7 +69,7 @@
 			if c.job.Spec == noObjective {
 				queue.Objective, queue.Stretch = 0, 0
 			}
-			d := Decide(now, c.backlog, queue, c.job, &csplan.RunTimeEstimator{})
+			d := Decide(now, c.backlog, queue, c.job, &csplan.LearnedEstimator{})
 			if d.Reason != c.want {
 				t.Errorf("got %s (wait %s, left %s), want %s", d.Reason, d.Wait, d.Left, c.want)
 			}
@@ -86,7 +86,7 @@
 	for i := range 100 {
 		s := submission(0)
 		s.ID = csjob.ID(fmt.Sprintf("%016x", i))
-		d := Decide(now, b, testQueue, s, &csplan.RunTimeEstimator{})
+		d := Decide(now, b, testQueue, s, &csplan.LearnedEstimator{})
 		least, most = min(least, d.Retry), max(most, d.Retry)
 	}
 	// The runs end after 10 s at the earliest, and a job has 5.6 s.
@@ -97,7 +97,7 @@
 	later.At = now.Add(4400 * time.Millisecond)
 	later.Running = Profile{}
 	later.AddRunning(10_000, 20*time.Second-2*4400*time.Millisecond)
-	if d := Decide(later.At, &later, testQueue, submission(0), &csplan.RunTimeEstimator{}); d.Reason != None {
+	if d := Decide(later.At, &later, testQueue, submission(0), &csplan.LearnedEstimator{}); d.Reason != None {
 		t.Errorf("got %s after the time to retry, want an accepted job", d.Reason)
 	}
 }
@@ -117,6 +117,6 @@
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		Decide(now, backlog, testQueue, s, &csplan.RunTimeEstimator{})
+		Decide(now, backlog, testQueue, s, &csplan.LearnedEstimator{})
 	}
 }
--- a/internal/jobs/csadmit/simulator_test.go
+++ b/internal/jobs/csadmit/simulator_test.go
@@ -159,7 +159,7 @@
 		}
 		c.job.Waited = at - c.first
 		graced := sim.load.frozen[1] > 0 && at >= sim.load.frozen[1] && at < sim.load.frozen[1]+3*time.Second
-		if d := Decide(sim.start.Add(at), sim.backlog, sim.queues[c.queue], c.job, &csplan.RunTimeEstimator{}); d.Reason != None && !graced {
+		if d := Decide(sim.start.Add(at), sim.backlog, sim.queues[c.queue], c.job, &csplan.LearnedEstimator{}); d.Reason != None && !graced {
 			c.doubted = true
 			if sim.admission {
 				if c.refused == 0 {
@@ -221,7 +221,7 @@
 func (sim *simulator) work(now time.Time) []csplan.Work {
 	var out []csplan.Work
 	for _, c := range sim.active {
-		out = csplan.AppendWaiting(out, now, &csplan.RunTimeEstimator{}, &sim.queues[c.queue], c.accepted)
+		out = csplan.AppendWaiting(out, now, &csplan.LearnedEstimator{}, &sim.queues[c.queue], c.accepted)
 	}
 	if sim.newOrder {
 		csplan.Sort(out)
@@ -246,7 +246,7 @@
 
 // earlierUrgency is the order of late work by latest start alone.
 func (sim *simulator) earlierUrgency(now time.Time, j *csjob.Job) (class int, latestStart time.Time) {
-	e := &csplan.RunTimeEstimator{}
+	e := &csplan.LearnedEstimator{}
 	q := sim.queues[0]
 	deadline, expiry := csplan.Objective(e, q, j, 0)
 	remaining := csplan.RemainingCriticalPath(e, j, 0)
--- a/internal/jobs/csplan/backlog_test.go
+++ b/internal/jobs/csplan/backlog_test.go
@@ -113,7 +113,7 @@
 			s.Gang, s.LongRunning, s.MaxPerTarget = random.IntN(4) == 0, random.IntN(4) == 0, random.IntN(3)
 			s.Label = []string{"", "x", "y"}[random.IntN(3)]
 			j := job(fmt.Sprint(i), now, s)
-			work = append(work, Waiting(now, &RunTimeEstimator{}, csjob.Queue{}, []*csjob.Job{j})...)
+			work = append(work, Waiting(now, &LearnedEstimator{}, csjob.Queue{}, []*csjob.Job{j})...)
 		}
 		Sort(work)
 		unstarted := func(csjob.TaskKey) bool { return false }
@@ -156,7 +156,7 @@
 					t.Spread[StepKey{Job: jobs[i].Submission.ID}] = c.spread
 				}
 			}
-			work := Waiting(now, &RunTimeEstimator{}, csjob.Queue{}, jobs)
+			work := Waiting(now, &LearnedEstimator{}, csjob.Queue{}, jobs)
 			Sort(work)
 			for b.Loop() {
 				Place(work, pool, func(csjob.TaskKey) bool { return false })
--- a/internal/jobs/csplan/gang_test.go
+++ b/internal/jobs/csplan/gang_test.go
@@ -30,7 +30,7 @@
 			for n := range c.open {
 				j.Begun[0].Tasks[0][n].Runs = []csjob.Run{{Attempt: 1}}
 			}
-			work := Waiting(now, &RunTimeEstimator{}, testQueue, []*csjob.Job{j})
+			work := Waiting(now, &LearnedEstimator{}, testQueue, []*csjob.Job{j})
 			placed := Place(work, []*Slot{slot("a", 4000, 4000)}, func(k csjob.TaskKey) bool { return k.Index < c.starting })
 			if got := len(placed); got != c.want {
 				t.Errorf("got %d members placed, want %d", got, c.want)
--- a/internal/jobs/csplan/late_test.go
+++ b/internal/jobs/csplan/late_test.go
@@ -57,9 +57,9 @@
 func TestProspectMatchesOrder(t *testing.T) {
 	at := time.Unix(1_800_000_000, 0)
 	j := lateJob("a", at, 0)
-	p := ProspectOf(at, &RunTimeEstimator{}, testQueue, j.Submission)
+	p := ProspectOf(at, &LearnedEstimator{}, testQueue, j.Submission)
 	classAt := func(now time.Time) urgencyClass {
-		return Waiting(now, &RunTimeEstimator{}, testQueue, []*csjob.Job{j})[0].urgency.class
+		return Waiting(now, &LearnedEstimator{}, testQueue, []*csjob.Job{j})[0].urgency.class
 	}
 	if got := classAt(p.OnTimeUntil); got != feasible {
 		t.Errorf("got class %d when the job stops being on time, want %d", got, feasible)
@@ -70,7 +70,7 @@
 	if got := classAt(p.LastStart); got != expired {
 		t.Errorf("got class %d at the last start with value, want %d", got, expired)
 	}
-	w := Waiting(at, &RunTimeEstimator{}, testQueue, []*csjob.Job{j})[0]
+	w := Waiting(at, &LearnedEstimator{}, testQueue, []*csjob.Job{j})[0]
 	if got := w.OnTimeUntil(); !got.Equal(p.OnTimeUntil) {
 		t.Errorf("got %s for waiting work, want %s", got, p.OnTimeUntil)
 	}
--- a/internal/jobs/csplan/learned.go
+++ b/internal/jobs/csplan/learned.go
@@ -8,6 +8,10 @@
 )
 
 const (
+	// fullTrustRuns is the number of runs of a queue from which the declared run times alone tell nothing more.
+	fullTrustRuns = 30
+	// fallbackDuration is the declared run time assumed for steps that declare none.
+	fallbackDuration = csjob.FallbackEstimate
 	// maxPredictions bounds the predictions that are kept.
 	maxPredictions = 4096
 	// refreshShare is the share of the runs of a queue that have to end before its predictions are made again, and maxStaleRuns the number
--- a/internal/jobs/csplan/overload_test.go
+++ b/internal/jobs/csplan/overload_test.go
@@ -114,7 +114,7 @@
 
 // wouldBeLate reports whether a job that has not started is not expected to meet its objective.
 func wouldBeLate(now time.Time, j *csjob.Job) bool {
-	work := Waiting(now, &RunTimeEstimator{}, testQueue, []*csjob.Job{j})
+	work := Waiting(now, &LearnedEstimator{}, testQueue, []*csjob.Job{j})
 	return len(work) == 0 || work[0].Late()
 }
 
--- a/internal/jobs/csplan/plan_test.go
+++ b/internal/jobs/csplan/plan_test.go
@@ -29,7 +29,7 @@
 
 // plan places the waiting tasks of the jobs of testQueue, in order of their urgency.
 func plan(now time.Time, slots []*Slot, jobs ...*csjob.Job) []Placement {
-	work := Waiting(now, &RunTimeEstimator{}, testQueue, jobs)
+	work := Waiting(now, &LearnedEstimator{}, testQueue, jobs)
 	Sort(work)
 	return Place(work, slots, func(csjob.TaskKey) bool { return false })
 }
@@ -160,7 +160,7 @@
 	j := job("j", time.Now(), first, second, third)
 	for stepsDone, want := range []time.Duration{3 * time.Second, 2 * time.Second, time.Second, 0} {
 		t.Run(fmt.Sprint(stepsDone), func(t *testing.T) {
-			if got := RemainingCriticalPath(&RunTimeEstimator{}, j, 0); got != want {
+			if got := RemainingCriticalPath(&LearnedEstimator{}, j, 0); got != want {
 				t.Errorf("got %s, want %s", got, want)
 			}
 			if stepsDone < 3 {
@@ -186,10 +186,12 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			var l RunTimeEstimator
+			var runTimes csjob.RunTimes
+			var l LearnedEstimator
+			l.Use(&runTimes)
 			for range 500 {
 				d := time.Duration(50+random.IntN(1950)) * time.Millisecond
-				l.Observe(testQueue.Key, csjob.Step{Estimate: d}, c.actual(d))
+				runTimes.Observe(testQueue.Key, &csjob.Step{Estimate: d}, c.actual(d), false)
 			}
 			got := l.Duration(testQueue.Key, csjob.Step{Estimate: c.declared})
 			if deviation := (got - c.want).Abs(); deviation.Seconds() > c.want.Seconds()*c.percent/100 {
--- a/internal/jobs/csplan/quota_test.go
+++ b/internal/jobs/csplan/quota_test.go
@@ -44,7 +44,7 @@
 			other := job("other", now.Add(time.Second), step(4, 1000, 1)) // less urgent
 			other.Submission.Account = "other"
 			p := Pool{
-				Work: Waiting(now, &RunTimeEstimator{}, testQueue, append(jobs, other)), Slots: []*Slot{slot("1", c.free, 1<<20), slot("2", c.free, 1<<20)},
+				Work: Waiting(now, &LearnedEstimator{}, testQueue, append(jobs, other)), Slots: []*Slot{slot("1", c.free, 1<<20), slot("2", c.free, 1<<20)},
 				Capacity: csjob.Resources{CPU: 64_000, Memory: 2 << 20},
 			}
 			Sort(p.Work)
@@ -77,7 +77,7 @@
 	pool := func(id string, surplus bool, s csjob.Step) *Pool {
 		j := job(id, now, s)
 		j.Submission.Account, j.Surplus = "a", surplus
-		return &Pool{Work: Waiting(now, &RunTimeEstimator{}, testQueue, []*csjob.Job{j}), Slots: []*Slot{slot(id, 32_000, 1<<20)}}
+		return &Pool{Work: Waiting(now, &LearnedEstimator{}, testQueue, []*csjob.Job{j}), Slots: []*Slot{slot(id, 32_000, 1<<20)}}
 	}
 	pools := []*Pool{pool("surplus", true, lasting), pool("batch", false, step(1, 1000, 1)), pool("lasting", false, lasting)}
 	NewAccounts(func(csmodel.AccountID) Account {
--- a/internal/jobs/csplan/estimator.go
+++ b/internal/jobs/csplan/regression_test.go
@@ -10,15 +10,12 @@
 const (
 	// minLearningRate is the weight of a new run in the moving averages once there are many; it corresponds to about 50 runs.
 	minLearningRate = 0.02
-	// fullTrustRuns is the number of runs from which predictions use the regression alone.
-	fullTrustRuns = 30
-	// fallbackDuration is the declared run time assumed for steps that declare none.
-	fallbackDuration = csjob.FallbackEstimate
 	// minRunTime is the lower bound of run times, so that their logarithms are finite.
 	minRunTime = time.Millisecond
 )
 
-// RunTimeEstimator is an Estimator that predicts run times by a regression of actual on declared run times of earlier runs of the queue.
+// RunTimeEstimator is the estimator that learned run times are compared with: a regression of actual on declared run times of earlier runs of
+// the queue.
 // Declared run times may be far off: the prediction depends on them only as far as they have correlated with actual ones. The
 // zero value predicts the declared run times. A RunTimeEstimator is not safe for concurrent use.
 type RunTimeEstimator struct {
--- a/internal/jobs/csplan/share_test.go
+++ b/internal/jobs/csplan/share_test.go
@@ -155,7 +155,7 @@
 
 // place starts waiting tasks. counted is set while the work of the runs counts.
 func (sim *shareSim) place(counted bool) {
-	work := Waiting(sim.at, &RunTimeEstimator{}, testQueue, sim.table.Active())
+	work := Waiting(sim.at, &LearnedEstimator{}, testQueue, sim.table.Active())
 	Sort(work)
 	p := Pool{
 		Work: work, Slots: sim.slots, Used: func() map[csmodel.AccountID]csjob.Resources { return maps.Collect(sim.table.PoolUsage("p")) },
@@ -314,7 +314,7 @@
 		}
 		other := job("other", now, step(1, 40_000, 1)) // fits no slot
 		other.Submission.Account = "b"
-		work := Waiting(now, &RunTimeEstimator{}, testQueue, append(jobs, other))
+		work := Waiting(now, &LearnedEstimator{}, testQueue, append(jobs, other))
 		Sort(work)
 		p := Pool{
 			Work: work, Slots: []*Slot{slot("1", 32_000, 1<<20), slot("2", 32_000, 1<<20)}, Capacity: csjob.Resources{CPU: 64_000, Memory: 2 << 20},
--- a/internal/jobs/csrun/polls.go
+++ b/internal/jobs/csrun/polls.go
@@ -107,7 +107,7 @@
 		if !u.longRunning {
 			left := u.expected - now.Sub(u.since)
 			if left < 0 {
-				left = u.remaining(now)
+				left = u.prediction.Remaining(now.Sub(u.since))
 			}
 			wait = min(wait, max(minPollWait, left+predictionMargin))
 		}
