Run three tests that failed once beside load in virtual time

Cause: TestListOlderThanOrderIsIgnored, TestOrderWithUnknownOutcomeStaysReserved (condition not met within 600 ms) and TestSilentTargetsAreGivenUp failed once each at a load of about 30. They sleep for fixed times on the real clock; a pause of the test of 300 ms ends the first two, because the harness looks at its condition too late.

Change: the tests run in a bubble of testing/synctest, where a busy machine delays nothing. What they check is unchanged.

--- a/internal/base/cshttp/bench_test.go
+++ b/internal/base/cshttp/bench_test.go
@@ -89,7 +89,7 @@
 // BenchmarkConnectionMemory reports what a connection holds in a server, for connectionCost, with its client's end of about 1 KiB.
 func BenchmarkConnectionMemory(b *testing.B) {
 	const connections = 1000
-	head := "POST / HTTP/1.1\r\nHost: jobs.example\r\nContent-Type: application/json\r\nX-Cowslipstream-Deadline-Ms: 3000\r\n"
+	head := "POST / HTTP/1.1\r\nHost: jobs.example\r\nContent-Type: application/json\r\nX-Deadline-Ms: 3000\r\n"
 	cases := []struct{ name, sent string }{
 		{"silent", ""},
 		{"unfinished header", head},
--- a/internal/fleet/csvms/commit_test.go
+++ b/internal/fleet/csvms/commit_test.go
@@ -60,25 +60,27 @@
 		}
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			h := newHarness(t, map[csmodel.PoolID]int{"a": 1, "b": 0})
-			h.runFor(300*time.Millisecond, func() {})
-			incarnation := csjob.Incarnation{Target: "a-0.0", StartedAtMs: 1}
-			h.group.stall()
-			res := &reservation{order: csjob.VMOrder{VM: "a-0", Pool: "b", Incarnation: incarnation}, since: time.Now(), proposed: true}
-			h.fleet.reservations["a-0"] = res
-			h.fleet.commit(time.Now(), []csjob.VMOrder{res.order})
-			res.since = res.since.Add(-maxReservationTime)
-			h.runFor(500*time.Millisecond, func() {})
-			if !h.fleet.Evicting().Has(incarnation) {
-				t.Error("got the VM free for new tasks, want it held")
-			}
-			h.resume(applied)
-			pool := csmodel.PoolID("a")
-			if applied {
-				pool = "b"
-			}
-			h.runUntil(5*time.Second, func(table *csjob.Table) bool {
-				return len(h.fleet.reservations) == 0 && len(table.VMOrders()) == 0 && h.platform.list()[0].Pool == pool
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t, map[csmodel.PoolID]int{"a": 1, "b": 0})
+				h.runFor(300*time.Millisecond, func() {})
+				incarnation := csjob.Incarnation{Target: "a-0.0", StartedAtMs: 1}
+				h.group.stall()
+				res := &reservation{order: csjob.VMOrder{VM: "a-0", Pool: "b", Incarnation: incarnation}, since: time.Now(), proposed: true}
+				h.fleet.reservations["a-0"] = res
+				h.fleet.commit(time.Now(), []csjob.VMOrder{res.order})
+				res.since = res.since.Add(-maxReservationTime)
+				h.runFor(500*time.Millisecond, func() {})
+				if !h.fleet.Evicting().Has(incarnation) {
+					t.Error("got the VM free for new tasks, want it held")
+				}
+				h.resume(applied)
+				pool := csmodel.PoolID("a")
+				if applied {
+					pool = "b"
+				}
+				h.runUntil(5*time.Second, func(table *csjob.Table) bool {
+					return len(h.fleet.reservations) == 0 && len(table.VMOrders()) == 0 && h.platform.list()[0].Pool == pool
+				})
 			})
 		})
 	}
@@ -137,38 +139,40 @@
 // it shows the VM as up, and so as back from its maintenance. Only the next list counts.
 func TestListOlderThanOrderIsIgnored(t *testing.T) {
 	t.Parallel()
-	h := newHarness(t, map[csmodel.PoolID]int{"a": 1})
-	h.runFor(300*time.Millisecond, func() {})
-	incarnation := csjob.Incarnation{Target: "a-0.0", StartedAtMs: 1}
-	o := csjob.VMOrder{VM: "a-0", Wave: "1", Incarnation: incarnation}
-	state := &openOrder{order: o}
-	requestList := func() {
-		h.group.View(func(table *csjob.Table) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, map[csmodel.PoolID]int{"a": 1})
+		h.runFor(300*time.Millisecond, func() {})
+		incarnation := csjob.Incarnation{Target: "a-0.0", StartedAtMs: 1}
+		o := csjob.VMOrder{VM: "a-0", Wave: "1", Incarnation: incarnation}
+		state := &openOrder{order: o}
+		requestList := func() {
+			h.group.View(func(table *csjob.Table) {
+				h.fleet.mu.Lock()
+				defer h.fleet.mu.Unlock()
+				h.fleet.listEndedAt, h.fleet.listedAt = time.Time{}, time.Time{}
+				h.fleet.requestList(csrun.Round{Now: time.Now(), Table: table})
+			})
+		}
+		back := func() bool {
+			time.Sleep(2*h.platform.listDelay + testMaintenanceTime)
 			h.fleet.mu.Lock()
 			defer h.fleet.mu.Unlock()
-			h.fleet.listEndedAt, h.fleet.listedAt = time.Time{}, time.Time{}
-			h.fleet.requestList(csrun.Round{Now: time.Now(), Table: table})
-		})
-	}
-	back := func() bool {
-		time.Sleep(2*h.platform.listDelay + testMaintenanceTime)
+			return h.fleet.backFromMaintenance(time.Now(), o.VM, state)
+		}
+		h.platform.listDelay = 400 * time.Millisecond
+		requestList()
+		time.Sleep(h.platform.listDelay / 2)
 		h.fleet.mu.Lock()
-		defer h.fleet.mu.Unlock()
-		return h.fleet.backFromMaintenance(time.Now(), o.VM, state)
-	}
-	h.platform.listDelay = 400 * time.Millisecond
-	requestList()
-	time.Sleep(h.platform.listDelay / 2)
-	h.fleet.mu.Lock()
-	h.fleet.recordAccepted(time.Now(), o, state)
-	h.fleet.mu.Unlock()
-	if back() {
-		t.Error("got the VM back by a list older than its maintenance")
-	}
-	requestList()
-	if !back() {
-		t.Error("got the VM still away, want it back by the next list")
-	}
+		h.fleet.recordAccepted(time.Now(), o, state)
+		h.fleet.mu.Unlock()
+		if back() {
+			t.Error("got the VM back by a list older than its maintenance")
+		}
+		requestList()
+		if !back() {
+			t.Error("got the VM still away, want it back by the next list")
+		}
+	})
 }
 
 // Pattern: another pool becomes busy, and the platform accepts 200 moves within a moment. Guards against a command for each of
--- a/internal/jobs/csrun/leader_test.go
+++ b/internal/jobs/csrun/leader_test.go
@@ -390,27 +390,29 @@
 // leader tries to reach the targets in the meantime.
 func TestSilentTargetsAreGivenUp(t *testing.T) {
 	t.Parallel()
-	i := newCluster(t, 12, 4, faults{})
-	time.Sleep(3 * testHeartbeatInterval)
-	longRunning := csjob.Step{Tasks: 8, Resources: csjob.Resources{CPU: 1000, Memory: 100}, LongRunning: true, MaxPerTarget: 2}
-	i.submit("00000000000000aa", longRunning)
-	time.Sleep(300 * time.Millisecond)
-	i.simulator.mu.Lock()
-	for _, id := range []csjob.TargetID{"1", "2"} {
-		i.simulator.targets[addressOf(id)].unreachable = true
-	}
-	i.simulator.mu.Unlock()
-	time.Sleep(2 * time.Second)
-	i.simulator.mu.Lock()
-	got := len(i.simulator.targets[addressOf("3")].running) + len(i.simulator.targets[addressOf("4")].running)
-	i.simulator.mu.Unlock()
-	if want := 4; got != want {
-		t.Errorf("got %d tasks on the two remaining targets, want %d", got, want)
-	}
-	open := 0
-	i.state.View(func(t *csjob.Table) { open = t.Job("00000000000000aa").OpenRuns })
-	if want := 4; open != want {
-		t.Errorf("got %d open runs, want %d: those on silent targets have ended", open, want)
-	}
-	i.checkInvariants()
+	synctest.Test(t, func(t *testing.T) {
+		i := newCluster(t, 12, 4, faults{})
+		time.Sleep(3 * testHeartbeatInterval)
+		longRunning := csjob.Step{Tasks: 8, Resources: csjob.Resources{CPU: 1000, Memory: 100}, LongRunning: true, MaxPerTarget: 2}
+		i.submit("00000000000000aa", longRunning)
+		time.Sleep(300 * time.Millisecond)
+		i.simulator.mu.Lock()
+		for _, id := range []csjob.TargetID{"1", "2"} {
+			i.simulator.targets[addressOf(id)].unreachable = true
+		}
+		i.simulator.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		i.simulator.mu.Lock()
+		got := len(i.simulator.targets[addressOf("3")].running) + len(i.simulator.targets[addressOf("4")].running)
+		i.simulator.mu.Unlock()
+		if want := 4; got != want {
+			t.Errorf("got %d tasks on the two remaining targets, want %d", got, want)
+		}
+		open := 0
+		i.state.View(func(t *csjob.Table) { open = t.Job("00000000000000aa").OpenRuns })
+		if want := 4; open != want {
+			t.Errorf("got %d open runs, want %d: those on silent targets have ended", open, want)
+		}
+		i.checkInvariants()
+	})
 }
