--- a/internal/jobs/csrun/polls.go
+++ b/internal/jobs/csrun/polls.go
@@ -106,7 +106,7 @@
 	for _, u := range w.runs {
 		if !u.longRunning {
 			left := u.expected - now.Sub(u.since)
-			if left < 0 {
+			if left < 0 && u.prediction != nil {
 				left = u.prediction.Remaining(now.Sub(u.since))
 			}
 			wait = min(wait, max(minPollWait, left+predictionMargin))
