Predict the critical path of a job once per round

Cause: the urgency of each step that may run was computed from the critical path of the whole job, a pass over all of its steps, so that a round took a time that grows with the square of the number of steps: 24 million predictions for one job of 4,900 steps. The replicas' lock is held for reading during a round, so commits waited for it.

The steps of an occurrence share their urgency, apart from long-running ones. It is computed once for each occurrence.

--- a/internal/jobs/csplan/plan.go
+++ b/internal/jobs/csplan/plan.go
@@ -155,12 +155,9 @@
 	return start.Add(d), start.Add(expiryFactor * d)
 }
 
-// urgencyOf returns the urgency of a step of an occurrence.
-func urgencyOf(now time.Time, e Estimator, q *csjob.Queue, j *csjob.Job, number int, o *csjob.Occurrence, step *csjob.Step) urgency {
-	u := urgency{priority: q.Priority, acceptance: j.AcceptIndex, surplus: j.Surplus}
-	if step.LongRunning {
-		return u
-	}
+// urgencyOf returns the urgency of the steps of an occurrence that are not long-running.
+func urgencyOf(now time.Time, e Estimator, q *csjob.Queue, j *csjob.Job, number int, o *csjob.Occurrence) urgency {
+	u := longRunningUrgency(q, j)
 	total, remaining := criticalPaths(e, j, o.Remaining)
 	deadline, expiry := deadlines(q, j, number, total)
 	u.latestStart = deadline.Add(-remaining - resultDelay)
@@ -180,6 +177,11 @@
 	return u
 }
 
+// longRunningUrgency returns the urgency of the long-running steps of a job.
+func longRunningUrgency(q *csjob.Queue, j *csjob.Job) urgency {
+	return urgency{priority: q.Priority, acceptance: j.AcceptIndex, surplus: j.Surplus}
+}
+
 // started reports whether any task of an occurrence has been started.
 func started(o *csjob.Occurrence) bool {
 	for s, tasks := range o.Tasks {
@@ -277,14 +279,21 @@
 
 // appendReady appends the steps of an occurrence that are ready and have a task without a run.
 func appendReady(out []Work, now time.Time, e Estimator, q *csjob.Queue, j *csjob.Job, number int, o *csjob.Occurrence) []Work {
+	var shared urgency // of all steps but long-running ones; it takes a pass over all steps
+	known := false
 	for s := range j.Submission.Steps {
 		if !j.Ready(o, s) || !anyIdle(o.Tasks[s]) {
 			continue
 		}
 		step := &j.Submission.Steps[s]
-		out = append(out, Work{
-			Job: j, Key: StepKey{j.Submission.ID, number, s}, Step: step, tasks: o.Tasks[s], urgency: urgencyOf(now, e, q, j, number, o, step),
-		})
+		u := longRunningUrgency(q, j)
+		if !step.LongRunning {
+			if !known {
+				shared, known = urgencyOf(now, e, q, j, number, o), true
+			}
+			u = shared
+		}
+		out = append(out, Work{Job: j, Key: StepKey{j.Submission.ID, number, s}, Step: step, tasks: o.Tasks[s], urgency: u})
 	}
 	return out
 }
