Keep slots for calls of stores beside those of entries

With more requests at the entries than a leader can answer at once, for example while it waits for a quorum, callers could lose the leader.

Cause: a leader answers at most 1,024 calls at a time. Further ones wait in the handler of their link. A store passes heartbeats of targets on over the link that also carries the messages of the group, so a call that waited for the slots of requests kept the acknowledgements of that store back.

Calls of stores have slots of their own now. Entries take their turns for the others, because each of their links waits with one call.

TestCallsOfStoresPassThoseOfEntries got no answer for a store in 10 s before.

--- a/internal/node/csrpc/rpc.go
+++ b/internal/node/csrpc/rpc.go
@@ -61,7 +61,8 @@
 type Caller struct {
 	sender  Sender
 	handler Handler
-	slots   chan struct{}
+	// entrySlots and storeSlots are taken by calls of entries and of stores while they are answered.
+	entrySlots, storeSlots chan struct{}
 
 	mu      sync.Mutex
 	last    uint64
@@ -69,14 +70,16 @@
 	up      csmodel.Set[csmodel.NodeID]
 }
 
-// maxCalls bounds the calls that are answered at once; more wait in the links' queues, which are bounded by bytes.
+// maxCalls bounds the calls that are answered at once, for entries and for stores each; more wait in the links' queues, which are bounded by
+// bytes. The calls of stores have slots of their own, because those that wait keep back the messages of the group on the same link.
 const maxCalls = 1024
 
 // New returns a caller. A nil handler answers no calls.
 func New(s Sender, h Handler) *Caller {
 	return &Caller{
 		// An answer to an earlier process at this address must not match a call of this one.
-		sender: s, handler: h, slots: make(chan struct{}, maxCalls), last: rand.Uint64(),
+		sender: s, handler: h, last: rand.Uint64(),
+		entrySlots: make(chan struct{}, maxCalls), storeSlots: make(chan struct{}, maxCalls),
 		waiting: map[uint64]waiter{}, up: csmodel.NewSet[csmodel.NodeID](),
 	}
 }
@@ -172,9 +175,13 @@
 	if c.handler == nil {
 		return true, nil
 	}
-	c.slots <- struct{}{}
+	slots := c.storeSlots
+	if IsEntry(from) {
+		slots = c.entrySlots
+	}
+	slots <- struct{}{}
 	go func() {
-		defer func() { <-c.slots }()
+		defer func() { <-slots }()
 		c.answer(from, e)
 	}()
 	return true, nil
--- a/internal/node/csrpc/rpc_test.go
+++ b/internal/node/csrpc/rpc_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"testing"
 	"time"
 
@@ -176,3 +177,38 @@
 		t.Errorf("got answer %q and error %v, want %v", got, err, csrpc.ErrNoAnswer)
 	}
 }
+
+// Pattern: clients at many entries send more requests than a leader can answer, for example because it waits for a quorum. Guards against
+// messages of the group that wait behind a call of a store, which waits for the requests, so that the leader is lost.
+func TestCallsOfStoresPassThoseOfEntries(t *testing.T) {
+	const calls = 1024
+	full, answered, release := make(chan struct{}, calls), make(chan struct{}), make(chan struct{})
+	server := csrpc.New(&wire{lose: true}, func(from csmodel.NodeID, _ csrpc.Method, _ []byte) []byte {
+		if !csrpc.IsEntry(from) {
+			close(answered)
+			return nil
+		}
+		full <- struct{}{}
+		<-release
+		return nil
+	})
+	defer close(release)
+	sent := &recorder{}
+	caller := csrpc.New(sent, nil)
+	caller.Up("server")
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, _ = caller.Call(ctx, "server", csrpc.MethodJob, []byte("x"))
+	for i := range calls {
+		_, _ = server.Receive(csrpc.EntryNode(strconv.Itoa(i%10)), csrpc.KindCall, sent.payloads[0])
+	}
+	for range calls {
+		<-full
+	}
+	go func() { _, _ = server.Receive(csrpc.StoreNode("1"), csrpc.KindCall, sent.payloads[0]) }()
+	select {
+	case <-answered:
+	case <-time.After(10 * time.Second):
+		t.Errorf("got no answer for a store beside %d calls of entries, want one", calls)
+	}
+}
