--- a/csdisk/file.go
+++ b/csdisk/file.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/fxamacker/cbor/v2"
@@ -17,13 +18,15 @@
 	damagedPrefix = "damaged-"
 )
 
-// writeWhole replaces a file in one step: it is written under a temporary name, synced and renamed.
-func writeWhole(d Disk, name string, data []byte) error {
+// writeWhole replaces a file by the given parts in one step: it is written under a temporary name, synced and renamed.
+func writeWhole(d Disk, name string, parts ...[]byte) error {
 	if err := d.Remove(temporaryName); err != nil {
 		return err
 	}
-	if err := d.Append(temporaryName, data); err != nil {
-		return err
+	for _, p := range parts {
+		if err := d.Append(temporaryName, p); err != nil {
+			return err
+		}
 	}
 	if err := d.Sync(temporaryName); err != nil {
 		return err
@@ -31,9 +34,9 @@
 	return d.Rename(temporaryName, name)
 }
 
-// WriteFile replaces a file by a checksummed payload in one durable step.
-func WriteFile(d Disk, name string, payload []byte) error {
-	return writeWhole(d, name, appendFrame(nil, 0, payload))
+// WriteFile replaces a file by a checksummed payload in one durable step. The payload consists of the given parts, which are not copied.
+func WriteFile(d Disk, name string, parts ...[]byte) error {
+	return writeWhole(d, name, slices.Insert(parts, 0, appendHeader(nil, 0, parts...))...)
 }
 
 // ReadFile returns the payload of a file of WriteFile. A missing file satisfies errors.Is(err, fs.ErrNotExist).
--- a/csdisk/frame.go
+++ b/csdisk/frame.go
@@ -25,10 +25,18 @@
 )
 
 func appendFrame(b []byte, sequence uint64, payload []byte) []byte {
-	b = binary.LittleEndian.AppendUint32(b, uint32(len(payload)))
-	b = binary.LittleEndian.AppendUint32(b, lengthCheck(sequence, uint32(len(payload))))
-	b = binary.LittleEndian.AppendUint64(b, checksum(sequence, payload))
-	return append(b, payload...)
+	return append(appendHeader(b, sequence, payload), payload...)
+}
+
+// appendHeader appends the header of a frame whose payload consists of the given parts.
+func appendHeader(b []byte, sequence uint64, parts ...[]byte) []byte {
+	n := 0
+	for _, p := range parts {
+		n += len(p)
+	}
+	b = binary.LittleEndian.AppendUint32(b, uint32(n))
+	b = binary.LittleEndian.AppendUint32(b, lengthCheck(sequence, uint32(n)))
+	return binary.LittleEndian.AppendUint64(b, checksum(sequence, parts...))
 }
 
 func lengthCheck(sequence uint64, n uint32) uint32 {
@@ -38,9 +46,11 @@
 	return ^uint32(xxhash.Sum64(b))
 }
 
-func checksum(sequence uint64, payload []byte) uint64 {
+func checksum(sequence uint64, parts ...[]byte) uint64 {
 	h := xxhash.NewWithSeed(sequence)
-	_, _ = h.Write(payload) // never fails
+	for _, p := range parts {
+		_, _ = h.Write(p) // never fails
+	}
 	return h.Sum64()
 }
 
--- a/csdisk/os.go
+++ b/csdisk/os.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"io/fs"
 	"os"
 	"slices"
@@ -37,12 +36,7 @@
 
 // Read implements Disk.
 func (d *OS) Read(name string) ([]byte, error) {
-	f, err := d.root.Open(name)
-	if err != nil {
-		return nil, err
-	}
-	defer f.Close()
-	return io.ReadAll(f)
+	return d.root.ReadFile(name)
 }
 
 // Append implements Disk.
--- a/csgroup/replica.go
+++ b/csgroup/replica.go
@@ -19,13 +19,6 @@
 	epoch        int // incremented when the state is replaced, so that earlier batches are not applied to the new one
 }
 
-// snapshotData is the encoded form of csraft.Snapshot.Data.
-type snapshotData struct {
-	_        struct{} `cbor:",toarray"`
-	Sessions []byte
-	Machine  []byte
-}
-
 func (r *replica) view(f func(csraft.Machine)) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
@@ -100,19 +93,15 @@
 	return r.sessions.Result(id)
 }
 
-// snapshot returns the encoded state and the index of the last entry applied to it.
-func (r *replica) snapshot() ([]byte, csmodel.Index, error) {
+// snapshot returns the encoded state and the index of the last entry applied to it. The hint is the expected size of the former.
+func (r *replica) snapshot(hint int) ([]byte, csmodel.Index, error) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	sessions, err := r.sessions.Encode()
 	if err != nil {
 		return nil, 0, err
 	}
-	machine, err := r.machine.Snapshot()
-	if err != nil {
-		return nil, 0, err
-	}
-	data, err := cbor.Marshal(snapshotData{Sessions: sessions, Machine: machine})
+	data, err := encodeState(sessions, r.machine, hint)
 	return data, r.applied, err
 }
 
--- a/csgroup/runner.go
+++ b/csgroup/runner.go
@@ -50,6 +50,7 @@
 	incarnation          csmodel.Incarnation
 	bytesSinceSnapshot   csmodel.Bytes // applied since the last snapshot
 	entriesSinceSnapshot int
+	snapshotSize         int // of the latest snapshot that was taken, in bytes
 	err                  error
 	damagedFolders       int
 }
@@ -221,11 +222,12 @@
 // takeSnapshot takes a snapshot of the state machine and compacts the log up to it.
 func (r *runner) takeSnapshot() {
 	r.entriesSinceSnapshot, r.bytesSinceSnapshot = 0, 0
-	data, index, err := r.group.replica.snapshot()
+	data, index, err := r.group.replica.snapshot(r.snapshotSize)
 	if err != nil {
 		r.report(err)
 		return
 	}
+	r.snapshotSize = len(data)
 	r.execute(r.stepCore(csraft.Compact{Index: index, Data: data}))
 }
 
--- a/csgroup/store.go
+++ b/csgroup/store.go
@@ -116,7 +116,7 @@
 	case len(records) == 0:
 		return r, fmt.Errorf("%w: folder has an identity but no log", csdisk.ErrCorrupt)
 	case snapshotErr == nil:
-		if err := cbor.Unmarshal(snapshot, &r.Snapshot); err != nil {
+		if r.Snapshot, err = decodeFile(snapshot); err != nil {
 			return r, fmt.Errorf("%w: decode snapshot: %w", csdisk.ErrCorrupt, err)
 		}
 	case !errors.Is(snapshotErr, fs.ErrNotExist):
@@ -164,11 +164,11 @@
 // save writes a Save to the disk and syncs it.
 func (s *store) save(cmd csraft.Save) error {
 	if cmd.Snapshot != nil {
-		b, err := cbor.Marshal(*cmd.Snapshot)
+		head, data, err := encodeFile(*cmd.Snapshot)
 		if err != nil {
 			return err
 		}
-		if err := csdisk.WriteFile(s.disk, csdisk.SnapshotName, b); err != nil {
+		if err := csdisk.WriteFile(s.disk, csdisk.SnapshotName, head, data); err != nil {
 			return err
 		}
 		return s.reset(cmd)
--- a/csraft/snapshot.go
+++ b/csraft/snapshot.go
@@ -6,6 +6,9 @@
 	"cowslipstream.example/cowslipstream/csmodel"
 )
 
+// maxSnapshotBuffer limits what is allocated for an incoming snapshot before its bytes arrive.
+const maxSnapshotBuffer = 1 << 30
+
 // incomingSnapshot is a snapshot that is being transferred from another member in chunks.
 type incomingSnapshot struct {
 	from        csmodel.NodeID
@@ -127,6 +130,9 @@
 	if m.Offset != uint64(len(i.snapshot.Data)) || m.Total != i.total {
 		return
 	}
+	if i.snapshot.Data == nil {
+		i.snapshot.Data = make([]byte, 0, min(i.total, maxSnapshotBuffer))
+	}
 	i.snapshot.Data = append(i.snapshot.Data, m.Data...)
 	if uint64(len(i.snapshot.Data)) < i.total {
 		c.fetchSnapshot()
--- a/internal/jobs/csjob/sizes_test.go
+++ b/internal/jobs/csjob/sizes_test.go
@@ -1,7 +1,9 @@
 package csjob
 
 import (
+	"errors"
 	"fmt"
+	"reflect"
 	"runtime"
 	"testing"
 	"time"
@@ -148,3 +150,35 @@
 		})
 	}
 }
+
+// Guards against a snapshot that differs from what earlier versions write and read.
+func TestSnapshotFormat(t *testing.T) {
+	for _, c := range sizeCases {
+		c.jobs = 3
+		t.Run(c.name, func(t *testing.T) {
+			var table, restored Table
+			c.fill(t, &table)
+			earlier, err := encMode.Marshal(table.state)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := restored.Restore(earlier); err != nil {
+				t.Fatal(err)
+			}
+			snapshot, err := restored.Snapshot()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got, want := len(snapshot), len(earlier)+8; got != want { // the number of jobs has a fixed length
+				t.Errorf("got %d bytes, want %d", got, want)
+			}
+			var got, want state
+			if err := errors.Join(decMode.Unmarshal(snapshot, &got), decMode.Unmarshal(earlier, &want)); err != nil {
+				t.Fatal(err)
+			}
+			if !reflect.DeepEqual(got, want) {
+				t.Errorf("got the state %+v, want %+v", got, want)
+			}
+		})
+	}
+}
--- a/internal/jobs/csjob/snapshot.go
+++ b/internal/jobs/csjob/snapshot.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"encoding/binary"
+	"errors"
 	"fmt"
 	"reflect"
 	"slices"
@@ -11,18 +13,50 @@
 )
 
 // Snapshot implements csraft.Machine. It returns the state in CBOR, and an error if the state can't be encoded.
-func (t *Table) Snapshot() ([]byte, error) {
+func (t *Table) Snapshot() ([]byte, error) { return t.AppendSnapshot(nil) }
+
+// jobsField is the encoded key of state.Jobs.
+const jobsField = 3
+
+// AppendSnapshot implements csgroup.SnapshotAppender. The jobs are encoded one by one, because an encoder holds a copy of what it encodes.
+func (t *Table) AppendSnapshot(b []byte) ([]byte, error) {
 	t.initialize()
-	return encMode.Marshal(t.state)
+	others := t.state
+	others.Jobs = nil
+	head, err := encMode.Marshal(others)
+	if err != nil {
+		return nil, err
+	}
+	head[0]++ // the number of fields, which is below 24
+	w := &appendWriter{b: append(b, head...)}
+	w.b = binary.BigEndian.AppendUint64(append(w.b, jobsField, 0xbb), uint64(len(t.state.Jobs))) // a map with a length of 8 bytes
+	e := encMode.NewEncoder(w)
+	for id, j := range t.state.Jobs {
+		if err := errors.Join(e.Encode(id), e.Encode(j)); err != nil {
+			return nil, err
+		}
+	}
+	return w.b, nil
 }
 
-// Restore implements csraft.Machine. It replaces the table by a snapshot, and returns ErrCodec if the snapshot can't be decoded.
+// appendWriter is an io.Writer that appends to a slice.
+type appendWriter struct{ b []byte }
+
+// Write implements io.Writer.
+func (w *appendWriter) Write(p []byte) (int, error) {
+	w.b = append(w.b, p...)
+	return len(p), nil
+}
+
+// Restore implements csraft.Machine. It replaces the table by a snapshot. If the snapshot can't be decoded, it returns ErrCodec, and the
+// table is empty.
 func (t *Table) Restore(b []byte) error {
+	// The former state is released first, because both together may exceed the memory of the process.
+	*t = Table{Retention: t.Retention, changes: t.changes + 1, log: changeLog{droppedUpTo: t.changes + 1}}
 	var s state
 	if err := decMode.Unmarshal(b, &s); err != nil {
 		return fmt.Errorf("%w: %w", ErrCodec, err)
 	}
-	*t = Table{Retention: t.Retention, changes: t.changes + 1, log: changeLog{droppedUpTo: t.changes + 1}}
 	if s.Jobs == nil {
 		return nil
 	}
--- a/internal/jobs/csjob/table.go
+++ b/internal/jobs/csjob/table.go
@@ -40,7 +40,7 @@
 type state struct {
 	Config     *Config                       `cbor:"1,keyasint,omitempty"`
 	Queues     map[string]Queue              `cbor:"2,keyasint"` // latest settings of every queue that has had jobs, by queueName
-	Jobs       map[ID]*Job                   `cbor:"3,keyasint"`
+	Jobs       map[ID]*Job                   `cbor:"3,keyasint,omitempty"`
 	Targets    map[TargetID]Target           `cbor:"4,keyasint"`
 	Waves      map[csmodel.WaveID]*WaveState `cbor:"5,keyasint"`
 	VMOrders   map[csmodel.VMID]VMOrder      `cbor:"6,keyasint"`            // orders in progress
