Bound the memory of accepted jobs by what a store has beside them

Clients that submit legal jobs as fast as they are answered ended the leader's store, if its limit is enforced, and then the next leader, which starts with the same jobs. Every other caller was refused until those jobs had ended.

Cause: jobs were refused from 0.8 of the memory of the process on, by an estimate of the jobs alone. The heap's target is 0.6 of it, and it also holds the log, submissions that are decoded and committed, the tasks of jobs that begin later, and the leader's plan. A new leader refused nothing for 3 s. Memory went to whoever came first.

- The limit is what remains of the heap's target after the process, the log and calls.
It counts submissions that are being committed, and tasks that have not begun.
- Submissions are counted by size while they are decoded and answered; beyond an eighth of the heap they get 503 at once.
- A client account, or a queue where there are no accounts, may have four times what is free, so that others always find some.
Large jobs leave a quarter to small ones.
- A new leader without memory answers 504 at once where it can't promise that the job never runs.
- Cancellations of unknown jobs are counted and bounded like the jobs of an owner.
- Retry-After follows from the memory that is missing and the rate at which jobs have released theirs.

--- a/cmd/cowslipstream/roles.go
+++ b/cmd/cowslipstream/roles.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"cowslipstream.example/cowslipstream/cslog"
+	"cowslipstream.example/cowslipstream/csmodel"
 	"cowslipstream.example/cowslipstream/internal/base/csclock"
 	"cowslipstream.example/cowslipstream/internal/base/cshttp"
 	"cowslipstream.example/cowslipstream/internal/fleet/csvms"
@@ -109,7 +110,7 @@
 		return nil, &usageError{cause: err}
 	}
 	if settings.Memory > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory)))
+		debug.SetMemoryLimit(int64(heapOf(settings)))
 	}
 	limits := cshttp.LimitsOf(int64(settings.Memory), settings.Files)
 	if settings.Control != "" && settings.Files > 0 {
@@ -136,6 +137,9 @@
 	return mux
 }
 
+// heapOf returns the size that the Go runtime aims to stay below, or zero if the memory is not limited.
+func heapOf(s platform.Settings) csmodel.Bytes { return csmodel.Bytes(memoryShare * float64(s.Memory)) }
+
 // serve starts a server that runs until the process ends or the server is shut down. With connections of 0 it has those that the
 // process has for clients.
 func (p *process) serve(address string, h http.Handler, connections int) *cshttp.Server {
@@ -218,7 +222,7 @@
 			})
 		},
 		IP: s.IP, Zone: s.Zone, Seeds: s.Seeds, First: s.First, Folder: s.Folder, Losses: s.Losses, Listener: p.link,
-		PeerAddress: s.PeerAddress, Retention: s.Retention, Memory: s.Memory, Workers: client, Clock: clock,
+		PeerAddress: s.PeerAddress, Retention: s.Retention, Heap: heapOf(s), Workers: client, Clock: clock,
 		Log: p.log, Registry: p.registry,
 		Timing: csrun.Timing{
 			Lease: min(runLease, s.LongestLease*9/10), LongestLease: s.LongestLease, HeartbeatInterval: s.Beat,
--- a/internal/jobs/csadmit/decide.go
+++ b/internal/jobs/csadmit/decide.go
@@ -26,16 +26,17 @@
 
 // Reasons of a refusal. The zero value is none.
 const (
-	None    Reason = iota
-	NoValue        // the job would have no value left even if it started at once
-	TooLong        // it cannot start before its value is gone
-	Memory         // the replicated state takes most of the memory of a store
+	None        Reason = iota
+	NoValue            // the job would have no value left even if it started at once
+	TooLong            // it cannot start before its value is gone
+	OutOfMemory        // the jobs take the memory of a store, or too much of it belongs to the owner of the job
+	Busy               // the submissions that are being answered take the memory for calls
 )
 
 // Reasons lists the reasons of a refusal.
-var Reasons = [...]Reason{NoValue, TooLong, Memory}
+var Reasons = [...]Reason{NoValue, TooLong, OutOfMemory, Busy}
 
-var reasonNames = [...]string{"none", "no_value", "backlog", "memory"}
+var reasonNames = [...]string{"none", "no_value", "backlog", "memory", "busy"}
 
 // String returns the name of the reason in metrics and logs.
 func (r Reason) String() string { return reasonNames[r] }
--- a/internal/jobs/csjob/job.go
+++ b/internal/jobs/csjob/job.go
@@ -265,9 +265,10 @@
 	// Surplus is set if the job exceeded what its account is owed when it was accepted.
 	Surplus bool `cbor:"11,keyasint,omitempty"`
 
-	size  csmodel.Bytes // estimated memory; see sizes.go
-	queue *Queue        // latest settings of its queue, shared by the jobs of the queue
-	fresh *Occurrence   // progress of each occurrence that has not begun; nil once the job is released
+	footprint Footprint   // estimated memory; see sizes.go
+	usage     *usageOf    // that footprint is part of
+	queue     *Queue      // latest settings of its queue, shared by the jobs of the queue
+	fresh     *Occurrence // progress of each occurrence that has not begun; nil once the job is released
 }
 
 // NewJob returns a job that was accepted at the given time and log index.
--- a/internal/jobs/csjob/sizes_test.go
+++ b/internal/jobs/csjob/sizes_test.go
@@ -126,8 +126,15 @@
 			if err := restored.Restore(snapshot); err != nil {
 				t.Fatal(err)
 			}
-			if got, want := restored.Size(), table.Size(); got != want {
-				t.Errorf("got %d bytes after the snapshot was restored, want %d", got, want)
+			if got, want := restored.Footprint(), table.Footprint(); got != want {
+				t.Errorf("got %+v after the snapshot was restored, want %+v", got, want)
+			}
+			var sum Footprint
+			for _, u := range restored.owners {
+				sum = sum.Add(u.footprint)
+			}
+			if got, want := sum, table.Footprint(); got != want {
+				t.Errorf("got %+v for all owners together, want %+v", got, want)
 			}
 			var ids []ID
 			for id, j := range table.state.Jobs {
@@ -144,8 +151,28 @@
 				}
 			}
 			table.pruneEnded(time.Unix(1_800_000_000, 0).Add(time.Hour))
-			if got := table.Size(); got != 0 || len(table.state.Jobs) != 0 {
-				t.Errorf("got %d bytes for %d jobs after their retention, want none", got, len(table.state.Jobs))
+			if got := table.Footprint(); got != (Footprint{}) || len(table.state.Jobs) != 0 || len(table.owners) != 0 {
+				t.Errorf("got %+v for %d jobs of %d owners after their retention, want none", got, len(table.state.Jobs), len(table.owners))
+			}
+		})
+	}
+}
+
+// Guards against jobs that are accepted although there is no memory for their tasks once these begin.
+func TestFootprintOfSubmissionCoversItsTasks(t *testing.T) {
+	for _, c := range sizeCases {
+		if c.cancel {
+			continue // an ended job takes less
+		}
+		c.jobs = 1
+		t.Run(c.name, func(t *testing.T) {
+			var table Table
+			c.fill(t, &table)
+			for _, j := range table.state.Jobs {
+				want := j.footprint.Total() - runBytes*csmodel.Bytes(j.OpenRuns)
+				if got := j.Submission.Footprint().Total(); got < want {
+					t.Errorf("got %d bytes for the submission, want at least the %d of the job", got, want)
+				}
 			}
 		})
 	}
--- a/internal/jobs/csjob/table.go
+++ b/internal/jobs/csjob/table.go
@@ -30,7 +30,9 @@
 	openRuns    map[Incarnation]map[TaskKey]int // number of open runs
 	accounts    map[csmodel.AccountID]*Account  // of the current configuration
 	keys        map[KeyDigest]*Account          // the same accounts by the digests of their keys
-	size        csmodel.Bytes                   // estimated memory of the jobs; see sizes.go
+	footprint   Footprint                       // estimated memory of the jobs; see sizes.go
+	freed       csmodel.Bytes                   // released since the table was created or restored
+	owners      map[Owner]*usageOf              // whom footprint is attributed to
 	usage       accountUsage
 	changes     uint64 // number of the latest change
 	log         changeLog
@@ -307,7 +309,7 @@
 	for id, j := range t.state.Jobs {
 		if j.Released() && at.Sub(j.Ended) > retention {
 			delete(t.state.Jobs, id)
-			t.size -= j.size
+			t.release(j.usage, j.footprint)
 		}
 	}
 	for name, cancelledAt := range t.state.Cancelled {
--- a/internal/node/csentry/refusal_test.go
+++ b/internal/node/csentry/refusal_test.go
@@ -15,7 +15,7 @@
 // Pattern: clients send jobs without end. Guards against stores that are terminated because of accepted jobs, and against refusals of
 // anything else: known jobs, cancellations, heartbeats and configurations still work.
 func TestStoresWithoutMemoryRefuseJobsOnly(t *testing.T) {
-	c := startCluster(t, func(o *csstore.Options) { o.Memory = 8 * csmodel.KiB })
+	c := startCluster(t, func(o *csstore.Options) { o.Heap = 32 * csmodel.KiB })
 	c.configure()
 	accepted := []string{}
 	c.eventually("a refusal", func() bool { // none in the first seconds of a leader
--- a/internal/node/csrpc/messages.go
+++ b/internal/node/csrpc/messages.go
@@ -43,6 +43,15 @@
 	Waited time.Duration `cbor:"7,keyasint,omitempty"`
 	// Key is the key of the client account, or empty if the request has none.
 	Key string `cbor:"8,keyasint,omitempty"`
+	// Steps is the number of steps of the job.
+	Steps int `cbor:"9,keyasint,omitempty"`
+}
+
+// JobHead is the part of a JobRequest that tells what its decoding takes.
+type JobHead struct {
+	Action JobAction `cbor:"1,keyasint"`
+	Path   string    `cbor:"3,keyasint"`
+	Steps  int       `cbor:"9,keyasint"`
 }
 
 // JobResult is what became of a request.
--- a/internal/node/csstore/admit.go
+++ b/internal/node/csstore/admit.go
@@ -20,34 +20,37 @@
 	refusalGrace = jobTimeout + 500*time.Millisecond
 	// doubtTime is how long a submission whose outcome is unknown counts as being committed. Client accounts send it again for seconds.
 	doubtTime = time.Minute
-	// stateShare is the part of the memory of the process that the replicated state may take before jobs are refused.
-	stateShare = 0.8
-	// memoryRetry is when a client account may return to a store without memory. Jobs leave the state for seconds to minutes after their
-	// end.
-	memoryRetry = 2 * time.Second
+	// callRetry is when a client account may return after its submission was refused because of others that are being answered.
+	callRetry = time.Second
 	// refusalLogInterval is the time between two log lines about refusals of a pool.
 	refusalLogInterval = time.Second
 )
 
 // admission refuses submissions on the leader. Use newAdmission.
 type admission struct {
+	limits    limits
 	refusals  *prometheus.CounterVec
 	stateSize prometheus.Gauge
 
 	mu       sync.Mutex
+	calls    csmodel.Bytes                 // of submissions that are being answered
+	pending  csmodel.Bytes                 // that jobs and cancellations which are being committed will take
+	owners   map[csjob.Owner]csmodel.Bytes // the parts of pending
+	freeRate csadmit.FreeRate
 	since    time.Time              // when this store began to lead
 	open     map[csjob.ID]int       // submissions that are being committed
 	unlogged map[csmodel.PoolID]int // refusals since the last log line
 	logged   map[csmodel.PoolID]*rate.Sometimes
 }
 
-func newAdmission(r prometheus.Registerer) *admission {
+func newAdmission(r prometheus.Registerer, l limits) *admission {
 	a := &admission{
+		limits: l, owners: map[csjob.Owner]csmodel.Bytes{},
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cowslipstream_refusals_total", Help: "Submissions that the leader refused, by reason.",
 		}, []string{"reason"}),
 		stateSize: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "cowslipstream_jobs_bytes", Help: "Estimated memory of the jobs in the table, at the last submission.",
+			Name: "cowslipstream_jobs_bytes", Help: "Estimated memory of the jobs in the table, with that of their tasks that have not begun, at the last submission.",
 		}),
 		open: map[csjob.ID]int{}, unlogged: map[csmodel.PoolID]int{}, logged: map[csmodel.PoolID]*rate.Sometimes{},
 	}
@@ -82,6 +85,68 @@
 	}
 }
 
+// enter reserves memory for a submission while it is answered. It reports whether there was any. The caller must call leave after it.
+func (a *admission) enter(cost csmodel.Bytes) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	limit := a.limits.calls
+	if cost > smallCall {
+		limit -= csmodel.Bytes(smallShare * float64(limit))
+	}
+	// A single submission is always answered.
+	if a.limits.calls > 0 && a.calls > 0 && a.calls+cost > limit {
+		return false
+	}
+	a.calls += cost
+	return true
+}
+
+func (a *admission) leave(cost csmodel.Bytes) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.calls -= cost
+}
+
+// reserve counts a job or a cancellation from before the decision about it until it is in the table or refused. The caller must call
+// release after it.
+func (a *admission) reserve(o csjob.Owner, need csmodel.Bytes) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.pending += need
+	a.owners[o] += need
+}
+
+func (a *admission) release(o csjob.Owner, need csmodel.Bytes) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.pending -= need
+	if a.owners[o] -= need; a.owners[o] <= 0 {
+		delete(a.owners, o)
+	}
+}
+
+// decideMemory decides whether there is memory for what was reserved for an owner before. The sizes are those of the table.
+func (a *admission) decideMemory(now time.Time, id csjob.ID, o csjob.Owner, need csmodel.Bytes, sizes tableSizes) csadmit.Decision {
+	a.stateSize.Set(float64(sizes.used))
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	m := csadmit.Memory{
+		Limit: a.limits.jobs, Used: sizes.used + a.pending - need, Owned: sizes.owned + a.owners[o] - need,
+		Rate: a.freeRate.Update(now, sizes.freed),
+	}
+	return m.Decide(id, need)
+}
+
+// tableSizes is the memory that jobs may come to take.
+type tableSizes struct {
+	used, owned csmodel.Bytes // by all owners and by one of them
+	freed       csmodel.Bytes // since the start of the process
+}
+
+func sizesOf(t *csjob.Table, o csjob.Owner) tableSizes {
+	return tableSizes{used: t.Footprint().Total(), owned: t.FootprintOf(o).Total(), freed: t.Freed()}
+}
+
 // record counts a refusal, and logs those of a pool at most once per refusalLogInterval.
 func (a *admission) record(log *zap.Logger, pool csmodel.PoolID, id csjob.ID, d csadmit.Decision) {
 	a.refusals.WithLabelValues(d.Reason.String()).Inc()
@@ -105,10 +170,11 @@
 func (j *jobCall) submit(job csjob.Submission) csrpc.JobAnswer {
 	s := j.store
 	now := s.options.Clock.Now()
+	owner, need := job.Owner(), job.Footprint().Total()
+	s.admission.reserve(owner, need)
+	defer s.admission.release(owner, need)
 	refusable := s.admission.begin(now, j.id)
-	if refusable {
-		j.decision = s.decide(now, j.queue, job)
-	}
+	j.decision = s.decide(now, j.queue, job, need, refusable)
 	if j.decision.Reason == csadmit.None {
 		a := j.propose(csjob.Command{Submit: &job})
 		if a.Result == csrpc.ResultUnknown {
@@ -120,24 +186,59 @@
 	}
 	s.admission.end(j.id)
 	s.admission.record(s.log, j.queue.Pool, j.id, j.decision)
-	if j.decision.Reason == csadmit.Memory {
+	switch {
+	case !refusable:
+		return csrpc.JobAnswer{Result: csrpc.ResultUnknown} // an earlier submission of the job may still be committed
+	case j.decision.Reason == csadmit.OutOfMemory:
 		return csrpc.JobAnswer{Result: csrpc.ResultBusy, Retry: j.decision.Retry}
+	default:
+		return csrpc.JobAnswer{Result: csrpc.ResultRefused, Retry: j.decision.Retry}
 	}
-	return csrpc.JobAnswer{Result: csrpc.ResultRefused, Retry: j.decision.Retry}
 }
 
-// decide decides whether a submission is refused. Another call may commit it between the last look at the table and begin, so an accepted
-// job is looked for once more.
-func (s *Store) decide(now time.Time, q csjob.Queue, job csjob.Submission) csadmit.Decision {
+// cancel commits a cancellation. That of an unknown job takes memory, so it may be refused.
+func (j *jobCall) cancel() csrpc.JobAnswer {
+	s := j.store
+	ref := csjob.JobRef{Queue: j.queue.Key, ID: j.id, Account: j.account}
+	if !j.known {
+		need := ref.Footprint().Total()
+		s.admission.reserve(csjob.Owner{}, need)
+		defer s.admission.release(csjob.Owner{}, need)
+		var sizes tableSizes
+		replica{s}.View(func(t *csjob.Table) { sizes = sizesOf(t, csjob.Owner{}) })
+		j.decision = s.admission.decideMemory(s.options.Clock.Now(), j.id, csjob.Owner{}, need, sizes)
+		if j.decision.Reason != csadmit.None {
+			s.admission.record(s.log, j.queue.Pool, j.id, j.decision)
+			return csrpc.JobAnswer{Result: csrpc.ResultBusy, Retry: j.decision.Retry}
+		}
+	}
+	return j.propose(csjob.Command{Cancel: &ref})
+}
+
+// refuseUnread answers a submission for whose decoding there is no memory.
+func (s *Store) refuseUnread(h csrpc.JobHead) csrpc.JobAnswer {
+	id := csjob.ID(h.Path[max(0, len(h.Path)-idLength):])
+	refusable := s.admission.begin(s.options.Clock.Now(), id)
+	s.admission.end(id)
+	s.admission.record(s.log, "", id, csadmit.Decision{Reason: csadmit.Busy, Retry: callRetry})
+	if !refusable {
+		return csrpc.JobAnswer{Result: csrpc.ResultUnknown}
+	}
+	return csrpc.JobAnswer{Result: csrpc.ResultBusy, Retry: callRetry}
+}
+
+// decide decides whether a submission is refused, for which need bytes are reserved. Another call may commit it between the last look at the
+// table and begin, so an accepted job is looked for once more. One that is not refusable is only kept from a store without memory.
+func (s *Store) decide(now time.Time, q csjob.Queue, job csjob.Submission, need csmodel.Bytes, refusable bool) csadmit.Decision {
 	known := false
-	var size csmodel.Bytes
-	replica{s}.View(func(t *csjob.Table) { known, size = t.Job(job.ID) != nil, t.Size() })
-	s.admission.stateSize.Set(float64(size))
-	switch limit := csmodel.Bytes(stateShare * float64(s.options.Memory)); {
-	case known:
+	var sizes tableSizes
+	replica{s}.View(func(t *csjob.Table) { known, sizes = t.Job(job.ID) != nil, sizesOf(t, job.Owner()) })
+	if known {
 		return csadmit.Decision{}
-	case limit > 0 && size >= limit:
-		return csadmit.Decision{Reason: csadmit.Memory, Retry: memoryRetry}
+	}
+	d := s.admission.decideMemory(now, job.ID, job.Owner(), need, sizes)
+	if d.Reason != csadmit.None || !refusable {
+		return d
 	}
 	a := s.leader.Admission()
 	if a == nil {
--- a/internal/node/csstore/admit_test.go
+++ b/internal/node/csstore/admit_test.go
@@ -15,7 +15,7 @@
 // another call.
 func TestJobThatMayBeAcceptedIsNotRefused(t *testing.T) {
 	now := time.Unix(1_800_000_000, 0)
-	a := newAdmission(prometheus.NewRegistry())
+	a := newAdmission(prometheus.NewRegistry(), limits{})
 	if a.begin(now, "a") {
 		t.Error("got a refusable job before this store leads, want none")
 	}
@@ -46,7 +46,7 @@
 func TestRefusalsAreLoggedOncePerPool(t *testing.T) {
 	core, lines := observer.New(zap.InfoLevel)
 	registry := prometheus.NewRegistry()
-	a := newAdmission(registry)
+	a := newAdmission(registry, limits{})
 	for range 500 {
 		a.record(zap.New(core), "p", "0123456789abcdef", csadmit.Decision{Reason: csadmit.TooLong})
 		a.record(zap.New(core), "q", "0123456789abcdef", csadmit.Decision{Reason: csadmit.NoValue})
--- a/internal/node/csstore/calls.go
+++ b/internal/node/csstore/calls.go
@@ -28,6 +28,14 @@
 	<-s.opened
 	switch m {
 	case csrpc.MethodJob:
+		head, err := csrpc.Decode[csrpc.JobHead](payload)
+		if err == nil && head.Action == csrpc.ActionSubmit {
+			cost := callCost(len(payload), head.Steps)
+			if !s.admission.enter(cost) {
+				return csrpc.Encode(s.refuseUnread(head))
+			}
+			defer s.admission.leave(cost)
+		}
 		request, err := csrpc.Decode[csrpc.JobRequest](payload)
 		if err != nil {
 			s.log.Warn("malformed call", zap.String("peer", string(from)), zap.Error(err))
@@ -105,6 +113,7 @@
 	id      csjob.ID
 	// decision tells why a submission was refused.
 	decision csadmit.Decision
+	known    bool              // the job is known and belongs to the account
 	account  csmodel.AccountID // that has the key of the request
 	check    csjob.KeyCheck
 	uniform  string // prefix of all paths for which the check holds, or empty
@@ -126,7 +135,7 @@
 		job.Account = j.owner()
 		return j.submit(job)
 	default:
-		return j.propose(csjob.Command{Cancel: &csjob.JobRef{Queue: j.queue.Key, ID: j.id, Account: j.account}})
+		return j.cancel()
 	}
 }
 
@@ -155,6 +164,7 @@
 	j.checkKey(t, q)
 	job := t.Job(j.id)
 	mine := job != nil && job.Submission.Queue == q.Key && t.MayAccess(job, j.account)
+	j.known = mine
 	switch {
 	case j.check == csjob.KeyUnknown:
 		return csrpc.JobAnswer{Result: csrpc.ResultUnauthorized}
--- a/internal/node/csstore/store.go
+++ b/internal/node/csstore/store.go
@@ -66,7 +66,7 @@
 	Listener    net.Listener
 	PeerAddress func(ip string) string // where another store listens for links
 	Retention   time.Duration          // of ended jobs
-	Memory      csmodel.Bytes          // that the process may use; zero is no limit
+	Heap        csmodel.Bytes          // that the process may have; zero is no limit
 	Timing      csrun.Timing
 	Workers     csrun.TargetClient
 	// Fleet returns what decides about VMs. It may be nil.
@@ -106,7 +106,7 @@
 			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 14),
 		}),
 		slowSaves: rate.Sometimes{First: 1, Interval: time.Second},
-		admission: newAdmission(o.Registry),
+		admission: newAdmission(o.Registry, limitsOf(o.Heap)),
 	}
 	o.Registry.MustRegister(s.saves)
 	disk, err := csdisk.OpenOS(filepath.Join(o.Folder, "group"))
