Refuse submissions without memory before they are decoded

Cause: a submission for which there is no memory was decoded and waited for a read of the leader first, which goes through the actor of the group. A crowd of refused clients took the leader's processor time from everybody else.

The leader now decodes the head of a submission alone. If its owner has no memory for a job of as many steps, the answer follows from the local state: the lease is valid, the job is unknown, and no other call commits it. Everything else goes the former way.

--- a/internal/jobs/csjob/sizes.go
+++ b/internal/jobs/csjob/sizes.go
@@ -53,6 +53,12 @@
 	return j.footprintNow()
 }
 
+// LeastFootprint returns what a job with a number of steps takes at least when it is accepted.
+func LeastFootprint(steps int) Footprint {
+	n := csmodel.Bytes(steps)
+	return Footprint{Size: jobBytes + stepBytes*n, Growth: taskBytes * n}
+}
+
 // Footprint returns what the record of a cancellation takes if the job is unknown.
 func (r JobRef) Footprint() Footprint { return cancelledFootprint(r.name()) }
 
--- a/internal/node/csrpc/messages.go
+++ b/internal/node/csrpc/messages.go
@@ -47,10 +47,12 @@
 	Steps int `cbor:"9,keyasint,omitempty"`
 }
 
-// JobHead is the part of a JobRequest that tells what its decoding takes.
+// JobHead is the part of a JobRequest that can be decoded at little cost. It tells whose job it is and what its decoding takes.
 type JobHead struct {
 	Action JobAction `cbor:"1,keyasint"`
+	Host   string    `cbor:"2,keyasint"`
 	Path   string    `cbor:"3,keyasint"`
+	Key    string    `cbor:"8,keyasint"`
 	Steps  int       `cbor:"9,keyasint"`
 }
 
--- a/internal/node/csstore/admit.go
+++ b/internal/node/csstore/admit.go
@@ -215,6 +215,46 @@
 	return j.propose(csjob.Command{Cancel: &ref})
 }
 
+// refuseEarly refuses a submission without decoding it if its owner has no memory for a job of as many steps. Others, and those that might be
+// known or answered in another way, are left to jobCall.
+func (s *Store) refuseEarly(h csrpc.JobHead) (csrpc.JobAnswer, bool) {
+	if s.admission.limits.jobs <= 0 || !s.group.Status().Leading {
+		return csrpc.JobAnswer{}, false
+	}
+	j := jobCall{store: s, request: csrpc.JobRequest{Action: h.Action, Host: h.Host, Path: h.Path, Key: h.Key}}
+	var sizes tableSizes
+	var owner csjob.Owner
+	undecided := false
+	replica{s}.View(func(t *csjob.Table) {
+		q := t.Route(h.Host, h.Path)
+		if q == nil {
+			return
+		}
+		j.queue, j.id = *q, csjob.ID(h.Path[len(q.Key.Prefix):])
+		j.checkKey(t, q)
+		undecided = j.check != csjob.KeyUnknown && len(j.id) == idLength && t.Job(j.id) == nil
+		owner = (&csjob.Submission{Queue: q.Key, Account: j.owner()}).Owner()
+		sizes = sizesOf(t, owner)
+	})
+	if !undecided {
+		return csrpc.JobAnswer{}, false
+	}
+	now, need := s.options.Clock.Now(), csjob.LeastFootprint(h.Steps).Total()
+	s.admission.reserve(owner, need)
+	defer s.admission.release(owner, need)
+	refusable := s.admission.begin(now, j.id)
+	defer s.admission.end(j.id)
+	if !refusable {
+		return csrpc.JobAnswer{}, false
+	}
+	d := s.admission.decideMemory(now, j.id, owner, need, sizes)
+	if d.Reason == csadmit.None {
+		return csrpc.JobAnswer{}, false
+	}
+	s.admission.record(s.log, j.queue.Pool, j.id, d)
+	return csrpc.JobAnswer{Result: csrpc.ResultBusy, Retry: d.Retry}, true
+}
+
 // refuseUnread answers a submission for whose decoding there is no memory.
 func (s *Store) refuseUnread(h csrpc.JobHead) csrpc.JobAnswer {
 	id := csjob.ID(h.Path[max(0, len(h.Path)-idLength):])
