Promise nothing about a known job when there is no memory to answer

The look at the head of a submission and the memory for calls are one step now. A refusal needs a leader with a valid lease, an unknown job, and no other call that commits it; otherwise the answer is 504. Retry-After of a busy leader has jitter. Ended runs no longer count as released memory, because the next runs take it again.

--- a/csgroup/snapshot.go
+++ b/csgroup/snapshot.go
@@ -85,8 +85,8 @@
 	return binary.BigEndian.AppendUint64(append(b, 0x5b), uint64(n))
 }
 
-// openArray encodes a structure that ends with an empty byte string, and returns what precedes that string.
-func openArray(v any) ([]byte, error) {
+// encodeHead encodes a structure that ends with an empty byte string, and returns what precedes that string.
+func encodeHead(v any) ([]byte, error) {
 	b, err := cbor.Marshal(v)
 	if err != nil {
 		return nil, err
@@ -96,7 +96,7 @@
 
 // encodeState returns the encoded sessions and state of a machine. The hint is the expected size.
 func encodeState(sessions []byte, m csraft.Machine, hint int) ([]byte, error) {
-	head, err := openArray(snapshotData{Sessions: sessions, Machine: sharedBytes{}})
+	head, err := encodeHead(snapshotData{Sessions: sessions, Machine: sharedBytes{}})
 	if err != nil {
 		return nil, err
 	}
@@ -112,7 +112,7 @@
 
 // encodeFile returns the encoded snapshot in two parts, the second of which is its data.
 func encodeFile(s csraft.Snapshot) (head, data []byte, err error) {
-	head, err = openArray(snapshotFile{Index: s.Index, Term: s.Term, At: s.At, Members: s.Members, Data: sharedBytes{}})
+	head, err = encodeHead(snapshotFile{Index: s.Index, Term: s.Term, At: s.At, Members: s.Members, Data: sharedBytes{}})
 	return appendBytesHead(head, len(s.Data)), s.Data, err
 }
 
--- a/internal/jobs/csadmit/memory.go
+++ b/internal/jobs/csadmit/memory.go
@@ -16,6 +16,9 @@
 
 	// maxMemoryRetry is the longest time after which a client account is told to return to a store without memory.
 	maxMemoryRetry = 30 * time.Second
+
+	freeRateInterval = time.Second // shortest time between two samples of a FreeRate
+	freeRateWeight   = 0.3         // of a new sample
 )
 
 // Memory is the memory of a store from the point of view of one owner of jobs. The zero value has no limit.
@@ -36,6 +39,9 @@
 	return Decision{Reason: OutOfMemory, Retry: jittered(id, m.timeToFree(missing))}
 }
 
+// DecideBusy refuses a submission for which there is no memory while it is answered. That of others is free again soon.
+func DecideBusy(id csjob.ID) Decision { return Decision{Reason: Busy, Retry: jittered(id, minRetry)} }
+
 // missing returns how much memory the owner has to release before it may have the given amount in addition.
 func (m Memory) missing(need csmodel.Bytes) csmodel.Bytes {
 	limit := m.Limit
@@ -64,11 +70,6 @@
 	rate  float64 // bytes per second
 }
 
-const (
-	freeRateInterval = time.Second // shortest time between two samples
-	freeRateWeight   = 0.3         // of a new sample
-)
-
 // Update takes in the sum of all memory that was released up to a time, and returns the current rate in bytes per second.
 func (r *FreeRate) Update(now time.Time, freed csmodel.Bytes) float64 {
 	elapsed := now.Sub(r.at)
--- a/internal/jobs/csjob/job.go
+++ b/internal/jobs/csjob/job.go
@@ -266,7 +266,7 @@
 	Surplus bool `cbor:"11,keyasint,omitempty"`
 
 	footprint Footprint   // estimated memory; see sizes.go
-	usage     *usageOf    // that footprint is part of
+	usage     *ownerUsage // that footprint is part of
 	queue     *Queue      // latest settings of its queue, shared by the jobs of the queue
 	fresh     *Occurrence // progress of each occurrence that has not begun; nil once the job is released
 }
--- a/internal/jobs/csjob/sizes.go
+++ b/internal/jobs/csjob/sizes.go
@@ -80,24 +80,25 @@
 	return Footprint{}
 }
 
-// Freed returns the memory that has been released since the table was created or restored.
+// Freed returns the memory that ended jobs have released since the table was created or restored. That of ended runs does not count, because
+// the next runs take it.
 func (t *Table) Freed() csmodel.Bytes { return t.freed }
 
-// usageOf is the memory that is attributed to an owner. The jobs of the owner share it, so that a change of a job needs no lookup.
-type usageOf struct {
+// ownerUsage is the memory that is attributed to an owner. The jobs of the owner share it, so that a change of a job needs no lookup.
+type ownerUsage struct {
 	owner     Owner
 	footprint Footprint
 	parts     int // jobs and cancellations
 }
 
 // attribute adds a job or a cancellation to the memory of an owner.
-func (t *Table) attribute(o Owner, f Footprint) *usageOf {
+func (t *Table) attribute(o Owner, f Footprint) *ownerUsage {
 	u := t.owners[o]
 	if u == nil {
 		if t.owners == nil {
-			t.owners = map[Owner]*usageOf{}
+			t.owners = map[Owner]*ownerUsage{}
 		}
-		u = &usageOf{owner: o}
+		u = &ownerUsage{owner: o}
 		t.owners[o] = u
 	}
 	u.parts++
@@ -105,8 +106,8 @@
 	return u
 }
 
-// release reverses attribute.
-func (t *Table) release(u *usageOf, f Footprint) {
+// detach reverses attribute.
+func (t *Table) detach(u *ownerUsage, f Footprint) {
 	t.change(u, Footprint{}.Sub(f))
 	if u.parts--; u.parts == 0 {
 		delete(t.owners, u.owner)
@@ -114,11 +115,9 @@
 }
 
 // change adds to the estimates.
-func (t *Table) change(u *usageOf, f Footprint) {
+func (t *Table) change(u *ownerUsage, f Footprint) {
 	t.footprint, u.footprint = t.footprint.Add(f), u.footprint.Add(f)
-	if n := f.Total(); n < 0 {
-		t.freed -= n
-	}
+	t.freed -= min(0, f.Total())
 }
 
 // resize brings the estimates up to date after a change of the parts of a job.
@@ -156,8 +155,7 @@
 func (t *Table) countRuns(j *Job, n int) {
 	j.OpenRuns += n
 	change := Footprint{Size: runBytes * csmodel.Bytes(n)}
-	j.footprint = j.footprint.Add(change)
-	t.change(j.usage, change)
+	j.footprint, j.usage.footprint, t.footprint = j.footprint.Add(change), j.usage.footprint.Add(change), t.footprint.Add(change)
 }
 
 // bytesOf returns the memory of a text, which is also in a snapshot while it is encoded.
@@ -193,7 +191,7 @@
 // removeCancelled drops the cancellation of an unknown job.
 func (t *Table) removeCancelled(name string) {
 	delete(t.state.Cancelled, name)
-	t.release(t.owners[Owner{}], cancelledFootprint(name))
+	t.detach(t.owners[Owner{}], cancelledFootprint(name))
 }
 
 // resizeCancelled adds the cancellations of a snapshot to the estimate.
--- a/internal/jobs/csjob/table.go
+++ b/internal/jobs/csjob/table.go
@@ -32,7 +32,7 @@
 	keys        map[KeyDigest]*Account          // the same accounts by the digests of their keys
 	footprint   Footprint                       // estimated memory of the jobs; see sizes.go
 	freed       csmodel.Bytes                   // released since the table was created or restored
-	owners      map[Owner]*usageOf              // whom footprint is attributed to
+	owners      map[Owner]*ownerUsage           // whom footprint is attributed to
 	usage       accountUsage
 	changes     uint64 // number of the latest change
 	log         changeLog
@@ -309,7 +309,7 @@
 	for id, j := range t.state.Jobs {
 		if j.Released() && at.Sub(j.Ended) > retention {
 			delete(t.state.Jobs, id)
-			t.release(j.usage, j.footprint)
+			t.detach(j.usage, j.footprint)
 		}
 	}
 	for name, cancelledAt := range t.state.Cancelled {
--- a/internal/node/csstore/admit.go
+++ b/internal/node/csstore/admit.go
@@ -20,13 +20,14 @@
 	refusalGrace = jobTimeout + 500*time.Millisecond
 	// doubtTime is how long a submission whose outcome is unknown counts as being committed. Client accounts send it again for seconds.
 	doubtTime = time.Minute
-	// callRetry is when a client account may return after its submission was refused because of others that are being answered.
-	callRetry = time.Second
 	// refusalLogInterval is the time between two log lines about refusals of a pool.
 	refusalLogInterval = time.Second
 )
 
 // admission refuses submissions on the leader. Use newAdmission.
+//
+// A submission takes three things in turn, and returns them when its call ends: memory for the call (enter, leave), memory for the job (reserve,
+// release), and a place among those that are being committed (begin, end).
 type admission struct {
 	limits    limits
 	refusals  *prometheus.CounterVec
@@ -85,7 +86,8 @@
 	}
 }
 
-// enter reserves memory for a submission while it is answered. It reports whether there was any. The caller must call leave after it.
+// enter reserves memory for a submission while it is decoded and answered. It reports whether there was any; if so, the caller must call
+// leave after it.
 func (a *admission) enter(cost csmodel.Bytes) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -215,56 +217,62 @@
 	return j.propose(csjob.Command{Cancel: &ref})
 }
 
-// refuseEarly refuses a submission without decoding it if its owner has no memory for a job of as many steps. Others, and those that might be
-// known or answered in another way, are left to jobCall.
-func (s *Store) refuseEarly(h csrpc.JobHead) (csrpc.JobAnswer, bool) {
-	if s.admission.limits.jobs <= 0 || !s.group.Status().Leading {
-		return csrpc.JobAnswer{}, false
-	}
-	j := jobCall{store: s, request: csrpc.JobRequest{Action: h.Action, Host: h.Host, Path: h.Path, Key: h.Key}}
-	var sizes tableSizes
-	var owner csjob.Owner
-	undecided := false
+// undecoded is what a store knows of a submission before it is decoded.
+type undecoded struct {
+	id    csjob.ID
+	queue csjob.Queue
+	owner csjob.Owner
+	sizes tableSizes
+	// isNew is set if this store leads, the request may submit jobs to the queue, and the job is not known.
+	isNew bool
+}
+
+func (s *Store) lookAhead(h csrpc.JobHead) undecoded {
+	var u undecoded
+	leading := s.group.Status().Leading
 	replica{s}.View(func(t *csjob.Table) {
 		q := t.Route(h.Host, h.Path)
 		if q == nil {
 			return
 		}
-		j.queue, j.id = *q, csjob.ID(h.Path[len(q.Key.Prefix):])
+		j := jobCall{request: csrpc.JobRequest{Key: h.Key}}
 		j.checkKey(t, q)
-		undecided = j.check != csjob.KeyUnknown && len(j.id) == idLength && t.Job(j.id) == nil
-		owner = (&csjob.Submission{Queue: q.Key, Account: j.owner()}).Owner()
-		sizes = sizesOf(t, owner)
+		u.queue, u.id = *q, csjob.ID(h.Path[len(q.Key.Prefix):])
+		u.owner = (&csjob.Submission{Queue: q.Key, Account: j.owner()}).Owner()
+		u.sizes = sizesOf(t, u.owner)
+		u.isNew = leading && j.check != csjob.KeyUnknown && len(u.id) == idLength && t.Job(u.id) == nil
 	})
-	if !undecided {
-		return csrpc.JobAnswer{}, false
+	return u
+}
+
+// enter reserves memory for a submission while it is decoded and answered. Without it, or if its owner has no memory for a job of as many
+// steps, it returns the answer and false. Otherwise the caller must call admission.leave.
+func (s *Store) enter(h csrpc.JobHead, cost csmodel.Bytes) (csrpc.JobAnswer, bool) {
+	u := s.lookAhead(h)
+	now := s.options.Clock.Now()
+	refusable := false
+	var d csadmit.Decision
+	if u.isNew {
+		refusable = s.admission.begin(now, u.id)
+		defer s.admission.end(u.id)
 	}
-	now, need := s.options.Clock.Now(), csjob.LeastFootprint(h.Steps).Total()
-	s.admission.reserve(owner, need)
-	defer s.admission.release(owner, need)
-	refusable := s.admission.begin(now, j.id)
-	defer s.admission.end(j.id)
-	if !refusable {
-		return csrpc.JobAnswer{}, false
+	if refusable {
+		need := csjob.LeastFootprint(h.Steps).Total()
+		s.admission.reserve(u.owner, need)
+		d = s.admission.decideMemory(now, u.id, u.owner, need, u.sizes)
+		s.admission.release(u.owner, need)
+	}
+	if d.Reason == csadmit.None && !s.admission.enter(cost) {
+		d = csadmit.DecideBusy(u.id)
 	}
-	d := s.admission.decideMemory(now, j.id, owner, need, sizes)
 	if d.Reason == csadmit.None {
-		return csrpc.JobAnswer{}, false
+		return csrpc.JobAnswer{}, true
 	}
-	s.admission.record(s.log, j.queue.Pool, j.id, d)
-	return csrpc.JobAnswer{Result: csrpc.ResultBusy, Retry: d.Retry}, true
-}
-
-// refuseUnread answers a submission for whose decoding there is no memory.
-func (s *Store) refuseUnread(h csrpc.JobHead) csrpc.JobAnswer {
-	id := csjob.ID(h.Path[max(0, len(h.Path)-idLength):])
-	refusable := s.admission.begin(s.options.Clock.Now(), id)
-	s.admission.end(id)
-	s.admission.record(s.log, "", id, csadmit.Decision{Reason: csadmit.Busy, Retry: callRetry})
+	s.admission.record(s.log, u.queue.Pool, u.id, d)
 	if !refusable {
-		return csrpc.JobAnswer{Result: csrpc.ResultUnknown}
+		return csrpc.JobAnswer{Result: csrpc.ResultUnknown}, false // the job may be known, or be committed by another call
 	}
-	return csrpc.JobAnswer{Result: csrpc.ResultBusy, Retry: callRetry}
+	return csrpc.JobAnswer{Result: csrpc.ResultBusy, Retry: d.Retry}, false
 }
 
 // decide decides whether a submission is refused, for which need bytes are reserved. Another call may commit it between the last look at the
--- a/internal/node/csstore/calls.go
+++ b/internal/node/csstore/calls.go
@@ -30,12 +30,10 @@
 	case csrpc.MethodJob:
 		head, err := csrpc.Decode[csrpc.JobHead](payload)
 		if err == nil && head.Action == csrpc.ActionSubmit {
-			if a, refused := s.refuseEarly(head); refused {
-				return csrpc.Encode(a)
-			}
 			cost := callCost(len(payload), head.Steps)
-			if !s.admission.enter(cost) {
-				return csrpc.Encode(s.refuseUnread(head))
+			a, entered := s.enter(head, cost)
+			if !entered {
+				return csrpc.Encode(a)
 			}
 			defer s.admission.leave(cost)
 		}
--- a/internal/node/csstore/store.go
+++ b/internal/node/csstore/store.go
@@ -66,7 +66,7 @@
 	Listener    net.Listener
 	PeerAddress func(ip string) string // where another store listens for links
 	Retention   time.Duration          // of ended jobs
-	Heap        csmodel.Bytes          // that the process may have; zero is no limit
+	Heap        csmodel.Bytes          // size that the Go runtime aims to stay below; zero is no limit
 	Timing      csrun.Timing
 	Workers     csrun.TargetClient
 	// Fleet returns what decides about VMs. It may be nil.
