Log submissions that are refused before they are decoded

Their identifiers were in no log, so an operator could not find the refusal of a job. The line has the fields that are known by then.

--- a/internal/node/csstore/admit.go
+++ b/internal/node/csstore/admit.go
@@ -247,7 +247,7 @@
 
 // enter reserves memory for a submission while it is decoded and answered. Without it, or if its owner has no memory for a job of as many
 // steps, it returns the answer and false. Otherwise the caller must call admission.leave.
-func (s *Store) enter(h csrpc.JobHead, cost csmodel.Bytes) (csrpc.JobAnswer, bool) {
+func (s *Store) enter(from csmodel.NodeID, h csrpc.JobHead, cost csmodel.Bytes) (csrpc.JobAnswer, bool) {
 	u := s.lookAhead(h)
 	now := s.options.Clock.Now()
 	refusable := false
@@ -268,11 +268,15 @@
 	if d.Reason == csadmit.None {
 		return csrpc.JobAnswer{}, true
 	}
-	s.admission.record(s.log, u.queue.Pool, u.id, d)
+	a := csrpc.JobAnswer{Result: csrpc.ResultBusy, Retry: d.Retry}
 	if !refusable {
-		return csrpc.JobAnswer{Result: csrpc.ResultUnknown}, false // the job may be known, or be committed by another call
+		a = csrpc.JobAnswer{Result: csrpc.ResultUnknown} // the job may be known, or be committed by another call
 	}
-	return csrpc.JobAnswer{Result: csrpc.ResultBusy, Retry: d.Retry}, false
+	s.admission.record(s.log, u.queue.Pool, u.id, d)
+	s.log.Info("job request", zap.String("job", string(u.id)), zap.Uint8("action", uint8(h.Action)), zap.String("entry", string(from)),
+		zap.String("queue", u.queue.Name), zap.String("account", string(u.owner.Account)), zap.Uint8("result", uint8(a.Result)),
+		zap.String("refused", d.Reason.String()))
+	return a, false
 }
 
 // decide decides whether a submission is refused, for which need bytes are reserved. Another call may commit it between the last look at the
--- a/internal/node/csstore/calls.go
+++ b/internal/node/csstore/calls.go
@@ -31,7 +31,7 @@
 		head, err := csrpc.Decode[csrpc.JobHead](payload)
 		if err == nil && head.Action == csrpc.ActionSubmit {
 			cost := callCost(len(payload), head.Steps)
-			a, entered := s.enter(head, cost)
+			a, entered := s.enter(from, head, cost)
 			if !entered {
 				return csrpc.Encode(a)
 			}
