--- a/csgroup/snapshot_test.go
+++ b/csgroup/snapshot_test.go
@@ -19,9 +19,9 @@
 func (b *blob) Snapshot() ([]byte, error)                { return bytes.Clone(b.state), nil }
 func (b *blob) AppendSnapshot(to []byte) ([]byte, error) { return append(to, b.state...), nil }
 func (b *blob) Restore(s []byte) error                   { b.state = bytes.Clone(s); return nil }
-func allocated(m *runtime.MemStats, before *runtime.MemStats) int {
-	return int(m.TotalAlloc - before.TotalAlloc)
-}
+
+// allocated returns the bytes that were allocated between two points in time.
+func allocated(before, after *runtime.MemStats) int { return int(after.TotalAlloc - before.TotalAlloc) }
 
 // Guards against copies of a snapshot, for which a process with a large state has no memory, and against files of earlier versions that
 // can't be read.
@@ -46,7 +46,7 @@
 		t.Fatal(err)
 	}
 	runtime.ReadMemStats(&after)
-	if got, want := allocated(&after, &before), size+size/8; got > want {
+	if got, want := allocated(&before, &after), size+size/8; got > want {
 		t.Errorf("taken: got %d bytes allocated, want at most %d", got, want)
 	}
 	want, err := cbor.Marshal(csraft.Snapshot{Index: 7, Term: 3, At: 5, Data: data})
@@ -77,7 +77,7 @@
 				t.Fatal(err)
 			}
 			runtime.ReadMemStats(&after)
-			if got, want := allocated(&after, &before), 2*size+size/8; got > want { // the file, and the copy in the machine
+			if got, want := allocated(&before, &after), 2*size+size/8; got > want { // the file, and the copy in the machine
 				t.Errorf("got %d bytes allocated, want at most %d", got, want)
 			}
 			if s.Index != 7 || s.Term != 3 || s.At != 5 || !bytes.Equal(restored.state, m.state) {
