--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -92,7 +92,7 @@
 				return
 			case <-ticker.C:
 				all.Go(func() {
-					w.submit(quickPrefix, []phase{{Count: 6, Cpu: 1800, MemMb: 4000, EstimateMs: 300}}, func(int, int) (time.Duration, string) {
+					w.submit(quickPrefix, []phase{{Count: 6, Cpu: 9000, MemMb: 4000, EstimateMs: 300}}, func(int, int) (time.Duration, string) {
 						return time.Duration(200+rand.N(200)) * time.Millisecond, "done"
 					})
 				})
@@ -205,7 +205,8 @@
 
 // availCase: a wave of maintenance under load, while the stores are restarted in turn, each time the one that leads.
 func availCase(w *world, trouble bool) error {
-	if err := w.startAll(14, 2); err != nil {
+	const workers = 14
+	if err := w.startAll(workers, 2); err != nil {
 		return err
 	}
 	var lasting []*job
@@ -244,30 +245,15 @@
 		}
 		w.mu.Unlock()
 	}
-	for wave := 1; wave <= 2; wave++ {
-		machines := `"m-00","m-01","m-02","m-03","m-04","m-05","m-06"`
-		if wave == 2 {
-			machines = `"m-07","m-08","m-09","m-10","m-11","m-12","m-13"`
+	// Waves of four machines follow one another, so that some task moves most of the time.
+	for wave := 1; wave <= 9 && !w.anyBroken(); wave++ {
+		var machines []string
+		for i := range 4 {
+			machines = append(machines, fmt.Sprintf("%q", fmt.Sprintf("m-%02d", ((wave-1)*4+i)%workers)))
 		}
-		body := fmt.Sprintf(`{"Wave":%d,"Machines":[%s],"DeadlineS":26,"MaxCount":3}`, wave, machines)
-		for accepted := false; !accepted; time.Sleep(200 * time.Millisecond) {
-			for _, s := range w.stores {
-				status, _, err := w.call("POST", "http://"+s.control()+"/cowslipstream/wave-start", "", []byte(body), time.Second)
-				if err == nil && status == 200 {
-					accepted = true
-					break
-				}
-			}
-		}
-		w.logf("wave %d acknowledged", wave)
-		for range 280 {
-			time.Sleep(100 * time.Millisecond)
-			w.mu.Lock()
-			over := len(w.violation) > 0
-			w.mu.Unlock()
-			if over {
-				break
-			}
+		w.startWave(wave, strings.Join(machines, ","))
+		for until := time.Now().Add(6500 * time.Millisecond); time.Now().Before(until) && !w.anyBroken(); {
+			time.Sleep(50 * time.Millisecond)
 		}
 	}
 	close(quit)
@@ -275,6 +261,28 @@
 	return nil
 }
 
+// startWave sends the order for a wave until it is acknowledged.
+func (w *world) startWave(wave int, machines string) {
+	body := fmt.Sprintf(`{"Wave":%d,"Machines":[%s],"DeadlineS":26,"MaxCount":2}`, wave, machines)
+	for range 50 {
+		for _, s := range w.stores {
+			status, _, err := w.call("POST", "http://"+s.control()+"/cowslipstream/wave-start", "", []byte(body), time.Second)
+			if err == nil && status == 200 {
+				w.logf("wave %d acknowledged by %s: %s", wave, s.name, machines)
+				return
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// anyBroken tells whether a rule was broken.
+func (w *world) anyBroken() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.violation) > 0
+}
+
 // budgetCase: a task of a speculative step fails as often as its queue allows while its copy runs, and the executor of the copy crashes.
 func budgetCase(w *world, trouble bool) error {
 	if err := w.startAll(12, 0); err != nil {
