csrun: tell the waits of starts and ends apart in logs and metrics

The log had the longest commit of a second and, as the run time of a task, the time from the decision to start it until the leader read its end. Whether a step takes long because of its runs, commits, links, polls or rounds could not be told. The workload line and cowslipstream_task_wait_seconds now have each part, and an end has the time by the clock of its target (worked).

No decision changes.

--- a/internal/jobs/csrun/initial_polls_test.go
+++ b/internal/jobs/csrun/initial_polls_test.go
@@ -63,7 +63,8 @@
 		u := &run{key: key, job: &csjob.Job{}}
 		w.runs[key], w.list = u, append(w.list, u)
 	}
-	r.recordEnds(w, []RunEnd{{Number: 1, Task: ended.task, Attempt: ended.attempt, Outcome: csjob.OutcomeStopped}}, r.now(), false)
+	list := &pollResult{response: PollResponse{Ended: []RunEnd{{Number: 1, Task: ended.task, Attempt: ended.attempt, Outcome: csjob.OutcomeStopped}}}}
+	r.recordEnds(w, list, 0, r.now(), false)
 	stops, starts := w.dueOrders(r.now())
 	if len(stops) != 0 || len(starts) != 1 || starts[0].key != open {
 		t.Errorf("got %d stops and %d starts, want one start, of the run that has not ended", len(stops), len(starts))
--- a/internal/jobs/csrun/leader.go
+++ b/internal/jobs/csrun/leader.go
@@ -218,6 +218,7 @@
 		command    csjob.Command
 		endNumbers map[csjob.Incarnation]int64
 		waiters    []chan error
+		decidedAt  time.Time // when the round ended that made the decisions
 		proposedAt time.Time
 		err        error
 	}
--- a/internal/jobs/csrun/metrics.go
+++ b/internal/jobs/csrun/metrics.go
@@ -14,6 +14,7 @@
 	startTime    prometheus.Histogram
 	phaseTime    *prometheus.HistogramVec
 	roundDelay   prometheus.Histogram
+	waitTimes    [waitCount]prometheus.Observer
 	copies       *prometheus.CounterVec
 	runTimeError prometheus.Histogram
 	slowTargets  *prometheus.GaugeVec
@@ -28,6 +29,10 @@
 
 // NewMetrics creates the metrics and registers them. It panics if one of them is registered already.
 func NewMetrics(r prometheus.Registerer) *Metrics {
+	waitTime := prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "cowslipstream_task_wait_seconds", Help: "Time that tasks take beside their runs, by part.",
+		Buckets: prometheus.ExponentialBuckets(0.001, 2, 12),
+	}, []string{"part"})
 	m := &Metrics{
 		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cowslipstream_orders_total", Help: "Orders sent to targets, by kind.",
@@ -74,6 +79,9 @@
 		}),
 	}
 	r.MustRegister(m.copies, m.runTimeError, m.slowTargets, m.usage, m.limit, m.quotaWaits, m.surplus)
-	r.MustRegister(m.orders, m.ends, m.polls, m.startTime, m.phaseTime, m.roundDelay)
+	r.MustRegister(m.orders, m.ends, m.polls, m.startTime, m.phaseTime, m.roundDelay, waitTime)
+	for w, name := range waitNames {
+		m.waitTimes[w] = waitTime.WithLabelValues(name)
+	}
 	return m
 }
--- a/internal/jobs/csrun/orders.go
+++ b/internal/jobs/csrun/orders.go
@@ -111,6 +111,9 @@
 	if kind == orderStart {
 		u.startsSent++
 		r.stats.starts++
+		if u.startsSent == 1 && !u.committedAt.IsZero() {
+			r.recordWait(waitStartOrder, r.now().Sub(u.committedAt), 1)
+		}
 	} else {
 		r.stats.stops++
 	}
@@ -163,6 +166,9 @@
 	u.orderInFlight = false
 	if m.reply.Refusal == NotRefused {
 		u.onIncarnation = u.onIncarnation || (known && m.kind == orderStart)
+		if m.kind == orderStart {
+			r.recordStartAnswer(w, u, m, known)
+		}
 		r.orderAcknowledged(u, m, now)
 		r.sendNextOrders(w, now)
 		return
--- a/internal/jobs/csrun/polls.go
+++ b/internal/jobs/csrun/polls.go
@@ -198,9 +198,10 @@
 	w.recordAnswer(now)
 	w.unpolled, w.unansweredPolls = false, 0
 	prompt := m.sentAt.Sub(w.listedAt) < maxPromptGap
-	w.listedAt = now
+	endClock := w.endClock(m)
+	w.listedAt, w.listClock = now, m.response.Clock
 	w.acknowledgedEnd = max(w.acknowledgedEnd, m.order.Acknowledged)
-	r.recordEnds(w, m.response.Ended, now, prompt)
+	r.recordEnds(w, m, endClock, now, prompt)
 	r.reconcileRuns(w, m)
 }
 
@@ -225,27 +226,33 @@
 // maxPromptGap is the maximum time between two polls for which the time of an end is exact enough to learn run times from.
 const maxPromptGap = 300 * time.Millisecond
 
-func (r *runner) recordEnds(w *target, ended []RunEnd, now time.Time, prompt bool) {
-	for _, e := range ended {
+// recordEnds records the ends that the leader has not received before. endClock is when the runs ended, on the clock of the target.
+func (r *runner) recordEnds(w *target, m *pollResult, endClock time.Duration, now time.Time, prompt bool) {
+	received := 0
+	for _, e := range m.response.Ended {
 		if e.Number <= w.receivedEnd {
 			continue
 		}
+		received++
 		w.receivedEnd = e.Number
 		r.endNumbers[w.incarnation] = e.Number
 		r.stats.ends++
 		key := runKey{e.Task, e.Attempt}
 		delete(w.strays, key)
 		end := csjob.End{Task: e.Task, Attempt: e.Attempt, Incarnation: w.incarnation, Outcome: e.Outcome, Checkpoint: e.Checkpoint}
-		expected := time.Duration(0)
+		expected, worked := time.Duration(0), time.Duration(0)
 		if u := w.runs[key]; u != nil {
-			u.ended, expected = true, u.expected
+			u.ended, expected, worked = true, u.expected, u.worked(endClock)
 			r.learnFromEnd(w, u, &end, now, prompt)
 		}
 		r.proposedEnds = append(r.proposedEnds, end)
 		r.options.Metrics.ends.WithLabelValues(outcomeNames[e.Outcome]).Inc()
 		r.log.Info("end", zap.String("job", string(e.Task.Job)), zap.Stringer("task", e.Task), zap.Int("attempt", int(e.Attempt)),
 			zap.String("target", string(w.incarnation.Target)), zap.String("outcome", outcomeNames[e.Outcome]), zap.Int64("number", e.Number),
-			zap.Bool("prompt", prompt), zap.Duration("ran", end.Ran), zap.Duration("expected", expected.Round(time.Millisecond)))
+			zap.Bool("prompt", prompt), zap.Duration("ran", end.Ran), zap.Duration("worked", worked), zap.Duration("expected", expected.Round(time.Millisecond)))
+	}
+	if prompt {
+		r.recordEndList(w, m, endClock, now, received)
 	}
 }
 
--- a/internal/jobs/csrun/runner.go
+++ b/internal/jobs/csrun/runner.go
@@ -44,6 +44,7 @@
 	term           csmodel.Term
 	active         bool // this node leads and its replica has every committed entry
 	tableLoaded    bool // the table was read at least once
+	syncingAll     bool // the whole table is being read
 	since          time.Time
 	appliedChanges uint64
 	issuedFences   int // number of fences issued in this term
@@ -64,6 +65,9 @@
 	inDoubt              inDoubtCommands
 	quotas               quotaWaits
 	stats                leaderStats
+	waits                taskWaits
+	endsReadAt           time.Time // when the first end was read that is not proposed yet; zero if there is none
+	endsCommittedAt      time.Time // when the first end was committed after the last round; zero if there is none
 	speeds               map[speedGroup]*speed
 	slow                 map[csmodel.PoolID][]*target // that counted as slow in the last round
 	runTimesReportedAt   time.Time
@@ -209,6 +213,10 @@
 	}
 	now := r.now()
 	r.stats.beginRound(now)
+	if !r.endsCommittedAt.IsZero() {
+		r.recordWait(waitNextRound, now.Sub(r.endsCommittedAt), 1)
+		r.endsCommittedAt = time.Time{}
+	}
 	defer func() { r.roundEnded(now, r.now()) }()
 	var starts []csjob.Start
 	var begun []csjob.ID
@@ -310,13 +318,20 @@
 		return
 	}
 	r.inDoubt.resolving = true
+	now := r.now()
+	if !r.endsReadAt.IsZero() {
+		r.recordWait(waitEndRound, now.Sub(r.endsReadAt), len(r.proposedEnds))
+		r.endsReadAt = time.Time{}
+	}
 	r.proposedEnds, r.targetChanges = nil, nil
 	r.endNumbers = map[csjob.Incarnation]int64{}
 	ctx, term, batches := r.ctx, r.term, d.batches()
 	go func() {
 		for _, b := range batches {
 			b.command.Term = term
-			r.send(r.commit(ctx, b))
+			m := r.commit(ctx, b)
+			m.decidedAt = now
+			r.send(m)
 		}
 	}()
 }
@@ -339,7 +354,8 @@
 	if !r.active || m.term != r.term {
 		return
 	}
-	r.stats.slowestCommit = max(r.stats.slowestCommit, r.now().Sub(m.proposedAt))
+	now := r.now()
+	r.stats.slowestCommit = max(r.stats.slowestCommit, now.Sub(m.proposedAt))
 	r.resolve(m)
 	if m.err != nil {
 		r.log.Warn("decisions not committed", zap.Int("starts", len(m.command.Starts)), zap.Int("ends", len(m.command.Ends)),
@@ -355,6 +371,11 @@
 		}
 		return
 	}
+	r.recordWait(waitStartCommit, now.Sub(m.decidedAt), len(m.command.Starts))
+	r.recordWait(waitEndCommit, now.Sub(m.decidedAt), len(m.command.Ends))
+	if len(m.command.Ends) > 0 && r.endsCommittedAt.IsZero() {
+		r.endsCommittedAt = now
+	}
 	for incarnation, n := range m.endNumbers {
 		if t := r.targets[incarnation.Target]; t != nil && t.incarnation == incarnation {
 			t.committedEnd = max(t.committedEnd, n)
--- a/internal/jobs/csrun/simulation_test.go
+++ b/internal/jobs/csrun/simulation_test.go
@@ -62,6 +62,7 @@
 	noArrivals    bool          // true if no jobs arrive
 	heldTargets   int           // number of targets whose VM is about to be reclaimed; a different set each second
 	runTimeSigma  float64       // standard deviation of the logarithm of a run time
+	commitTime    time.Duration // from a proposal until its commit
 	refusalRate   float64       // probability that decisions are not committed
 	speculative   float64       // share of the steps that allow copies
 	// unevenRunTime changes the run time of a run. It may be nil.
@@ -88,7 +89,7 @@
 	sim := &simulation{
 		size: size, Clock: clockwork.NewRealClock(), now: time.Unix(1_800_000_000, 0).UTC(), jobRandom: rand.New(rand.NewPCG(1, 1)), callRandom: rand.New(rand.NewPCG(2, 1)),
 		messages: make(chan any, 1<<16), targets: map[csjob.TargetID]*simTarget{}, held: csmodel.NewSet[csjob.Incarnation](),
-		runTimeSigma: 0.2,
+		runTimeSigma: 0.2, commitTime: simCommitTime,
 	}
 	system := actor.NewActorSystem(cslog.Actors(zap.NewNop()))
 	leader := &Leader{root: system.Root, options: Options{
@@ -249,7 +250,7 @@
 	p := &simProposal{done: make(chan csjob.Verdict)}
 	p.data, p.encodeTime = encode(c)
 	sim.mu.Lock()
-	p.at = sim.now.Add(simCommitTime)
+	p.at = sim.now.Add(sim.commitTime)
 	refused := sim.callRandom.Float64() < sim.refusalRate
 	if !refused {
 		sim.commits = append(sim.commits, p)
--- a/internal/jobs/csrun/stats.go
+++ b/internal/jobs/csrun/stats.go
@@ -43,6 +43,8 @@
 	maxInFlight   int           // maximum of inFlight
 	surplus       int           // accepted jobs that are surplus
 	quotaWaits    int           // largest number of steps that waited for the quota of their account
+	waits         [waitCount]int
+	waitTimes     [waitCount]time.Duration // sums
 }
 
 // beginRound starts timing the first phase of a round.
@@ -85,6 +87,9 @@
 	for p, d := range s.phaseTimes {
 		fields = append(fields, zap.Duration(phaseNames[p], d))
 	}
+	for w, n := range s.waits {
+		fields = append(fields, zap.Duration(waitNames[w], s.waitTimes[w]/time.Duration(max(1, n))))
+	}
 	log.Info("workload", append(fields, zap.Duration("round_delay", s.maxDelay), zap.Duration("commit", s.slowestCommit),
 		zap.Int("targets", targets), zap.Int("starts", s.starts), zap.Int("stops", s.stops), zap.Int("looks", s.polls),
 		zap.Int("ends", s.ends), zap.Int("heartbeats", s.heartbeats), zap.Int("unanswered", s.failedCalls),
--- a/internal/jobs/csrun/sync.go
+++ b/internal/jobs/csrun/sync.go
@@ -40,6 +40,8 @@
 
 // syncAll updates all targets and open runs from the table.
 func (r *runner) syncAll(t *csjob.Table, now time.Time) {
+	r.syncingAll = true
+	defer func() { r.syncingAll = false }()
 	for id := range r.targets {
 		if _, known := t.Target(id); !known {
 			r.removeTarget(id)
@@ -182,6 +184,9 @@
 		if u == nil {
 			u = &run{key: key, since: o.StartedAt, prediction: r.learned.Predict(j.Submission.Queue, step), copy: o.Attempt != task.Runs[0].Attempt}
 			u.expected, u.mayCopy = u.prediction.Typical, step.MayCopy()
+			if !r.syncingAll {
+				u.committedAt = r.now()
+			}
 			u.placedEvictingSoon = w.evictingSoonRound > 0 && w.evictingSoonRound == r.markRound
 			w.runs[key] = u
 			w.list = append(w.list, u)
--- a/internal/jobs/csrun/target.go
+++ b/internal/jobs/csrun/target.go
@@ -42,6 +42,8 @@
 type run struct {
 	key                runKey
 	since              time.Time
+	committedAt        time.Time          // when this leader saw the commit of the start; zero for runs of earlier leaders
+	startClock         time.Duration      // clock of the target when it answered the only start order; zero if unknown
 	expected           time.Duration      // predicted run time
 	prediction         *csplan.Prediction // nil if unknown
 	mayCopy            bool               // its step allows copies
@@ -92,16 +94,18 @@
 	polling         bool            // a poll is in flight
 	unpolled        bool            // no poll has been answered yet
 	polledAt        time.Time
-	listedAt        time.Time // time of the last answered poll
-	committedEnd    int64     // number of the last committed end
-	receivedEnd     int64     // number of the last end received, which may not be committed yet
-	acknowledgedEnd int64     // number of the last end acknowledged to the target
-	ordersInFlight  int       // orders in flight
-	failures        int       // consecutive unanswered calls
-	firstFailureAt  time.Time // time of the first of them
-	answeredAt      time.Time // time of the last answered call
-	backoffUntil    time.Time // no new tasks until then
-	closed          bool      // the incarnation has ended, or its end is being committed: it gets no orders or polls
+	listedAt        time.Time     // time of the last answered poll
+	listClock       time.Duration // clock of the target in that answer
+	callTime        movingMean    // from an order until its answer
+	committedEnd    int64         // number of the last committed end
+	receivedEnd     int64         // number of the last end received, which may not be committed yet
+	acknowledgedEnd int64         // number of the last end acknowledged to the target
+	ordersInFlight  int           // orders in flight
+	failures        int           // consecutive unanswered calls
+	firstFailureAt  time.Time     // time of the first of them
+	answeredAt      time.Time     // time of the last answered call
+	backoffUntil    time.Time     // no new tasks until then
+	closed          bool          // the incarnation has ended, or its end is being committed: it gets no orders or polls
 	// successor is the incarnation that replaces this one under the same name. Runs are stopped there before this incarnation ends.
 	successor         csjob.Incarnation
 	closing           bool // the runs of this incarnation are being stopped on its successor, or its end is proposed
