Learn run times without the delays of the leader, and plan with measured ones

Callers saw results that were slightly late although the leader took their jobs for timely, most where disks sync slowly or stores are far apart: SHORT for the kind of request with short tasks.

Cause: the run time of a task was measured from the decision to start it until the leader read its end, so it contained the commit of the start, the call, and the wait for a poll. The objective of a job is a multiple of its run times, so the leader believed in objectives that no client account has. What a step takes beside its runs was a constant of 120 ms a job, and the time for a commit between two steps counted nowhere. In an overload the most urgent job is the one that is almost late, so capacity went into jobs that all ended just too late.

Change: run times are taken from the clock of the target. The leader measures the waits of starts and ends and plans with them: they count in the latest start and in the CPU that work occupies, not in the objective.

--- a/internal/jobs/csplan/copies.go
+++ b/internal/jobs/csplan/copies.go
@@ -14,8 +14,6 @@
 	// copyGain is the largest expected time of a copy as a fraction of the remaining time of the run. In a trial 165 of 188 copies that were
 	// expected to end just before the run were in vain.
 	copyGain = 0.5
-	// copyStartTime is the time from the decision about a copy until it runs: a commit and the order to the target.
-	copyStartTime = 50 * time.Millisecond
 )
 
 // LongRun is the only open run of a task, which may need a copy.
@@ -25,9 +23,11 @@
 	Target csjob.TargetID
 	Rack   string
 	Passed time.Duration // since its start
+	// StartDelay is the expected time from the decision about a copy until it runs.
+	StartDelay time.Duration
 	// Prediction is what was expected of the run.
 	Prediction *Prediction
-	// After is the expected time from the end of the task to that of the job.
+	// After is the expected time from the end of the task until the client account can see that of the job.
 	After time.Duration
 	// Deadline and Expiry are when the job has to be done to be on time, and to have a value.
 	Deadline, Expiry time.Time
@@ -50,9 +50,9 @@
 	if !known || !step.MayCopy() || r.Passed <= unusual {
 		return CopyReason{}, false
 	}
-	reason := CopyReason{Unusual: unusual, Remaining: r.Prediction.Remaining(r.Passed), CopyTime: copyStartTime + r.Prediction.Typical}
-	reason.Lateness = now.Add(reason.Remaining + r.After + resultDelay).Sub(r.Deadline)
-	hasValue := now.Add(reason.CopyTime + r.After + resultDelay).Before(r.Expiry)
+	reason := CopyReason{Unusual: unusual, Remaining: r.Prediction.Remaining(r.Passed), CopyTime: r.StartDelay + r.Prediction.Typical}
+	reason.Lateness = now.Add(reason.Remaining + r.After).Sub(r.Deadline)
+	hasValue := now.Add(reason.CopyTime + r.After).Before(r.Expiry)
 	gain := float64(reason.CopyTime) <= copyGain*float64(reason.Remaining)
 	return reason, reason.Lateness > 0 && gain && hasValue
 }
--- a/internal/jobs/csplan/frozen.go
+++ b/internal/jobs/csplan/frozen.go
@@ -10,12 +10,14 @@
 type FrozenEstimator struct {
 	typical map[predictionKey]time.Duration
 	queues  map[csjob.QueueKey]csjob.RunTimeGroup
+	delays  Delays
 }
 
 // Freeze returns an estimator that other goroutines may use while the table goes on learning.
 func (l *LearnedEstimator) Freeze() *FrozenEstimator {
 	f := &FrozenEstimator{
 		typical: make(map[predictionKey]time.Duration, len(l.predictions)), queues: map[csjob.QueueKey]csjob.RunTimeGroup{},
+		delays: l.Delays(),
 	}
 	for k, p := range l.predictions {
 		f.typical[k] = p.Typical
@@ -26,6 +28,9 @@
 	return f
 }
 
+// Delays implements Estimator.
+func (f *FrozenEstimator) Delays() Delays { return f.delays }
+
 // Duration implements Estimator. Steps that were not predicted before are predicted by the regression of their queue, or as declared.
 func (f *FrozenEstimator) Duration(q csjob.QueueKey, s csjob.Step) time.Duration {
 	if d, known := f.typical[keyOf(q, &s)]; known {
--- a/internal/jobs/csplan/late.go
+++ b/internal/jobs/csplan/late.go
@@ -46,7 +46,7 @@
 // ProspectOf returns the prospect of a job without due times that is accepted now.
 func ProspectOf(now time.Time, e Estimator, q csjob.Queue, s csjob.Submission) Prospect {
 	j := &csjob.Job{Submission: s, Accepted: now}
-	path := CriticalPath(e, j)
+	path, delays := CriticalPath(e, j), e.Delays()
 	deadline, expiry := deadlines(&q, j, 0, path)
-	return Prospect{OnTimeUntil: deadline.Add(-path - resultDelay - minStartSlack), LastStart: expiry.Add(-path)}
+	return Prospect{OnTimeUntil: deadline.Add(-path - delays.step() - delays.Reply - minStartSlack), LastStart: expiry.Add(-path)}
 }
--- a/internal/jobs/csplan/learned.go
+++ b/internal/jobs/csplan/learned.go
@@ -28,6 +28,7 @@
 	runTimes    *csjob.RunTimes
 	predictions map[predictionKey]*cachedPrediction
 	spreads     map[csjob.RunTimeKey]*cachedSpread
+	delays      Delays // zero if none are measured
 }
 
 // predictionKey is what a prediction depends on.
@@ -70,6 +71,17 @@
 	}
 }
 
+// SetDelays sets what Delays returns from now on; zero is DefaultDelays.
+func (l *LearnedEstimator) SetDelays(d Delays) { l.delays = d }
+
+// Delays implements Estimator.
+func (l *LearnedEstimator) Delays() Delays {
+	if l.delays == (Delays{}) {
+		return DefaultDelays
+	}
+	return l.delays
+}
+
 // Duration implements Estimator. It returns the mean of ordinary runs.
 func (l *LearnedEstimator) Duration(q csjob.QueueKey, s csjob.Step) time.Duration {
 	return l.predict(q, &s).Typical
--- a/internal/jobs/csplan/many_steps_test.go
+++ b/internal/jobs/csplan/many_steps_test.go
@@ -10,6 +10,9 @@
 // countingEstimator counts its predictions.
 type countingEstimator struct{ calls int }
 
+// Delays implements Estimator.
+func (e *countingEstimator) Delays() Delays { return DefaultDelays }
+
 // Duration implements Estimator.
 func (e *countingEstimator) Duration(csjob.QueueKey, csjob.Step) time.Duration {
 	e.calls++
--- a/internal/jobs/csplan/plan.go
+++ b/internal/jobs/csplan/plan.go
@@ -13,9 +13,6 @@
 )
 
 const (
-	// resultDelay is the time from the end of a run until the client account can see its result: half the interval between
-	// polls of a target, a commit and the reply to a poll of the client.
-	resultDelay = 120 * time.Millisecond
 	// minStartSlack is the slack that a job which has not started needs to be feasible. In an overload the most urgent job is the
 	// one that is almost late, and without a minimum every job would start too late to meet its objective. It covers the error
 	// of the predicted run times and the wait of a second step. With 200 ms, half of the jobs that started in the busy phase
@@ -40,8 +37,25 @@
 type Estimator interface {
 	// Duration returns the predicted run time of one task of a step of a queue.
 	Duration(csjob.QueueKey, csjob.Step) time.Duration
+	// Delays returns the expected time that a step takes beside the runs of its tasks.
+	Delays() Delays
 }
 
+// Delays is the time that a job takes beside the runs of its tasks. It counts in the time until the job is done, but not in its objective,
+// which allows for run times only.
+type Delays struct {
+	Start time.Duration // from the placement of a task until it runs
+	End   time.Duration // from the end of a run until what waits for it can be placed
+	Reply time.Duration // from the end of the last step until the client account can see the result
+}
+
+// DefaultDelays are the delays before any are measured: half the interval between polls of a target, a commit and the reply to a poll of the
+// client.
+var DefaultDelays = Delays{Reply: 120 * time.Millisecond}
+
+// step returns the delays of one step.
+func (d Delays) step() time.Duration { return d.Start + d.End }
+
 // Predictor is an Estimator that also knows the spread of run times.
 type Predictor interface {
 	Estimator
@@ -50,7 +64,7 @@
 }
 
 // RemainingCriticalPath returns the length of the remaining critical path of an occurrence: the predicted time until it is done if no task had
-// to wait for resources.
+// to wait for resources. It includes the delays of the steps.
 func RemainingCriticalPath(e Estimator, j *csjob.Job, occurrence int) time.Duration {
 	o := j.Occurrence(occurrence)
 	if o == nil {
@@ -60,8 +74,7 @@
 	return remaining
 }
 
-// CriticalPath returns the length of the critical path of a whole occurrence: the predicted time from its start to its end if no task
-// had to wait for resources.
+// CriticalPath returns the length of the critical path of a whole occurrence: the sum of the predicted run times along it.
 func CriticalPath(e Estimator, j *csjob.Job) time.Duration {
 	total, _ := criticalPaths(e, j, nil)
 	return total
@@ -70,8 +83,8 @@
 // maxStackSteps is the number of steps up to which criticalPaths needs no heap allocation.
 const maxStackSteps = 8
 
-// criticalPaths returns the predicted lengths of the critical path through all steps, and through the steps with remaining tasks.
-// remainingTasks holds the number of remaining tasks by step; nil stands for none.
+// criticalPaths returns the predicted lengths of the critical path through all steps, without delays, and through the steps with remaining
+// tasks, with delays. remainingTasks holds the number of remaining tasks by step; nil stands for none.
 func criticalPaths(e Estimator, j *csjob.Job, remainingTasks []int) (total, remaining time.Duration) {
 	type lengths struct{ total, remaining time.Duration }
 	var stack [maxStackSteps]lengths
@@ -79,6 +92,7 @@
 	if len(j.Submission.Steps) > maxStackSteps {
 		byStep = make([]lengths, len(j.Submission.Steps))
 	}
+	delays := e.Delays().step()
 	for i := range j.Submission.Steps {
 		s := &j.Submission.Steps[i]
 		path := &byStep[i]
@@ -88,7 +102,7 @@
 		d := e.Duration(j.Submission.Queue, *s)
 		path.total += d
 		if remainingTasks != nil && remainingTasks[i] > 0 {
-			path.remaining += d
+			path.remaining += d + delays
 		}
 		total, remaining = max(total, path.total), max(remaining, path.remaining)
 	}
@@ -160,7 +174,7 @@
 	u := longRunningUrgency(q, j)
 	total, remaining := criticalPaths(e, j, o.Remaining)
 	deadline, expiry := deadlines(q, j, number, total)
-	u.latestStart = deadline.Add(-remaining - resultDelay)
+	u.latestStart = deadline.Add(-remaining - e.Delays().Reply)
 	u.begun, u.remaining = started(o), remaining
 	minSlack := minStartSlack
 	if u.begun {
--- a/internal/jobs/csplan/regression_test.go
+++ b/internal/jobs/csplan/regression_test.go
@@ -33,6 +33,9 @@
 	biasFactor   float64 // mean ratio of actual to predicted run time; corrects the bias of exponentiating a mean logarithm
 }
 
+// Delays implements Estimator.
+func (l *RunTimeEstimator) Delays() Delays { return DefaultDelays }
+
 // Duration implements Estimator. Between no runs and fullTrustRuns it moves from the declared run time to the regression.
 func (l *RunTimeEstimator) Duration(q csjob.QueueKey, s csjob.Step) time.Duration {
 	r := l.regressions[q]
--- a/internal/jobs/csplan/runtimes_test.go
+++ b/internal/jobs/csplan/runtimes_test.go
@@ -14,8 +14,12 @@
 	perfectTimes  struct{}
 )
 
+func (declaredTimes) Delays() Delays { return DefaultDelays }
+
 func (declaredTimes) Duration(_ csjob.QueueKey, s csjob.Step) time.Duration { return s.Estimate }
 
+func (perfectTimes) Delays() Delays { return DefaultDelays }
+
 func (perfectTimes) Duration(_ csjob.QueueKey, s csjob.Step) time.Duration { return typical(&s) }
 
 func newLearners() []learner {
--- a/internal/jobs/csrun/copies.go
+++ b/internal/jobs/csrun/copies.go
@@ -48,9 +48,9 @@
 	}
 	p := r.learned.Predict(j.Submission.Queue, &j.Submission.Steps[k.Step])
 	unusual, known := p.Quantile(csplan.UnusualQuantile)
-	passed := now.Sub(u.since)
+	passed := u.passed(now)
 	// An older list doesn't tell that the run still goes on: after a change of leaders most runs seem long, because their ends are not read yet.
-	if !known || passed <= unusual || w.listedAt.Sub(u.since) <= unusual {
+	if !known || passed <= unusual || u.passed(w.listedAt) <= unusual {
 		return csplan.LongRun{}, false
 	}
 	// A run gets one copy, also if the copy fails or never starts: more of them could use up the attempts of the task.
@@ -58,7 +58,9 @@
 		return csplan.LongRun{}, false
 	}
 	l := csplan.LongRun{Job: j, Task: k, Target: w.incarnation.Target, Rack: w.record.Rack, Passed: passed, Prediction: p}
-	l.After = max(0, csplan.RemainingCriticalPath(&r.learned, j, k.Occurrence)-p.Typical)
+	delays := r.learned.Delays()
+	l.StartDelay = delays.Start
+	l.After = max(0, csplan.RemainingCriticalPath(&r.learned, j, k.Occurrence)-delays.Start-p.Typical) + delays.Reply
 	l.Deadline, l.Expiry = csplan.Objective(&r.learned, t.QueueOf(j), j, k.Occurrence)
 	return l, true
 }
--- a/internal/jobs/csrun/evict.go
+++ b/internal/jobs/csrun/evict.go
@@ -89,7 +89,7 @@
 }
 
 // remaining returns the predicted time until the run ends.
-func (u *run) remaining(now time.Time) time.Duration { return u.expected - now.Sub(u.since) }
+func (u *run) remaining(now time.Time) time.Duration { return u.expected - u.passed(now) }
 
 // evictable reports whether stopping a run frees its VM sooner and costs its job only the lost work: the job is late already,
 // or the run can be restarted in time.
--- a/internal/jobs/csrun/learning.go
+++ b/internal/jobs/csrun/learning.go
@@ -26,22 +26,22 @@
 	}
 }
 
-// learnFromEnd sets the run time of an end for the table to learn from, and updates what is known about the target. prompt is set if the
-// time of the end is exact.
-func (r *runner) learnFromEnd(w *target, u *run, e *csjob.End, now time.Time, prompt bool) {
+// learnFromEnd sets the run time of an end for the table to learn from, and updates what is known about the target. worked is how long the run
+// took on the target, or zero if unknown. prompt is set if the time of the end is exact.
+func (r *runner) learnFromEnd(w *target, u *run, e *csjob.End, worked time.Duration, now time.Time, prompt bool) {
 	if u.copy {
 		r.recordCopyEnd(w, u, e)
 	}
 	switch e.Outcome {
 	case csjob.OutcomeDone:
 		w.quarantine.recordEnd(now, false)
-		if prompt && now.After(u.since) {
-			e.Ran = now.Sub(u.since)
+		if prompt && worked > 0 {
+			e.Ran = worked
 			r.recordRunTime(w, u, e.Ran, now)
 		}
 	case csjob.OutcomeStopped:
-		if prompt && now.After(u.since) {
-			e.Ran = now.Sub(u.since)
+		if prompt {
+			e.Ran = worked
 		}
 	case csjob.OutcomeFailed:
 		w.quarantine.recordEnd(now, true)
--- a/internal/jobs/csrun/offered.go
+++ b/internal/jobs/csrun/offered.go
@@ -90,12 +90,15 @@
 	}
 }
 
-// predictedWork returns the predicted work of the batch tasks of a job, in thousandths of a core times seconds.
+// predictedWork returns how much CPU the batch tasks of a job are predicted to occupy, in thousandths of a core times seconds. A task
+// occupies its CPU from its placement until the commit of its end.
 func predictedWork(j *csjob.Job, e csplan.Estimator) csmodel.MilliCPU {
 	var sum float64
+	delays := e.Delays()
 	for _, s := range j.Submission.Steps {
 		if !s.LongRunning {
-			sum += float64(s.Tasks) * float64(s.Resources.CPU) * meanDuration(e, j.Submission.Queue, &s).Seconds()
+			occupied := meanDuration(e, j.Submission.Queue, &s) + delays.Start + delays.End
+			sum += float64(s.Tasks) * float64(s.Resources.CPU) * occupied.Seconds()
 		}
 	}
 	return csmodel.MilliCPU(sum)
--- a/internal/jobs/csrun/polls.go
+++ b/internal/jobs/csrun/polls.go
@@ -105,9 +105,9 @@
 	wait := r.options.Timing.PollWait
 	for _, u := range w.runs {
 		if !u.longRunning {
-			left := u.expected - now.Sub(u.since)
+			left := u.remaining(now)
 			if left < 0 && u.prediction != nil {
-				left = u.prediction.Remaining(now.Sub(u.since))
+				left = u.prediction.Remaining(u.passed(now))
 			}
 			wait = min(wait, max(minPollWait, left+predictionMargin))
 		}
@@ -243,13 +243,13 @@
 		expected, worked := time.Duration(0), time.Duration(0)
 		if u := w.runs[key]; u != nil {
 			u.ended, expected, worked = true, u.expected, u.worked(endClock)
-			r.learnFromEnd(w, u, &end, now, prompt)
+			r.learnFromEnd(w, u, &end, worked, now, prompt)
 		}
 		r.proposedEnds = append(r.proposedEnds, end)
 		r.options.Metrics.ends.WithLabelValues(outcomeNames[e.Outcome]).Inc()
 		r.log.Info("end", zap.String("job", string(e.Task.Job)), zap.Stringer("task", e.Task), zap.Int("attempt", int(e.Attempt)),
 			zap.String("target", string(w.incarnation.Target)), zap.String("outcome", outcomeNames[e.Outcome]), zap.Int64("number", e.Number),
-			zap.Bool("prompt", prompt), zap.Duration("ran", end.Ran), zap.Duration("worked", worked), zap.Duration("expected", expected.Round(time.Millisecond)))
+			zap.Bool("prompt", prompt), zap.Duration("ran", end.Ran), zap.Duration("expected", expected.Round(time.Millisecond)))
 	}
 	if prompt {
 		r.recordEndList(w, m, endClock, now, received)
--- a/internal/jobs/csrun/runner.go
+++ b/internal/jobs/csrun/runner.go
@@ -222,6 +222,7 @@
 	var begun []csjob.ID
 	r.options.State.View(func(t *csjob.Table) {
 		r.learned.Use(t.RunTimes())
+		r.learned.SetDelays(r.waits.delays())
 		r.sync(t, now)
 		r.reportRunTimes(now, t)
 		begun = r.takeBegun(t)
--- a/internal/jobs/csrun/sync.go
+++ b/internal/jobs/csrun/sync.go
@@ -183,6 +183,7 @@
 		u := w.runs[key]
 		if u == nil {
 			u = &run{key: key, since: o.StartedAt, prediction: r.learned.Predict(j.Submission.Queue, step), copy: o.Attempt != task.Runs[0].Attempt}
+			u.startDelay = r.learned.Delays().Start
 			u.expected, u.mayCopy = u.prediction.Typical, step.MayCopy()
 			if !r.syncingAll {
 				u.committedAt = r.now()
--- a/internal/jobs/csrun/target.go
+++ b/internal/jobs/csrun/target.go
@@ -41,7 +41,8 @@
 // run is the leader's state of an open run on a target.
 type run struct {
 	key                runKey
-	since              time.Time
+	since              time.Time          // when the leader decided to start it
+	startDelay         time.Duration      // from since until it began on the target; expected until the start is answered
 	committedAt        time.Time          // when this leader saw the commit of the start; zero for runs of earlier leaders
 	startClock         time.Duration      // clock of the target when it answered the only start order; zero if unknown
 	expected           time.Duration      // predicted run time
--- a/internal/jobs/csrun/waits.go
+++ b/internal/jobs/csrun/waits.go
@@ -1,6 +1,10 @@
 package csrun
 
-import "time"
+import (
+	"time"
+
+	"cowslipstream.example/cowslipstream/internal/jobs/csplan"
+)
 
 // waitPart is a part of the time that a task takes beside its run.
 type waitPart uint8
@@ -21,6 +25,10 @@
 const (
 	// meanSamples is the number of samples after which a movingMean forgets.
 	meanSamples = 64
+	// replyDelay is the time from the commit of the last end of a job until its client account has the reply to a poll.
+	replyDelay = 50 * time.Millisecond
+	// minWaitSamples is the number of samples of each wait from which the delays are known.
+	minWaitSamples = 8
 	// maxWaitSample bounds a sample: a stall or a partition tells little about the tasks that follow.
 	maxWaitSample = 500 * time.Millisecond
 	// waitingMargin is how much longer than an order a poll has to take to count as one that waited for an end.
@@ -41,6 +49,23 @@
 // taskWaits holds the recent means of all waits. The zero value has no samples.
 type taskWaits [waitCount]movingMean
 
+// delays returns the delays to expect of the next steps, or zero while a wait has few samples.
+func (t *taskWaits) delays() csplan.Delays {
+	for i := range t {
+		if t[i].samples < minWaitSamples {
+			return csplan.Delays{}
+		}
+	}
+	return csplan.Delays{
+		Start: t[waitStartCommit].value + t[waitStartOrder].value + t[waitStartCall].value/2,
+		End:   t[waitEndList].value + t[waitEndRound].value + t[waitEndCommit].value + t[waitNextRound].value,
+		Reply: replyDelay,
+	}
+}
+
+// passed returns how long the run has run at a time.
+func (u *run) passed(at time.Time) time.Duration { return at.Sub(u.since) - u.startDelay }
+
 // recordWait records that n tasks have waited for a time.
 func (r *runner) recordWait(w waitPart, d time.Duration, n int) {
 	if n == 0 {
@@ -60,6 +85,7 @@
 		return
 	}
 	u.startClock = m.reply.Clock
+	u.startDelay = m.sentAt.Sub(u.since) + m.arrivedAt.Sub(m.sentAt)/2
 	w.callTime.add(m.arrivedAt.Sub(m.sentAt))
 	r.recordWait(waitStartCall, m.arrivedAt.Sub(m.sentAt), 1)
 }
