Use what an ended run has released before its end is committed

Callers waited for places that stood idle: the resources of a run stayed taken on its target until the commit of its end, 70 to 100 ms of a run of 800 ms with 20 ms a sync and 12 ms between zones. Quotas still count from commit to commit. If the commit fails, the target lists the end again; a new leader sees the run as open until it has polled the target.

--- a/internal/jobs/csrun/overload_test.go
+++ b/internal/jobs/csrun/overload_test.go
@@ -108,7 +108,9 @@
 				o.run()
 				jobs, onTime = jobs+o.jobs, onTime+o.onTime
 			}
-			if got, want := float64(onTime)/float64(jobs), 0.75*min(1, 1/load); got < want {
+			got, want := float64(onTime)/float64(jobs), 0.75*min(1, 1/load)
+			t.Logf("on time %.3f of %d jobs", got, jobs)
+			if got < want {
 				t.Errorf("got %.3f of %d jobs on time, want %.3f", got, jobs, want)
 			}
 		})
--- a/internal/jobs/csrun/polls.go
+++ b/internal/jobs/csrun/polls.go
@@ -243,6 +243,7 @@
 		expected, worked := time.Duration(0), time.Duration(0)
 		if u := w.runs[key]; u != nil {
 			u.ended, expected, worked = true, u.expected, u.worked(endClock)
+			w.usage.valid = false
 			r.learnFromEnd(w, u, &end, worked, now, prompt)
 		}
 		r.proposedEnds = append(r.proposedEnds, end)
--- a/internal/jobs/csrun/usage.go
+++ b/internal/jobs/csrun/usage.go
@@ -9,7 +9,8 @@
 )
 
 // usage is the sum of the resources that the runs of a target use. It is cached until they change, so that the cost of a round
-// depends on what has changed.
+// depends on what has changed. A run that the target lists as ended uses none, even while the commit of its end is in flight: the target
+// has released them.
 type usage struct {
 	valid          bool // false if the sums have to be recomputed
 	slot           csplan.Slot
@@ -42,7 +43,7 @@
 	}
 	clear(a.slot.Spread)
 	for _, u := range w.list {
-		if !u.job.Released() {
+		if !u.job.Released() && !u.ended {
 			a.slot.Allocate(&u.job.Submission.Steps[u.key.task.Step], stepOf(u.key.task))
 		}
 	}
@@ -59,7 +60,7 @@
 	a := &w.usage
 	a.hasLongRunning, a.longRunning, a.timely, a.validUntil = false, 0, 0, time.Time{}
 	for _, u := range w.list {
-		if u.job.Released() {
+		if u.job.Released() || u.ended {
 			continue
 		}
 		step := &u.job.Submission.Steps[u.key.task.Step]
