Notice the cut of a zone in which a target was silent before

Callers lost jobs that were started on VMs out of reach: a zone counted as cut off only if no target there had answered since the first silent one fell silent. Where one target was lost before, as after a crash of a rack, a later cut of the zone was noticed target by target, and each task that was sent there waited for its lease. Targets now count that fell silent after the last answer from their zone.

Evidence: the case 'two are silent beside one that was before' of TestSilentZone failed before.

--- a/internal/jobs/csrun/silence_test.go
+++ b/internal/jobs/csrun/silence_test.go
@@ -9,7 +9,8 @@
 )
 
 // Pattern: a network partition cuts off an availability zone. Its targets stop answering at the same time, and every task that
-// is still sent there is delayed, so the whole zone is excluded as soon as two of its targets are silent.
+// is still sent there is delayed, so the whole zone is excluded as soon as two of its targets are silent. Guards against a cut that is noticed
+// target by target because one target was lost before.
 func TestSilentZone(t *testing.T) {
 	now := time.Unix(1_800_000_000, 0)
 	type targetState struct {
@@ -27,6 +28,8 @@
 		{"two are silent", []targetState{{"a", 5, 4}, {"a", 6, 4}, {"a", 0, 3}}, true},
 		{"another target has answered since", []targetState{{"a", 5, 4}, {"a", 6, 4}, {"a", 0, 7}}, false},
 		{"silent targets in two zones", []targetState{{"a", 5, 4}, {"b", 6, 4}}, false},
+		{"two are silent beside one that was before", []targetState{{"a", 1, 0}, {"a", 6, 4}, {"a", 7, 5}}, true},
+		{"one is silent beside one that was before", []targetState{{"a", 1, 0}, {"a", 6, 4}, {"a", 0, 5}}, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/jobs/csrun/target.go
+++ b/internal/jobs/csrun/target.go
@@ -251,34 +251,28 @@
 		now.Sub(t.heardAt) < silenceThreshold(interval) && now.After(t.backoffUntil)
 }
 
-// silentZones returns the availability zones in which several targets don't answer and no target has answered since. A
-// network partition affects all targets of a zone at once, and each task sent there is stuck until its lease ends.
+// silentZones returns the availability zones in which several targets have stopped answering since the last answer of any target there. A
+// network partition affects all targets of a zone at once, and each task sent there is stuck until its lease ends. Targets that fell
+// silent earlier tell nothing of the zone.
 func (r *runner) silentZones() csmodel.Set[csmodel.AvailabilityZone] {
 	if r.failingTargets() < minSilentTargets {
 		return nil
 	}
-	type zoneState struct {
-		failing        int
-		firstFailureAt time.Time // first unanswered call
-		answeredAt     time.Time // last answered call
-	}
-	zones := map[csmodel.AvailabilityZone]zoneState{}
+	answeredAt := map[csmodel.AvailabilityZone]time.Time{} // last answered call
 	for _, w := range r.targets {
-		z := zones[w.record.Zone]
-		if w.failures > 0 {
-			z.failing++
-			if z.firstFailureAt.IsZero() || w.firstFailureAt.Before(z.firstFailureAt) {
-				z.firstFailureAt = w.firstFailureAt
-			}
+		if zone := w.record.Zone; w.answeredAt.After(answeredAt[zone]) {
+			answeredAt[zone] = w.answeredAt
 		}
-		if w.answeredAt.After(z.answeredAt) {
-			z.answeredAt = w.answeredAt
+	}
+	failing := map[csmodel.AvailabilityZone]int{}
+	for _, w := range r.targets {
+		if zone := w.record.Zone; w.failures > 0 && !answeredAt[zone].After(w.firstFailureAt) {
+			failing[zone]++
 		}
-		zones[w.record.Zone] = z
 	}
 	out := csmodel.NewSet[csmodel.AvailabilityZone]()
-	for zone, z := range zones {
-		if z.failing >= minSilentTargets && !z.answeredAt.After(z.firstFailureAt) {
+	for zone, n := range failing {
+		if n >= minSilentTargets {
 			out.Add(zone)
 		}
 	}
