--- a/internal/jobs/csrun/offered.go
+++ b/internal/jobs/csrun/offered.go
@@ -90,8 +90,8 @@
 	}
 }
 
-// predictedWork returns how much CPU the batch tasks of a job are predicted to occupy, in thousandths of a core times seconds. A task
-// occupies its CPU from its placement until the commit of its end.
+// predictedWork returns how much CPU the batch tasks of a job are predicted to occupy, in thousandths of a core times seconds. A task keeps its
+// CPU from others for the delays of its step as well.
 func predictedWork(j *csjob.Job, e csplan.Estimator) csmodel.MilliCPU {
 	var sum float64
 	delays := e.Delays()
